--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Each target works on a new machine with Python 3.11 and the package registry.
+# VENV may point at an existing environment, for example one that several
+# work trees share. The stamp carries a checksum of pyproject.toml, so that a
+# work tree with the same dependencies does not install again.
+VENV ?= .venv
+PYTHON ?= python3
+STAMP := $(VENV)/.installed-$(shell cksum pyproject.toml | cut -d' ' -f1)
+RUN := PYTHONPATH=src:. PYTHONHASHSEED=0 $(VENV)/bin/python
+SEED ?= 1
+
+.PHONY: demo test lint format bench faults clean
+
+$(STAMP):
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(RUN) -m demo
+
+test: $(STAMP)
+	$(RUN) -m pytest
+	$(RUN) -m behave --no-color --format progress features
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check src standins tests features bench demo tools
+	$(VENV)/bin/python -m flake8 src standins tests features bench demo tools
+
+format: $(STAMP)
+	$(RUN) -m tools.sort_imports src standins tests features bench demo tools
+	$(VENV)/bin/ruff format src standins tests features bench demo tools
+
+bench: $(STAMP)
+	$(RUN) -m bench
+
+clean:
+	rm -rf build .venv
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that ``make bench`` runs."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that ``make demo`` runs."""
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios with real processes, run by behave."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,26 @@
+"""Starts and ends the processes of each scenario."""
+
+import pathlib
+import tempfile
+
+from standins import launcher
+
+
+def before_scenario(context, scenario):
+    """Give each scenario a folder of its own."""
+    context.temporary = tempfile.TemporaryDirectory()
+    context.folder = pathlib.Path(context.temporary.name)
+    context.system = None
+
+
+def after_scenario(context, scenario):
+    """End the scenario's processes and remove its folder."""
+    if context.system is not None:
+        context.system.stop()
+    context.temporary.cleanup()
+
+
+def start_system(context, layout: launcher.Layout) -> None:
+    """Start a system that ends with the scenario."""
+    context.system = launcher.Launcher(layout=layout, folder=context.folder)
+    context.system.start()
--- /dev/null
+++ b/src/turmerichook/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation; anything here may move between releases."""
--- /dev/null
+++ b/src/turmerichook/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Parsing of command lines and exit statuses."""
--- /dev/null
+++ b/src/turmerichook/_internal/clock.py
@@ -0,0 +1,67 @@
+"""Clock interface, the system's clock, and one for tests."""
+
+import asyncio
+import datetime
+import heapq
+import time
+import typing
+
+
+class Clock(typing.Protocol):
+    """Source of time that is passed into everything that needs one."""
+
+    def now(self) -> datetime.datetime:
+        """Return the wall-clock time in UTC, for people and records only."""
+
+    def monotonic(self) -> datetime.timedelta:
+        """Return a reading that never goes backwards, for intervals."""
+
+    async def sleep(self, delay: datetime.timedelta) -> None:
+        """Suspend the calling task for ``delay``."""
+
+
+class SystemClock:
+    """The operating system's clocks."""
+
+    def now(self) -> datetime.datetime:
+        return datetime.datetime.now(datetime.timezone.utc)
+
+    def monotonic(self) -> datetime.timedelta:
+        return datetime.timedelta(seconds=time.monotonic())
+
+    async def sleep(self, delay: datetime.timedelta) -> None:
+        await asyncio.sleep(delay.total_seconds())
+
+
+class ManualClock:
+    """A clock that moves only when a test advances it."""
+
+    def __init__(self, *, start: datetime.datetime | None = None):
+        self.start = start or datetime.datetime(
+            2026, 1, 1, tzinfo=datetime.timezone.utc
+        )
+        self.elapsed = datetime.timedelta()
+        self.sleepers: list[tuple[datetime.timedelta, int, asyncio.Future]]
+        self.sleepers = []
+        self.sequence = 0
+
+    def now(self) -> datetime.datetime:
+        return self.start + self.elapsed
+
+    def monotonic(self) -> datetime.timedelta:
+        return self.elapsed
+
+    async def sleep(self, delay: datetime.timedelta) -> None:
+        future = asyncio.get_running_loop().create_future()
+        self.sequence += 1
+        entry = (self.elapsed + delay, self.sequence, future)
+        heapq.heappush(self.sleepers, entry)
+        await future
+
+    def advance(self, delay: datetime.timedelta) -> None:
+        """Move the clock and wake the tasks whose sleep has ended."""
+        self.elapsed += delay
+        while self.sleepers and self.sleepers[0][0] <= self.elapsed:
+            _, _, future = heapq.heappop(self.sleepers)
+            if not future.done():
+                future.set_result(None)
--- /dev/null
+++ b/src/turmerichook/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each operators' command."""
--- /dev/null
+++ b/src/turmerichook/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' folder, its schema, and its distribution."""
--- /dev/null
+++ b/src/turmerichook/_internal/configuration/bundle.py
@@ -0,0 +1,161 @@
+"""One generation of the operators' files, as kept in the store."""
+
+import dataclasses
+import datetime
+import hashlib
+
+import msgpack
+
+from turmerichook._internal.configuration import folder
+from turmerichook._internal.configuration import schema
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import site
+from turmerichook import exceptions
+
+HEAD_KEY = "config/head"
+BUNDLE_PREFIX = "config/bundles/"
+BUNDLE_BYTES = 768 * 1024
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Head:
+    """Which generation is in force.
+
+    :param digest: SHA-256 of the bundle, in hexadecimal.
+    :param operation: id of the apply that wrote it, to recognise a write
+        whose answer was lost.
+    """
+
+    generation: ids.Generation
+    digest: str
+    operation: ids.OperationId
+    author: str
+    applied: str
+    bundle_key: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Accepted:
+    """A generation with its files and what they mean."""
+
+    generation: ids.Generation
+    digest: str
+    files: folder.Files
+    configuration: site.Configuration
+
+
+def pack_files(files: folder.Files) -> bytes:
+    """Return the bundle of files.
+
+    :raises ConfigurationError: if it exceeds 768 KiB.
+    """
+    packed = msgpack.packb(dict(sorted(files.items())))
+    if len(packed) > BUNDLE_BYTES:
+        problem = exceptions.ConfigurationProblem(
+            code="too-large",
+            file="",
+            where="",
+            expected=f"at most {BUNDLE_BYTES} bytes in all files",
+        )
+        raise exceptions.ConfigurationError(problems=(problem,))
+    return packed
+
+
+def unpack_files(packed: bytes) -> folder.Files:
+    """Return the files of a bundle.
+
+    :raises MessageError: if the bundle is malformed.
+    """
+    try:
+        files = msgpack.unpackb(packed)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise exceptions.MessageError(
+            message=f"malformed configuration bundle: {error}",
+        ) from error
+    match files:
+        case dict() if all(
+            isinstance(k, str) and isinstance(v, bytes)
+            for k, v in files.items()
+        ):
+            return files
+        case _:
+            raise exceptions.MessageError(
+                message="malformed configuration bundle",
+            )
+
+
+def digest_of(packed: bytes) -> str:
+    """Return the SHA-256 of a bundle in hexadecimal."""
+    return hashlib.sha256(packed).hexdigest()
+
+
+def make_head(
+    *,
+    generation: ids.Generation,
+    packed: bytes,
+    operation: ids.OperationId,
+    author: str,
+    now: datetime.datetime,
+) -> Head:
+    """Return the head for a bundle that is about to be applied."""
+    return Head(
+        generation=generation,
+        digest=digest_of(packed),
+        operation=operation,
+        author=author,
+        applied=now.isoformat(),
+        bundle_key=f"{BUNDLE_PREFIX}{generation:08d}-{operation}",
+    )
+
+
+def pack_head(head: Head) -> bytes:
+    """Return the stored form of a head."""
+    return msgpack.packb(
+        [
+            head.generation,
+            head.digest,
+            head.operation,
+            head.author,
+            head.applied,
+            head.bundle_key,
+        ]
+    )
+
+
+def unpack_head(packed: bytes) -> Head:
+    """Return a stored head.
+
+    :raises MessageError: if it is malformed.
+    """
+    try:
+        generation, digest, operation, author, applied, key = msgpack.unpackb(
+            packed
+        )
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise exceptions.MessageError(
+            message=f"malformed configuration head: {error}",
+        ) from error
+    return Head(
+        generation=ids.Generation(generation),
+        digest=digest,
+        operation=ids.OperationId(operation),
+        author=author,
+        applied=applied,
+        bundle_key=key,
+    )
+
+
+def accept(generation: ids.Generation, packed: bytes) -> Accepted:
+    """Return a generation, checked as a whole.
+
+    :raises ConfigurationError: if this version does not understand it.
+    :raises MessageError: if the bundle is malformed.
+    """
+    files = unpack_files(packed)
+    configuration = schema.parse(folder.merge(files))
+    return Accepted(
+        generation=generation,
+        digest=digest_of(packed),
+        files=files,
+        configuration=configuration,
+    )
--- /dev/null
+++ b/src/turmerichook/_internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 plumbing over h11 that all programs share."""
--- /dev/null
+++ b/src/turmerichook/_internal/http/client.py
@@ -0,0 +1,175 @@
+"""HTTP/1.1 client connection over h11, one exchange at a time."""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+import h11
+
+from turmerichook._internal.http import heads
+from turmerichook import exceptions
+
+READ_BYTES = 64 * 1024
+
+
+class ClientConnection:
+    """One connection to a server.
+
+    All methods raise ``ExchangeError`` with the progress of the exchange.
+    After an error the connection must be closed; ``reusable`` tells whether
+    the last exchange ended cleanly on both sides.
+    """
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        address: str,
+        limits: heads.Limits,
+    ):
+        self.reader = reader
+        self.writer = writer
+        self.address = address
+        self.protocol = h11.Connection(
+            our_role=h11.CLIENT,
+            max_incomplete_event_size=limits.head_bytes,
+        )
+        self.progress = exceptions.Progress.NOTHING_SENT
+
+    @classmethod
+    async def open(
+        cls,
+        *,
+        host: str,
+        port: int,
+        timeout: float,
+        limits: heads.Limits | None = None,
+    ) -> "ClientConnection":
+        """Connect within ``timeout`` seconds.
+
+        :raises ConnectError: if no connection was made.
+        """
+        address = f"{host}:{port}"
+        try:
+            async with asyncio.timeout(timeout):
+                reader, writer = await asyncio.open_connection(
+                    host, port, limit=READ_BYTES
+                )
+        except (OSError, TimeoutError) as error:
+            reason = str(error) or "timed out"
+            raise exceptions.ConnectError(
+                message=f"cannot connect: {reason}",
+                context=address,
+            ) from error
+        return cls(
+            reader=reader,
+            writer=writer,
+            address=address,
+            limits=limits or heads.Limits(),
+        )
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another exchange may follow on this connection."""
+        return (
+            self.protocol.our_state is h11.IDLE
+            and not self.reader.at_eof()
+            and not self.writer.is_closing()
+        )
+
+    async def send_head(self, head: heads.RequestHead) -> None:
+        """Send the request's head."""
+        event = h11.Request(
+            method=head.method, target=head.target, headers=head.headers
+        )
+        await self._send(event)
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a piece of the request's body."""
+        await self._send(h11.Data(data=data))
+
+    async def end_request(self) -> None:
+        """End the request."""
+        await self._send(h11.EndOfMessage())
+
+    async def receive_head(self) -> heads.ResponseHead:
+        """Return the head of the final response, passing over 1xx ones."""
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.InformationalResponse():
+                    continue
+                case h11.Response():
+                    self.progress = exceptions.Progress.RESPONSE_STARTED
+                    return heads.ResponseHead(
+                        status=event.status_code,
+                        headers=[
+                            (bytes(k), bytes(v)) for k, v in event.headers
+                        ],
+                    )
+                case _:
+                    raise self._failure("the server closed the connection")
+
+    async def body(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the pieces of the response body until its proper end."""
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Data():
+                    yield bytes(event.data)
+                case h11.EndOfMessage():
+                    return
+                case _:
+                    raise self._failure("the response was cut off")
+
+    def finish(self) -> None:
+        """Get ready for the next exchange if this one ended cleanly."""
+        if (
+            self.protocol.our_state is h11.DONE
+            and self.protocol.their_state is h11.DONE
+        ):
+            self.protocol.start_next_cycle()
+            self.progress = exceptions.Progress.NOTHING_SENT
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        with contextlib.suppress(OSError, RuntimeError):
+            self.writer.close()
+
+    async def _send(self, event: typing.Any) -> None:
+        try:
+            data = self.protocol.send(event)
+        except h11.LocalProtocolError as error:
+            raise self._failure(f"invalid request: {error}") from error
+        if not data:
+            return
+        if self.progress is exceptions.Progress.NOTHING_SENT:
+            self.progress = exceptions.Progress.REQUEST_STARTED
+        try:
+            self.writer.write(data)
+            await self.writer.drain()
+        except OSError as error:
+            raise self._failure(f"sending failed: {error}") from error
+
+    async def _next_event(self) -> typing.Any:
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._failure(f"malformed HTTP: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except OSError as error:
+                raise self._failure(f"receiving failed: {error}") from error
+            self.protocol.receive_data(data)
+
+    def _failure(self, message: str) -> exceptions.ExchangeError:
+        return exceptions.ExchangeError(
+            message=message,
+            progress=self.progress,
+            context=self.address,
+        )
--- /dev/null
+++ b/src/turmerichook/_internal/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and their set-up."""
--- /dev/null
+++ b/src/turmerichook/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Leases and heartbeats of the entry hosts' processes."""
--- /dev/null
+++ b/src/turmerichook/_internal/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Histograms, counters and their exposition."""
--- /dev/null
+++ b/src/turmerichook/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data types without I/O."""
--- /dev/null
+++ b/src/turmerichook/_internal/models/ids.py
@@ -0,0 +1,28 @@
+"""Identifiers and counters."""
+
+import typing
+
+ZoneId = typing.NewType("ZoneId", str)
+RegionId = typing.NewType("RegionId", str)
+RackId = typing.NewType("RackId", str)
+HostId = typing.NewType("HostId", str)
+NodeId = typing.NewType("NodeId", str)
+TeamId = typing.NewType("TeamId", str)
+JobId = typing.NewType("JobId", str)
+ServiceId = typing.NewType("ServiceId", str)
+TaskId = typing.NewType("TaskId", str)
+BootId = typing.NewType("BootId", str)
+OperationId = typing.NewType("OperationId", str)
+LeaseId = typing.NewType("LeaseId", str)
+CheckpointId = typing.NewType("CheckpointId", str)
+
+# A zone's ownership counter, used as a fencing token.
+Epoch = typing.NewType("Epoch", int)
+# Number of times a task has been started.
+Attempt = typing.NewType("Attempt", int)
+# Number of an accepted configuration.
+Generation = typing.NewType("Generation", int)
+# Version of one store key; 0 stands for an absent key.
+Version = typing.NewType("Version", int)
+# Store-wide change counter.
+Revision = typing.NewType("Revision", int)
--- /dev/null
+++ b/src/turmerichook/_internal/models/resources.py
@@ -0,0 +1,52 @@
+"""Amounts of processor, memory and accelerators."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Resources:
+    """An amount of each resource.
+
+    :param millicores: thousandths of a processor core.
+    :param memory_mib: memory in MiB.
+    :param accelerators: number of whole accelerators.
+    """
+
+    millicores: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: "Resources") -> "Resources":
+        """Return the sum."""
+        return Resources(
+            millicores=self.millicores + other.millicores,
+            memory_mib=self.memory_mib + other.memory_mib,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Resources") -> "Resources":
+        """Return the difference, which may be negative."""
+        return Resources(
+            millicores=self.millicores - other.millicores,
+            memory_mib=self.memory_mib - other.memory_mib,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def fits(self, capacity: "Resources") -> bool:
+        """Tell whether no amount exceeds that of ``capacity``."""
+        return (
+            self.millicores <= capacity.millicores
+            and self.memory_mib <= capacity.memory_mib
+            and self.accelerators <= capacity.accelerators
+        )
+
+    def to_map(self) -> dict[str, int]:
+        """Return the form used in stored values and messages."""
+        return {
+            "millicores": self.millicores,
+            "memory_mib": self.memory_mib,
+            "accelerators": self.accelerators,
+        }
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/src/turmerichook/_internal/outcomes.py
@@ -0,0 +1,34 @@
+"""Sentinel values that stand for an absent result and give the reason.
+
+A function that may have nothing to return gives back ``Absent`` with a reason
+in place of ``None``, so that the reason reaches the log line and the caller.
+"""
+
+import dataclasses
+import enum
+
+
+class Reason(enum.Enum):
+    """Why there is no result."""
+
+    NO_SUCH_KEY = "no-such-key"
+    NO_FIT = "no-worker-with-room"
+    NEVER_FITS = "larger-than-any-worker"
+    NO_ZONE_OPEN = "no-allowed-zone-open"
+    NO_ENDPOINT = "no-endpoint"
+    NO_OWNER = "zone-has-no-owner"
+    NO_START_AUTHORITY = "no-start-authority"
+    NOT_YET_KNOWN = "not-yet-known"
+    QUOTA_REACHED = "team-quota-reached"
+    PLACEMENT_UNKNOWN = "placement-unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Absent:
+    """No result, and why."""
+
+    reason: Reason
+    detail: str = ""
+
+    def __bool__(self):
+        return False
--- /dev/null
+++ b/src/turmerichook/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Relay of callers' requests to service endpoints."""
--- /dev/null
+++ b/src/turmerichook/_internal/routing/endpoints.py
@@ -0,0 +1,83 @@
+"""The endpoints of all services, as announced by the zones' owners."""
+
+import collections.abc
+import dataclasses
+
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal.routing import events
+from turmerichook._internal.scheduling import messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Endpoint:
+    """A running replica of a service.
+
+    :param address: ``ip:port``.
+    :param slots: requests that it works on at once.
+    :param connections: connections that it accepts from all gateways.
+    """
+
+    service: ids.ServiceId
+    task: ids.TaskId
+    zone: ids.ZoneId
+    address: str
+    slots: int
+    connections: int
+    leaving: bool
+
+
+class EndpointDirectory:
+    """Newest table of each zone."""
+
+    def __init__(self):
+        self.versions: dict[str, tuple[int, int]] = {}
+        self.by_zone: dict[str, tuple[Endpoint, ...]] = {}
+        self.tables: dict[str, messages.EndpointTable] = {}
+        self.by_service: dict[str, list[Endpoint]] = {}
+
+    def update(self, table: messages.EndpointTable) -> bool:
+        """Take a table if it is newer than the zone's present one."""
+        version = (table.epoch, table.sequence)
+        if version <= self.versions.get(table.zone, (0, 0)):
+            return False
+        self.versions[table.zone] = version
+        self.tables[table.zone] = table
+        endpoints = tuple(_endpoints(table))
+        if endpoints != self.by_zone.get(table.zone, ()):
+            logs.emit(
+                events.RoutingEvent.ENDPOINTS_CHANGED,
+                zone=table.zone,
+                epoch=table.epoch,
+                count=len(endpoints),
+            )
+        self.by_zone[table.zone] = endpoints
+        self._index()
+        return True
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the service's endpoints that may get new requests."""
+        return self.by_service.get(service, [])
+
+    def _index(self) -> None:
+        index: dict[str, list[Endpoint]] = {}
+        for zone in sorted(self.by_zone):
+            for endpoint in self.by_zone[zone]:
+                if not endpoint.leaving:
+                    index.setdefault(endpoint.service, []).append(endpoint)
+        self.by_service = index
+
+
+def _endpoints(
+    table: messages.EndpointTable,
+) -> collections.abc.Iterator[Endpoint]:
+    for service, task, address, slots, connections, leaving in table.endpoints:
+        yield Endpoint(
+            service=ids.ServiceId(service),
+            task=ids.TaskId(task),
+            zone=ids.ZoneId(table.zone),
+            address=address,
+            slots=slots,
+            connections=connections,
+            leaving=leaving,
+        )
--- /dev/null
+++ b/src/turmerichook/_internal/routing/submission.py
@@ -0,0 +1,111 @@
+"""Accepting jobs: a job is accepted once its record is in the store."""
+
+import json
+import typing
+import uuid
+import zlib
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.configuration import schema
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import store as stores
+from turmerichook._internal.scheduling import jobs
+from turmerichook import exceptions
+
+
+class Submissions:
+    """Creates and reads job records."""
+
+    def __init__(self, *, store: stores.Store, clock: clocks.Clock):
+        self.store = store
+        self.clock = clock
+
+    async def submit(
+        self, body: bytes, configuration: site.Configuration
+    ) -> jobs.JobRecord:
+        """Make a job durable and return its record.
+
+        The job id is the idempotency key: submitting the same job again
+        returns the record of the first time.
+
+        :raises JobInvalidError: if the document is malformed.
+        :raises ConfigurationError: if the job breaks the schema.
+        :raises JobConflictError: if the id belongs to another job.
+        :raises StoreError: if the store does not confirm.
+        """
+        name, table = _parse(body)
+        spec = schema.job(name, table, configuration)
+        record = jobs.JobRecord(
+            spec=spec,
+            home=home_zone(spec, configuration),
+            state=jobs.JobState.ACCEPTED,
+            operation=ids.OperationId(uuid.uuid4().hex),
+            accepted=self.clock.now().isoformat(),
+        )
+        key = jobs.key_of(spec.job)
+        try:
+            await self.store.put(
+                key, jobs.pack(record), expect=stores.ABSENT_VERSION
+            )
+        except exceptions.VersionConflictError:
+            return await self._existing(spec)
+        return record
+
+    async def find(self, job: ids.JobId) -> jobs.JobRecord:
+        """Return a job's record.
+
+        :raises JobNotFoundError: if no job has the id.
+        """
+        found = await self.store.get(jobs.key_of(job))
+        if isinstance(found, outcomes.Absent):
+            raise exceptions.JobNotFoundError(
+                message=f"no job has the id {job}"
+            )
+        return jobs.unpack(found.value)
+
+    async def _existing(self, spec: site.Job) -> jobs.JobRecord:
+        record = await self.find(spec.job)
+        if record.spec != spec:
+            raise exceptions.JobConflictError(
+                message=f"the id {spec.job} belongs to another job",
+                hint="choose another id, or submit the same specification",
+            )
+        return record
+
+
+def home_zone(spec: site.Job, configuration: site.Configuration) -> ids.ZoneId:
+    """Return the zone whose owner is to run a job.
+
+    :raises JobInvalidError: if no allowed zone is open.
+    """
+    allowed = [
+        zone
+        for zone in configuration.open_zones()
+        if not spec.zones or zone in spec.zones
+    ]
+    if not allowed:
+        raise exceptions.JobInvalidError(
+            message="none of the job's zones is open",
+            context=", ".join(spec.zones),
+            hint="wait until a zone is back in, or allow other zones",
+        )
+    number = zlib.crc32(spec.job.encode())
+    return allowed[number % len(allowed)]
+
+
+def _parse(body: bytes) -> tuple[str, dict[str, typing.Any]]:
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        raise exceptions.JobInvalidError(
+            message=f"the body is not JSON: {error}",
+        ) from error
+    match document:
+        case {"id": str(name), **table}:
+            return name, table
+        case _:
+            raise exceptions.JobInvalidError(
+                message="the body is not an object with an 'id'",
+            )
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of tasks on workers by a zone's owner."""
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/authority.py
@@ -0,0 +1,52 @@
+"""How long an owner may start tasks without hearing from the store."""
+
+import datetime
+
+from turmerichook import exceptions
+
+# TTL of the store lease that a zone's owner holds.
+OWNER_TTL = datetime.timedelta(seconds=4)
+RENEW_INTERVAL = datetime.timedelta(seconds=1)
+START_AUTHORITY = datetime.timedelta(seconds=2.5)
+# Share by which two monotonic clocks may drift apart.
+DRIFT_MARGIN = 0.1
+TASK_TTL = datetime.timedelta(seconds=15)
+TASK_TTL_WITH_MARGIN = TASK_TTL * (1 + DRIFT_MARGIN)
+UNCONFIRMED_RENEWAL_LIMIT = datetime.timedelta(hours=2)
+
+
+class Authority:
+    """Authority counted from when the last confirmed renewal was sent.
+
+    All times are readings of one monotonic clock.
+    """
+
+    def __init__(self):
+        self.confirmed_sent = datetime.timedelta.min
+
+    def confirm(self, sent: datetime.timedelta) -> None:
+        """Note that a renewal sent at ``sent`` was confirmed."""
+        self.confirmed_sent = max(self.confirmed_sent, sent)
+
+    def revoke(self) -> None:
+        """End the authority at once."""
+        self.confirmed_sent = datetime.timedelta.min
+
+    def remaining(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return the time for which starts are allowed; zero if none."""
+        if self.confirmed_sent == datetime.timedelta.min:
+            return datetime.timedelta()
+        end = self.confirmed_sent + START_AUTHORITY * (1 - DRIFT_MARGIN)
+        return max(datetime.timedelta(), end - now)
+
+    def require(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return the remaining time.
+
+        :raises AuthorityLapsedError: if none remains.
+        """
+        left = self.remaining(now)
+        if not left:
+            raise exceptions.AuthorityLapsedError(
+                message="the store has not confirmed the ownership in time",
+            )
+        return left
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/messages.py
@@ -0,0 +1,34 @@
+"""Messages from zone owners to other processes."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointTable:
+    """All endpoints of the services in one zone.
+
+    ``endpoints`` is a list of ``[service, task, address, slots, connections,
+    leaving]``. A table replaces the zone's earlier one if its
+    ``(epoch, sequence)`` is higher.
+    """
+
+    zone: str
+    epoch: int
+    sequence: int
+    endpoints: list
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ZoneStatus:
+    """Load of a zone, from its owner.
+
+    :param waiting: tasks that wait for a start.
+    :param oldest_s: age of the oldest of them in seconds.
+    """
+
+    zone: str
+    epoch: int
+    owner: str
+    waiting: int
+    running: int
+    oldest_s: float
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/ownership.py
@@ -0,0 +1,200 @@
+"""Claiming and keeping the ownership of a zone."""
+
+import asyncio
+import dataclasses
+import datetime
+import typing
+
+import msgpack
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import store as stores
+from turmerichook._internal.scheduling import authority as authorities
+from turmerichook._internal.scheduling import events
+from turmerichook import exceptions
+
+# Schedulers of other zones claim a zone that has had no owner for this long.
+FOREIGN_DELAY = datetime.timedelta(seconds=20)
+WATCH_WAIT = datetime.timedelta(seconds=30)
+RETRY_DELAY = datetime.timedelta(milliseconds=500)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerRecord:
+    """Who owns a zone, and since which epoch."""
+
+    epoch: ids.Epoch
+    node: ids.NodeId
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Tenure:
+    """An ownership that was gained."""
+
+    zone: ids.ZoneId
+    epoch: ids.Epoch
+    lease: ids.LeaseId
+    authority: authorities.Authority
+
+
+def owner_key(zone: ids.ZoneId) -> str:
+    """Return the key of a zone's owner record."""
+    return f"zones/{zone}/owner"
+
+
+def alive_key(zone: ids.ZoneId) -> str:
+    """Return the key that exists while a zone's owner renews its lease."""
+    return f"zones/{zone}/alive"
+
+
+def pack(record: OwnerRecord) -> bytes:
+    """Return the stored form of an owner record."""
+    return msgpack.packb([record.epoch, record.node, record.address])
+
+
+def unpack(value: bytes) -> OwnerRecord:
+    """Return a stored owner record."""
+    epoch, node, address = msgpack.unpackb(value)
+    return OwnerRecord(
+        epoch=ids.Epoch(epoch), node=ids.NodeId(node), address=address
+    )
+
+
+class Candidate:
+    """Claims one zone for one scheduler.
+
+    :param confirm: awaited in each renewal round before authority is
+        counted; it reads the newest configuration, so that an owner with
+        authority has seen the newest generation.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: ids.ZoneId,
+        node: ids.NodeId,
+        address: str,
+        foreign: bool,
+        store: stores.Store,
+        clock: clocks.Clock,
+        confirm: typing.Callable[[], typing.Awaitable[None]],
+    ):
+        self.zone = zone
+        self.node = node
+        self.address = address
+        self.foreign = foreign
+        self.store = store
+        self.clock = clock
+        self.confirm = confirm
+
+    async def gain(self) -> Tenure:
+        """Wait until the zone has no owner, and claim it."""
+        while True:
+            try:
+                await self._wait_vacant()
+                tenure = await self._claim()
+            except exceptions.VersionConflictError:
+                # Another candidate was first.
+                continue
+            except exceptions.TurmerichookError:
+                await self.clock.sleep(RETRY_DELAY)
+                continue
+            logs.emit(
+                events.SchedulingEvent.OWNERSHIP_GAINED,
+                zone=self.zone,
+                epoch=tenure.epoch,
+            )
+            return tenure
+
+    async def keep(self, tenure: Tenure) -> None:
+        """Renew until the lease is lost.
+
+        While the store gives no answer the method goes on trying: authority
+        lapses by itself, and running tasks are still renewed.
+
+        :raises LeaseLapsedError: once the store no longer knows the lease.
+        """
+        while True:
+            sent = self.clock.monotonic()
+            try:
+                await self.store.renew_lease(tenure.lease)
+                await self.confirm()
+            except exceptions.LeaseLapsedError:
+                tenure.authority.revoke()
+                raise
+            except exceptions.TurmerichookError:
+                await self.clock.sleep(RETRY_DELAY)
+                continue
+            tenure.authority.confirm(sent)
+            await self.clock.sleep(authorities.RENEW_INTERVAL)
+
+    async def release(self, tenure: Tenure) -> None:
+        """Give up the ownership so that a standby can claim at once."""
+        tenure.authority.revoke()
+        await self.store.revoke_lease(tenure.lease)
+
+    async def _wait_vacant(self) -> None:
+        key = alive_key(self.zone)
+        listing = await self.store.list(key)
+        if not listing.entries and not self.foreign:
+            return
+        after = listing.revision
+        vacant = not listing.entries
+        while True:
+            wait = FOREIGN_DELAY if vacant else WATCH_WAIT
+            changes = await self.store.watch(key, after=after, wait=wait)
+            after = changes.revision
+            listing = await self.store.list(key)
+            if listing.entries:
+                vacant = False
+            elif vacant or not self.foreign:
+                return
+            else:
+                vacant = True
+
+    async def _claim(self) -> Tenure:
+        sent = self.clock.monotonic()
+        lease = await self.store.grant_lease(authorities.OWNER_TTL)
+        try:
+            await self.store.put(
+                alive_key(self.zone),
+                self.node.encode(),
+                expect=stores.ABSENT_VERSION,
+                lease=lease,
+            )
+            epoch = await self._raise_epoch()
+            await self.confirm()
+        except BaseException:
+            await self._abandon(lease)
+            raise
+        authority = authorities.Authority()
+        authority.confirm(sent)
+        return Tenure(
+            zone=self.zone, epoch=epoch, lease=lease, authority=authority
+        )
+
+    async def _raise_epoch(self) -> ids.Epoch:
+        key = owner_key(self.zone)
+        found = await self.store.get(key)
+        version = stores.ABSENT_VERSION
+        epoch = 0
+        if not isinstance(found, outcomes.Absent):
+            version = found.version
+            epoch = unpack(found.value).epoch
+        record = OwnerRecord(
+            epoch=ids.Epoch(epoch + 1), node=self.node, address=self.address
+        )
+        await self.store.put(key, pack(record), expect=version)
+        return record.epoch
+
+    async def _abandon(self, lease: ids.LeaseId) -> None:
+        try:
+            async with asyncio.timeout(1):
+                await self.store.revoke_lease(lease)
+        except (exceptions.TurmerichookError, TimeoutError):
+            # It lapses by itself.
+            pass
--- /dev/null
+++ b/src/turmerichook/_internal/settings.py
@@ -0,0 +1,100 @@
+"""A daemon's settings file."""
+
+import dataclasses
+import pathlib
+import tomllib
+import typing
+
+from turmerichook._internal.http import addresses
+from turmerichook._internal.models import ids
+from turmerichook import exceptions
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """What a process learns from its settings file.
+
+    :param store: ``ip:port`` of the platform's store.
+    :param hosts: ``ip:port`` of the platform's host list.
+    :param listen: ``ip:port`` for HTTP.
+    :param peer_listen: ``ip:port`` for streams from other processes.
+    :param peers: ``ip:port`` of the other processes' streams.
+    :param log_style: ``text`` or ``json``.
+    """
+
+    node: ids.NodeId
+    zone: ids.ZoneId
+    store: str
+    hosts: str
+    listen: str
+    peer_listen: str
+    peers: tuple[str, ...] = ()
+    log_style: str = "text"
+    log_level: str = "INFO"
+
+
+STYLES = ("text", "json")
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+REQUIRED = ("node", "zone", "store", "hosts", "listen", "peer_listen")
+ADDRESSES = ("store", "hosts", "listen", "peer_listen")
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Return the settings of a file.
+
+    :raises SettingsError: naming the key and what was expected.
+    """
+    try:
+        document = tomllib.loads(path.read_bytes().decode("utf-8"))
+    except OSError as error:
+        raise _error(f"cannot read {path}: {error.strerror}") from error
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise _error(f"{path} is not TOML in UTF-8: {error}") from error
+    return parse(document)
+
+
+def parse(document: dict[str, typing.Any]) -> Settings:
+    """Return the settings of a parsed document.
+
+    :raises SettingsError: naming the key and what was expected.
+    """
+    known = {field.name for field in dataclasses.fields(Settings)}
+    for key in sorted(set(document) - known):
+        raise _error(f"unknown key {key!r}; known: {', '.join(sorted(known))}")
+    for key in REQUIRED:
+        if key not in document:
+            raise _error(f"key {key!r} is missing")
+    for key, value in document.items():
+        _check_type(key, value)
+    for key in ADDRESSES:
+        addresses.split(document[key])
+    peers = tuple(document.get("peers", ()))
+    for peer in peers:
+        addresses.split(peer)
+    _check_choice(document, "log_style", STYLES)
+    _check_choice(document, "log_level", LEVELS)
+    return Settings(**{**document, "peers": peers})
+
+
+def _check_type(key: str, value: typing.Any) -> None:
+    if key == "peers":
+        if not isinstance(value, list):
+            raise _error("key 'peers' must be a list of ip:port texts")
+        if not all(isinstance(peer, str) for peer in value):
+            raise _error("key 'peers' must be a list of ip:port texts")
+    elif not isinstance(value, str) or not value:
+        raise _error(f"key {key!r} must be a text that is not empty")
+
+
+def _check_choice(
+    document: dict[str, typing.Any], key: str, choices: tuple[str, ...]
+) -> None:
+    if document.get(key, choices[0]) not in choices:
+        raise _error(f"key {key!r} must be one of {', '.join(choices)}")
+
+
+def _error(message: str) -> exceptions.SettingsError:
+    return exceptions.SettingsError(
+        message=message,
+        hint="see docs/operators/settings.md",
+    )
--- /dev/null
+++ b/src/turmerichook/_internal/streams/__init__.py
@@ -0,0 +1,1 @@
+"""msgpack streams between the product's own processes."""
--- /dev/null
+++ b/src/turmerichook/exceptions.py
@@ -0,0 +1,262 @@
+"""The product's exception tree.
+
+Every failure has a type of its own. A diagnostic error has a short code
+(``reference``), a message, the context in which it arose, an optional note
+and a hint on what to do next. The command line prints them in that order and
+exits with the error's ``exit_status``.
+"""
+
+import dataclasses
+import enum
+
+EXIT_FAILURE = 1
+EXIT_BAD_INPUT = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+
+
+class TurmerichookError(Exception):
+    """Base of all errors that the product raises on purpose."""
+
+    reference = "internal-error"
+    exit_status = EXIT_FAILURE
+
+    def __init__(
+        self,
+        *,
+        message: str,
+        context: str = "",
+        note: str = "",
+        hint: str = "",
+    ):
+        super().__init__(message)
+        self.message = message
+        self.context = context
+        self.note = note
+        self.hint = hint
+
+    def __str__(self):
+        parts = [f"{self.reference}: {self.message}"]
+        if self.context:
+            parts.append(f"({self.context})")
+        return " ".join(parts)
+
+
+# Settings and configuration
+
+
+class SettingsError(TurmerichookError):
+    """A daemon's settings file is missing, malformed or inconsistent."""
+
+    reference = "settings-invalid"
+    exit_status = EXIT_BAD_INPUT
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationProblem:
+    """One mistake in the operators' folder.
+
+    :param code: stable code of the kind of mistake.
+    :param file: file name in the folder, or an empty string.
+    :param where: key path or ``line N``.
+    :param expected: what the key or file should have held.
+    :param hint: what to do next.
+    """
+
+    code: str
+    file: str
+    where: str
+    expected: str
+    hint: str = ""
+
+
+class ConfigurationError(TurmerichookError):
+    """The operators' folder is not a valid configuration."""
+
+    reference = "configuration-invalid"
+    exit_status = EXIT_BAD_INPUT
+
+    def __init__(self, *, problems: tuple[ConfigurationProblem, ...]):
+        super().__init__(message=f"{len(problems)} problem(s) found")
+        self.problems = problems
+
+
+class ConfigurationConflictError(TurmerichookError):
+    """Another operator changed the configuration first."""
+
+    reference = "configuration-conflict"
+    exit_status = EXIT_CONFLICT
+
+
+# Store
+
+
+class StoreError(TurmerichookError):
+    """Base of failures of the platform's store."""
+
+    reference = "store-error"
+    exit_status = EXIT_UNREACHABLE
+
+
+class StoreUnavailableError(StoreError):
+    """The operation certainly did not take effect."""
+
+    reference = "store-unavailable"
+
+
+class StoreOutcomeUnknownError(StoreError):
+    """The operation may or may not have taken effect."""
+
+    reference = "store-outcome-unknown"
+
+
+class VersionConflictError(StoreError):
+    """A compare-and-swap found another version than the expected one.
+
+    ``current`` is the version found, 0 where the key is absent.
+    """
+
+    reference = "version-conflict"
+    exit_status = EXIT_CONFLICT
+
+    def __init__(self, *, key: str, expected: int, current: int):
+        super().__init__(
+            message=f"{key} has version {current}, not {expected}",
+        )
+        self.key = key
+        self.expected = expected
+        self.current = current
+
+
+class LeaseLapsedError(StoreError):
+    """The store no longer knows the lease."""
+
+    reference = "lease-lapsed"
+
+
+class ValueTooLargeError(StoreError):
+    """A value exceeds the store's limit of 1 MB."""
+
+    reference = "value-too-large"
+
+
+# Workers and host list
+
+
+class WorkerUnreachableError(TurmerichookError):
+    """A worker gave no usable answer; whether it acted is unknown."""
+
+    reference = "worker-unreachable"
+    exit_status = EXIT_UNREACHABLE
+
+
+class StaleEpochError(TurmerichookError):
+    """A worker or journal has seen a later owner of the zone."""
+
+    reference = "stale-epoch"
+    exit_status = EXIT_CONFLICT
+
+
+class HostListUnavailableError(TurmerichookError):
+    """The platform's host list gave no answer."""
+
+    reference = "host-list-unavailable"
+    exit_status = EXIT_UNREACHABLE
+
+
+# HTTP and streams
+
+
+class MessageError(TurmerichookError):
+    """A peer sent something that the protocol does not allow."""
+
+    reference = "malformed-message"
+
+
+class FrameTooLargeError(MessageError):
+    """A frame on a stream exceeds the limit."""
+
+    reference = "frame-too-large"
+
+
+class BodyTooLargeError(MessageError):
+    """A message body exceeds the limit."""
+
+    reference = "body-too-large"
+
+
+class Progress(enum.Enum):
+    """How far an exchange had come when it failed."""
+
+    NOTHING_SENT = "nothing-sent"
+    REQUEST_STARTED = "request-started"
+    RESPONSE_STARTED = "response-started"
+
+
+class ExchangeError(TurmerichookError):
+    """An HTTP exchange did not end cleanly.
+
+    ``progress`` tells whether any byte of the request was sent, which
+    decides whether the request can be repeated.
+    """
+
+    reference = "exchange-failed"
+    exit_status = EXIT_UNREACHABLE
+
+    def __init__(self, *, message: str, progress: Progress, context: str = ""):
+        super().__init__(message=message, context=context)
+        self.progress = progress
+
+
+class ConnectError(ExchangeError):
+    """No connection could be opened, so nothing was sent."""
+
+    reference = "connect-failed"
+
+    def __init__(self, *, message: str, context: str = ""):
+        super().__init__(
+            message=message,
+            progress=Progress.NOTHING_SENT,
+            context=context,
+        )
+
+
+class DeadlineExceededError(ExchangeError):
+    """The deadline passed before the exchange had ended."""
+
+    reference = "deadline-exceeded"
+
+
+# Scheduling
+
+
+class AuthorityLapsedError(TurmerichookError):
+    """The owner's authority to start tasks has lapsed."""
+
+    reference = "no-start-authority"
+
+
+class CommitmentError(TurmerichookError):
+    """A commitment would exceed a host's capacity."""
+
+    reference = "capacity-exceeded"
+
+
+class JobInvalidError(TurmerichookError):
+    """A submitted job is malformed."""
+
+    reference = "job-invalid"
+    exit_status = EXIT_BAD_INPUT
+
+
+class JobConflictError(TurmerichookError):
+    """The job id is in use by a job with another specification."""
+
+    reference = "job-conflict"
+    exit_status = EXIT_CONFLICT
+
+
+class JobNotFoundError(TurmerichookError):
+    """No job has this id."""
+
+    reference = "job-not-found"
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,303 @@
+"""Starts the product and the stand-ins as processes of their own.
+
+Used by the demonstration, the process tests and the measurements. Every
+process is started by path, runs on loopback, and is ended by its id.
+"""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+STOP_TIMEOUT_S = 10.0
+CALL_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WorkerShape:
+    """Capacity of each worker and its placement in racks."""
+
+    cores: int = 16
+    memory_gib: int = 60
+    accelerators: int = 0
+    per_rack: int = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Layout:
+    """What to start.
+
+    :param zones: names of the availability zones.
+    :param workers: workers in each zone.
+    :param gateways: gateways in each zone.
+    :param schedulers: schedulers in each zone.
+    """
+
+    zones: tuple[str, ...]
+    workers: int
+    gateways: int = 1
+    schedulers: int = 1
+    shape: WorkerShape = WorkerShape()
+
+
+@dataclasses.dataclass(kw_only=True)
+class Daemon:
+    """A process and the addresses that it serves."""
+
+    name: str
+    zone: str
+    process: subprocess.Popen
+    listen: str = ""
+    command: list[str] = dataclasses.field(default_factory=list)
+
+
+def free_address() -> str:
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % sock.getsockname()[1]
+
+
+class Launcher:
+    """One running system in one folder."""
+
+    def __init__(self, *, layout: Layout, folder: pathlib.Path):
+        self.layout = layout
+        self.folder = folder
+        self.record = folder / "history.jsonl"
+        self.store = free_address()
+        self.daemons: dict[str, Daemon] = {}
+        self.peer_addresses: dict[str, str] = {}
+        self.listen_addresses: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Start the store, the workers, and all entry hosts' processes."""
+        self._write_hosts()
+        self.start_store()
+        for zone in self.layout.zones:
+            self.start_workers(zone)
+        for kind, count in (
+            ("gateway", self.layout.gateways),
+            ("scheduler", self.layout.schedulers),
+        ):
+            for zone in self.layout.zones:
+                for number in range(count):
+                    name = f"{kind}-{zone}-{number}"
+                    self.peer_addresses[name] = free_address()
+                    self.listen_addresses[name] = free_address()
+        for name in self.peer_addresses:
+            self.start_daemon(name)
+
+    def start_store(self) -> None:
+        """Start the stand-in store."""
+        self._spawn(
+            "store",
+            "",
+            [
+                "standins.store",
+                "--listen",
+                self.store,
+                "--hosts",
+                str(self.folder / "hosts.json"),
+            ],
+            listen=self.store,
+        )
+        self.wait_listening(self.store)
+
+    def start_workers(self, zone: str) -> None:
+        """Start the stand-in workers of one zone."""
+        self._spawn(
+            f"workers-{zone}",
+            zone,
+            [
+                "standins.worker",
+                "--hosts",
+                str(self.folder / "hosts.json"),
+                "--record",
+                str(self.record),
+                "--zone",
+                zone,
+            ],
+        )
+
+    def start_daemon(self, name: str) -> None:
+        """Start one gateway or scheduler by its name."""
+        kind, _, rest = name.partition("-")
+        zone = rest.rpartition("-")[0]
+        path = self.folder / f"{name}.toml"
+        path.write_text(self._settings(name, zone))
+        self._spawn(
+            name,
+            zone,
+            [f"turmerichook._internal.cli.{kind}", str(path)],
+            listen=self.listen_addresses[name],
+        )
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        daemon = self.daemons[name]
+        daemon.process.kill()
+        daemon.process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a process from running until ``resume``."""
+        self.daemons[name].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process run again."""
+        self.daemons[name].process.send_signal(signal.SIGCONT)
+
+    def stop(self) -> None:
+        """End all processes: first gracefully, then at once."""
+        for daemon in self.daemons.values():
+            with contextlib.suppress(ProcessLookupError):
+                daemon.process.send_signal(signal.SIGCONT)
+                daemon.process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for daemon in self.daemons.values():
+            left = max(0.1, deadline - time.monotonic())
+            try:
+                daemon.process.wait(timeout=left)
+            except subprocess.TimeoutExpired:
+                daemon.process.kill()
+                daemon.process.wait()
+
+    def operator(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the operators' command line."""
+        return subprocess.run(
+            [sys.executable, "-m", "turmerichook", *arguments],
+            env=_environment(),
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def history(self) -> list[dict]:
+        """Return what the stand-ins recorded, oldest first."""
+        if not self.record.exists():
+            return []
+        lines = self.record.read_text().splitlines()
+        return sorted(
+            (json.loads(line) for line in lines), key=lambda e: e["time"]
+        )
+
+    def call(
+        self,
+        address: str,
+        target: str,
+        *,
+        method: str = "GET",
+        document: object = None,
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, object]:
+        """Return status and JSON body of a call; status 0 if it failed."""
+        body = None if document is None else json.dumps(document).encode()
+        request = urllib.request.Request(
+            f"http://{address}{target}", data=body, method=method
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as answer:
+                return answer.status, json.loads(answer.read())
+        except urllib.error.HTTPError as error:
+            return error.code, json.loads(error.read() or b"{}")
+        except (OSError, ValueError):
+            return 0, {}
+
+    def faults(self, **faults: object) -> None:
+        """Set faults of the stand-in store."""
+        self.call(self.store, "/faults", method="PUT", document=faults)
+
+    def owner(self, zone: str) -> str | None:
+        """Return the scheduler that says that it owns a zone."""
+        for name in self.peer_addresses:
+            if name.startswith("scheduler"):
+                status, document = self.call(
+                    self.listen_addresses[name], "/v1/status", timeout=1.0
+                )
+                if status == 200 and zone in document["owned"]:
+                    return name
+        return None
+
+    def wait_listening(self, address: str, timeout: float = 15.0) -> None:
+        """Wait until something listens on an address."""
+        host, _, port = address.rpartition(":")
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port)), 1).close()
+                return
+            time.sleep(0.02)
+        raise TimeoutError(f"nothing listens on {address}")
+
+    def _spawn(
+        self, name: str, zone: str, command: list[str], listen: str = ""
+    ) -> None:
+        log = (self.folder / f"{name}.log").open("ab")
+        process = subprocess.Popen(
+            [sys.executable, "-m", *command],
+            env=_environment(),
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.daemons[name] = Daemon(
+            name=name,
+            zone=zone,
+            process=process,
+            listen=listen,
+            command=command,
+        )
+
+    def _settings(self, name: str, zone: str) -> str:
+        peers = [
+            address
+            for other, address in self.peer_addresses.items()
+            if other != name
+        ]
+        return "\n".join(
+            (
+                f'node = "{name}"',
+                f'zone = "{zone}"',
+                f'store = "{self.store}"',
+                f'hosts = "{self.store}"',
+                f'listen = "{self.listen_addresses[name]}"',
+                f'peer_listen = "{self.peer_addresses[name]}"',
+                f"peers = {json.dumps(peers)}",
+                "",
+            )
+        )
+
+    def _write_hosts(self) -> None:
+        shape = self.layout.shape
+        hosts = [
+            {
+                "host": f"{zone}-w{number}",
+                "address": free_address(),
+                "zone": zone,
+                "rack": f"{zone}-r{number // shape.per_rack}",
+                "capacity": {
+                    "millicores": shape.cores * 1000,
+                    "memory_mib": shape.memory_gib * 1024,
+                    "accelerators": shape.accelerators,
+                },
+                "state": "live",
+            }
+            for zone in self.layout.zones
+            for number in range(self.layout.workers)
+        ]
+        document = {"age": 0.0, "hosts": hosts}
+        (self.folder / "hosts.json").write_text(json.dumps(document))
+
+
+def _environment() -> dict[str, str]:
+    root = pathlib.Path(__file__).resolve().parent.parent
+    paths = os.pathsep.join((str(root / "src"), str(root)))
+    return {**os.environ, "PYTHONPATH": paths}
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,302 @@
+"""Stand-in for the platform's workers, many in one process.
+
+``python -m standins.worker --hosts hosts.json --record history.jsonl``
+
+Every host of the file whose address is on this machine gets a listener. Each
+task start, end and stop is appended to the record, one JSON object a line.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import datetime
+import json
+import pathlib
+import time
+import typing
+import uuid
+
+from standins import endpoint
+from standins import process
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.http import addresses
+from turmerichook._internal.http import server
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.platform import worker_format
+from turmerichook._internal.platform import workers
+from turmerichook import exceptions
+
+LEASE_CHECK = datetime.timedelta(milliseconds=200)
+FAR = datetime.timedelta(days=10_000)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Attempt:
+    """An attempt that runs."""
+
+    start: workers.Start
+    lease_until: datetime.timedelta
+    done: datetime.timedelta
+    started: datetime.timedelta
+    replica: endpoint.Endpoint | None = None
+    address: str = ""
+    runner: asyncio.Task | None = None
+
+
+class Recorder:
+    """Appends what happened to a file that the checkers read."""
+
+    def __init__(self, *, path: pathlib.Path):
+        self.file = path.open("a", buffering=1)
+
+    def __call__(self, entry: dict[str, typing.Any]) -> None:
+        self.file.write(json.dumps({"time": time.time(), **entry}) + "\n")
+
+
+class Worker:
+    """One host that runs tasks under leases."""
+
+    def __init__(
+        self,
+        *,
+        host: ids.HostId,
+        zone: ids.ZoneId,
+        capacity: resources.Resources,
+        record: Recorder,
+    ):
+        self.host = host
+        self.zone = zone
+        self.capacity = capacity
+        self.record = record
+        self.clock = clocks.SystemClock()
+        self.boot = ids.BootId(uuid.uuid4().hex[:12])
+        self.epoch = ids.Epoch(0)
+        self.running: dict[ids.TaskId, Attempt] = {}
+        self.events: list[workers.TaskEvent] = []
+        self.sequence = 0
+        self.changed = asyncio.Event()
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one call."""
+        try:
+            document = json.loads(await exchange.read_all())
+            request = worker_format.decode_request(document)
+        except (ValueError, exceptions.MessageError):
+            await exchange.respond_json(document={}, status=400)
+            return
+        if request.epoch < self.epoch:
+            await exchange.respond_json(
+                document={"epoch": self.epoch}, status=409
+            )
+            return
+        self.epoch = request.epoch
+        answer = await self.sync(request)
+        await exchange.respond_json(
+            document=worker_format.encode_answer(answer)
+        )
+
+    async def sync(self, request: workers.SyncRequest) -> workers.SyncAnswer:
+        """Apply a request and return what has happened."""
+        if request.boot == self.boot:
+            self.events = [
+                e for e in self.events if e.sequence > request.acknowledged
+            ]
+            for attempt in self.running.values():
+                attempt.lease_until = max(
+                    attempt.lease_until, request.lease_until
+                )
+            for operation in request.operations:
+                await self._operate(operation, request)
+        if request.wait and not self.events:
+            self.changed.clear()
+            try:
+                async with asyncio.timeout(request.wait.total_seconds()):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+        return workers.SyncAnswer(
+            boot=self.boot,
+            clock=self.clock.monotonic(),
+            events=tuple(self.events),
+            running=self._inventory() if request.inventory else (),
+        )
+
+    async def expire(self) -> None:
+        """Stop tasks whose lease has lapsed."""
+        while True:
+            await self.clock.sleep(LEASE_CHECK)
+            now = self.clock.monotonic()
+            for name, attempt in list(self.running.items()):
+                if attempt.lease_until < now:
+                    await self._stop(name, "lease lapsed", checkpoint=True)
+
+    def _inventory(self) -> tuple[workers.RunningTask, ...]:
+        return tuple(
+            workers.RunningTask(
+                task=name,
+                attempt=attempt.start.attempt,
+                kind=attempt.start.kind,
+                resources=attempt.start.resources,
+                address=attempt.address,
+            )
+            for name, attempt in self.running.items()
+        )
+
+    async def _operate(
+        self, operation: workers.Operation, request: workers.SyncRequest
+    ) -> None:
+        match operation:
+            case workers.Start():
+                await self._start(operation, request)
+            case workers.Stop():
+                attempt = self.running.get(operation.task)
+                if attempt and attempt.start.attempt == operation.attempt:
+                    await self._stop(
+                        operation.task,
+                        "asked",
+                        checkpoint=operation.checkpoint,
+                    )
+            case workers.Throttle():
+                pass
+
+    async def _start(
+        self, start: workers.Start, request: workers.SyncRequest
+    ) -> None:
+        now = self.clock.monotonic()
+        if start.not_after < now or start.task in self.running:
+            self._emit(start, workers.TaskState.REFUSED, detail="too late")
+            return
+        remaining = start.run_time - _progress(start.checkpoint)
+        done = now + remaining
+        if start.kind is workers.TaskKind.SERVICE:
+            done = FAR
+        attempt = Attempt(
+            start=start,
+            lease_until=request.lease_until,
+            done=done,
+            started=now,
+        )
+        self.running[start.task] = attempt
+        self._record("start", start, checkpoint=start.checkpoint)
+        if start.kind is workers.TaskKind.SERVICE:
+            await self._serve(attempt)
+        else:
+            attempt.runner = asyncio.create_task(self._finish(attempt))
+        self._emit(start, workers.TaskState.RUNNING, address=attempt.address)
+
+    async def _serve(self, attempt: Attempt) -> None:
+        start = attempt.start
+        attempt.replica = endpoint.Endpoint(
+            task=start.task,
+            slots=start.slots,
+            connections=start.connections,
+            record=self.record,
+        )
+        port = await attempt.replica.start()
+        attempt.address = f"127.0.0.1:{port}"
+
+    async def _finish(self, attempt: Attempt) -> None:
+        delay = attempt.done - self.clock.monotonic()
+        await self.clock.sleep(max(datetime.timedelta(), delay))
+        start = attempt.start
+        del self.running[start.task]
+        self._record("finish", start)
+        self._emit(start, workers.TaskState.FINISHED)
+
+    async def _stop(
+        self, name: ids.TaskId, why: str, *, checkpoint: bool
+    ) -> None:
+        attempt = self.running.pop(name)
+        if attempt.runner is not None:
+            attempt.runner.cancel()
+        if attempt.replica is not None:
+            await attempt.replica.stop()
+        mark = None
+        if checkpoint and attempt.start.kind is workers.TaskKind.BATCH:
+            mark = self._checkpoint(attempt)
+        self._record("stop", attempt.start, why=why, checkpoint=mark)
+        self._emit(attempt.start, workers.TaskState.STOPPED, checkpoint=mark)
+
+    def _checkpoint(self, attempt: Attempt) -> ids.CheckpointId:
+        before = _progress(attempt.start.checkpoint)
+        now = self.clock.monotonic()
+        seconds = (before + now - attempt.started).total_seconds()
+        return ids.CheckpointId(f"done={seconds:.3f}")
+
+    def _emit(
+        self,
+        start: workers.Start,
+        state: workers.TaskState,
+        *,
+        detail: str = "",
+        address: str = "",
+        checkpoint: ids.CheckpointId | None = None,
+    ) -> None:
+        self.sequence += 1
+        self.events.append(
+            workers.TaskEvent(
+                sequence=self.sequence,
+                task=start.task,
+                attempt=start.attempt,
+                state=state,
+                detail=detail,
+                address=address,
+                checkpoint=checkpoint,
+            )
+        )
+        self.changed.set()
+
+    def _record(
+        self, kind: str, start: workers.Start, **fields: typing.Any
+    ) -> None:
+        self.record(
+            {
+                "kind": kind,
+                "task": start.task,
+                "attempt": start.attempt,
+                "host": self.host,
+                "zone": self.zone,
+                "resources": start.resources.to_map(),
+                **fields,
+            }
+        )
+
+
+def _progress(checkpoint: str | None) -> datetime.timedelta:
+    if not checkpoint:
+        return datetime.timedelta()
+    return datetime.timedelta(seconds=float(checkpoint.partition("=")[2]))
+
+
+async def serve(hosts: list[dict], record: Recorder) -> None:
+    """Serve all hosts until cancelled."""
+    async with asyncio.TaskGroup() as group:
+        for item in hosts:
+            worker = Worker(
+                host=ids.HostId(item["host"]),
+                zone=ids.ZoneId(item["zone"]),
+                capacity=resources.Resources(**item["capacity"]),
+                record=record,
+            )
+            host, port = addresses.split(item["address"])
+            listener = server.Server(handler=worker.handle)
+            await listener.start(host=host, port=port)
+            group.create_task(worker.expire())
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description="Stand-in workers.")
+    parser.add_argument("--hosts", type=pathlib.Path, required=True)
+    parser.add_argument("--record", type=pathlib.Path, required=True)
+    parser.add_argument("--zone", default="")
+    options = parser.parse_args()
+    hosts = json.loads(options.hosts.read_text())["hosts"]
+    if options.zone:
+        hosts = [h for h in hosts if h["zone"] == options.zone]
+    process.run(serve(hosts, Recorder(path=options.record)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance programs of the repository."""
