Add the demonstration, the history checker and zone links

Cause: the promises were not checked by anything independent of the code.

Change: stand-ins and callers record a history; standins/history.py checks it against I1 to I10 and for lost and doubled work; stand-ins can be held at each step; links between zones can be cut and delayed; make demo prints a table counted from the history.

--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 
+from standins import holds
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
 
@@ -26,10 +27,12 @@
         slots: int,
         connections: int,
         record: Recorder,
+        steps: holds.Holds | None = None,
         work_s: float = 0.002,
     ):
         self.task = task
         self.record = record
+        self.steps = steps or holds.Holds()
         self.work_s = work_s
         self.slots = asyncio.Semaphore(slots)
         self.server = server.Server(
@@ -50,8 +53,18 @@
     async def _handle(self, exchange: server.Exchange) -> None:
         body = await exchange.read_all()
         request = exchange.head.header(b"request-id")
+        try:
+            await self._run(exchange, request, body)
+        except holds.DroppedError:
+            exchange.connection.close()
+
+    async def _run(
+        self, exchange: server.Exchange, request: str, body: bytes
+    ) -> None:
         async with self.slots:
+            await self.steps.reach(f"endpoint run {request} before")
             self.record({"kind": "run", "request": request, "by": self.task})
+            await self.steps.reach(f"endpoint run {request} after")
             await asyncio.sleep(self.work_s)
             document = {
                 "request": request,
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -39,6 +39,8 @@
     :param workers: workers in each zone.
     :param gateways: gateways in each zone.
     :param schedulers: schedulers in each zone.
+    :param linked: whether store and peers are reached through links that can
+        be cut and delayed by zone.
     """
 
     zones: tuple[str, ...]
@@ -46,6 +48,7 @@
     gateways: int = 1
     schedulers: int = 1
     shape: WorkerShape = WorkerShape()
+    linked: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -59,6 +62,11 @@
     command: list[str] = dataclasses.field(default_factory=list)
 
 
+def zone_of(name: str) -> str:
+    """Return the zone in a daemon's name, ``kind-zone-number``."""
+    return name.partition("-")[2].rpartition("-")[0]
+
+
 def free_address() -> str:
     """Return a loopback address with a port that is free now."""
     with socket.socket() as sock:
@@ -77,6 +85,10 @@
         self.daemons: dict[str, Daemon] = {}
         self.peer_addresses: dict[str, str] = {}
         self.listen_addresses: dict[str, str] = {}
+        self.links_control = free_address()
+        self.hosts: list[dict] = []
+        # Address of a target as seen from a zone.
+        self.links: dict[tuple[str, str], str] = {}
 
     def start(self) -> None:
         """Start the store, the workers, and all entry hosts' processes."""
@@ -93,9 +105,53 @@
                     name = f"{kind}-{zone}-{number}"
                     self.peer_addresses[name] = free_address()
                     self.listen_addresses[name] = free_address()
+        if self.layout.linked:
+            self.start_links()
         for name in self.peer_addresses:
             self.start_daemon(name)
 
+    def start_links(self) -> None:
+        """Start the links between the zones and to the store."""
+        documents = []
+        for zone in self.layout.zones:
+            targets = {"store": (self.store, "store")}
+            for name, address in self.peer_addresses.items():
+                targets[name] = (address, zone_of(name))
+            for name, (address, place) in targets.items():
+                listen = free_address()
+                self.links[zone, address] = listen
+                documents.append(
+                    {
+                        "listen": listen,
+                        "target": address,
+                        "label": f"{zone}->{place}",
+                    }
+                )
+        path = self.folder / "links.json"
+        path.write_text(json.dumps(documents))
+        self._spawn(
+            "links",
+            "",
+            [
+                "standins.links",
+                "--listen",
+                self.links_control,
+                "--links",
+                str(path),
+            ],
+            listen=self.links_control,
+        )
+        self.wait_listening(self.links_control)
+
+    def set_links(self, pattern: str, **changes: object) -> None:
+        """Cut, restore or delay the links whose label matches."""
+        self.call(
+            self.links_control,
+            "/links",
+            method="PUT",
+            document={"pattern": pattern, **changes},
+        )
+
     def start_store(self) -> None:
         """Start the stand-in store."""
         self._spawn(
@@ -130,8 +186,8 @@
 
     def start_daemon(self, name: str) -> None:
         """Start one gateway or scheduler by its name."""
-        kind, _, rest = name.partition("-")
-        zone = rest.rpartition("-")[0]
+        kind = name.partition("-")[0]
+        zone = zone_of(name)
         path = self.folder / f"{name}.toml"
         path.write_text(self._settings(name, zone))
         self._spawn(
@@ -258,16 +314,17 @@
 
     def _settings(self, name: str, zone: str) -> str:
         peers = [
-            address
+            self._seen_from(zone, address)
             for other, address in self.peer_addresses.items()
             if other != name
         ]
+        store = self._seen_from(zone, self.store)
         return "\n".join(
             (
                 f'node = "{name}"',
                 f'zone = "{zone}"',
-                f'store = "{self.store}"',
-                f'hosts = "{self.store}"',
+                f'store = "{store}"',
+                f'hosts = "{store}"',
                 f'listen = "{self.listen_addresses[name]}"',
                 f'peer_listen = "{self.peer_addresses[name]}"',
                 f"peers = {json.dumps(peers)}",
@@ -275,6 +332,9 @@
             )
         )
 
+    def _seen_from(self, zone: str, address: str) -> str:
+        return self.links.get((zone, address), address)
+
     def _write_hosts(self) -> None:
         shape = self.layout.shape
         hosts = [
@@ -293,6 +353,7 @@
             for zone in self.layout.zones
             for number in range(self.layout.workers)
         ]
+        self.hosts = hosts
         document = {"age": 0.0, "hosts": hosts}
         (self.folder / "hosts.json").write_text(json.dumps(document))
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -17,6 +17,7 @@
 import pathlib
 import urllib.parse
 
+from standins import holds
 from standins import process
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.http import addresses
@@ -37,6 +38,7 @@
         self.clock = clocks.SystemClock()
         self.store = store_memory.MemoryStore(clock=self.clock)
         self.hosts = hosts
+        self.holds = holds.Holds()
         self.down = False
         self.delay = 0.0
         self.lose_answers = 0
@@ -51,6 +53,9 @@
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one call."""
         path = exchange.head.path
+        if path == holds.PATH:
+            await self.holds.control(exchange)
+            return
         body = await exchange.read_all()
         document = json.loads(body) if body else {}
         if path == "/faults":
@@ -77,7 +82,17 @@
         method = exchange.head.method
         kind = exchange.head.path.split("/")[2]
         self.counts[f"{method} {kind}"] += 1
-        status, answer = await self._answer(exchange, document)
+        label = f"store {method} {path_of(exchange)}"
+        try:
+            await self.holds.reach(f"{label} before")
+            if self.down:
+                await exchange.respond_json(document={}, status=503)
+                return
+            status, answer = await self._answer(exchange, document)
+            await self.holds.reach(f"{label} after")
+        except holds.DroppedError:
+            exchange.connection.close()
+            return
         if self.down:
             # The outage began while the call waited.
             await exchange.respond_json(document={}, status=503)
@@ -173,6 +188,11 @@
         }
 
 
+def path_of(exchange: server.Exchange) -> str:
+    """Return the key or path that a call is about."""
+    return _key(urllib.parse.unquote(exchange.head.path))
+
+
 def _key(path: str) -> str:
     return path.removeprefix("/v1/kv/")
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -12,12 +12,13 @@
 import datetime
 import json
 import pathlib
-import time
 import typing
 import uuid
 
 from standins import endpoint
+from standins import holds
 from standins import process
+from standins import recorder
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import server
@@ -44,16 +45,6 @@
     runner: asyncio.Task | None = None
 
 
-class Recorder:
-    """Appends what happened to a file that the checkers read."""
-
-    def __init__(self, *, path: pathlib.Path):
-        self.file = path.open("a", buffering=1)
-
-    def __call__(self, entry: dict[str, typing.Any]) -> None:
-        self.file.write(json.dumps({"time": time.time(), **entry}) + "\n")
-
-
 class Worker:
     """One host that runs tasks under leases."""
 
@@ -63,8 +54,10 @@
         host: ids.HostId,
         zone: ids.ZoneId,
         capacity: resources.Resources,
-        record: Recorder,
+        record: recorder.Recorder,
+        steps: holds.Holds,
     ):
+        self.steps = steps
         self.host = host
         self.zone = zone
         self.capacity = capacity
@@ -76,9 +69,19 @@
         self.events: list[workers.TaskEvent] = []
         self.sequence = 0
         self.changed = asyncio.Event()
+        self.dead = False
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one call."""
+        if exchange.head.path == holds.PATH:
+            await self.steps.control(exchange)
+            return
+        if exchange.head.path == "/power":
+            await self._power(exchange)
+            return
+        if self.dead:
+            exchange.connection.close()
+            return
         try:
             document = json.loads(await exchange.read_all())
             request = worker_format.decode_request(document)
@@ -91,11 +94,42 @@
             )
             return
         self.epoch = request.epoch
-        answer = await self.sync(request)
+        try:
+            answer = await self.sync(request)
+        except holds.DroppedError:
+            exchange.connection.close()
+            return
+        if self.dead:
+            exchange.connection.close()
+            return
         await exchange.respond_json(
             document=worker_format.encode_answer(answer)
         )
 
+    async def _power(self, exchange: server.Exchange) -> None:
+        """``PUT /power`` with ``{"on": false}`` kills the host."""
+        document = json.loads(await exchange.read_all())
+        if not document["on"]:
+            await self._die()
+        elif self.dead:
+            self.boot = ids.BootId(uuid.uuid4().hex[:12])
+            self.dead = False
+        await exchange.respond_json(document={})
+
+    async def _die(self) -> None:
+        self.dead = True
+        self.record({"kind": "host-dead", "host": self.host})
+        for name in list(self.running):
+            attempt = self.running.pop(name)
+            if attempt.runner is not None:
+                attempt.runner.cancel()
+            if attempt.replica is not None:
+                await attempt.replica.stop()
+        self.events = []
+        self.sequence = 0
+        self.epoch = ids.Epoch(0)
+        self.changed.set()
+
     async def sync(self, request: workers.SyncRequest) -> workers.SyncAnswer:
         """Apply a request and return what has happened."""
         if request.boot == self.boot:
@@ -152,6 +186,8 @@
             case workers.Stop():
                 attempt = self.running.get(operation.task)
                 if attempt and attempt.start.attempt == operation.attempt:
+                    label = f"worker stop {operation.task}"
+                    await self.steps.reach(f"{label} before")
                     await self._stop(
                         operation.task,
                         "asked",
@@ -163,8 +199,11 @@
     async def _start(
         self, start: workers.Start, request: workers.SyncRequest
     ) -> None:
+        await self.steps.reach(f"worker start {start.task} before")
         now = self.clock.monotonic()
-        if start.not_after < now or start.task in self.running:
+        superseded = request.epoch < self.epoch
+        late = start.not_after < now
+        if self.dead or superseded or late or start.task in self.running:
             self._emit(start, workers.TaskState.REFUSED, detail="too late")
             return
         remaining = start.run_time - _progress(start.checkpoint)
@@ -184,6 +223,7 @@
         else:
             attempt.runner = asyncio.create_task(self._finish(attempt))
         self._emit(start, workers.TaskState.RUNNING, address=attempt.address)
+        await self.steps.reach(f"worker start {start.task} after")
 
     async def _serve(self, attempt: Attempt) -> None:
         start = attempt.start
@@ -192,6 +232,7 @@
             slots=start.slots,
             connections=start.connections,
             record=self.record,
+            steps=self.steps,
         )
         port = await attempt.replica.start()
         attempt.address = f"127.0.0.1:{port}"
@@ -269,8 +310,9 @@
     return datetime.timedelta(seconds=float(checkpoint.partition("=")[2]))
 
 
-async def serve(hosts: list[dict], record: Recorder) -> None:
+async def serve(hosts: list[dict], record: recorder.Recorder) -> None:
     """Serve all hosts until cancelled."""
+    steps = holds.Holds()
     async with asyncio.TaskGroup() as group:
         for item in hosts:
             worker = Worker(
@@ -278,6 +320,7 @@
                 zone=ids.ZoneId(item["zone"]),
                 capacity=resources.Resources(**item["capacity"]),
                 record=record,
+                steps=steps,
             )
             host, port = addresses.split(item["address"])
             listener = server.Server(handler=worker.handle)
@@ -295,7 +338,7 @@
     hosts = json.loads(options.hosts.read_text())["hosts"]
     if options.zone:
         hosts = [h for h in hosts if h["zone"] == options.zone]
-    process.run(serve(hosts, Recorder(path=options.record)))
+    process.run(serve(hosts, recorder.Recorder(path=options.record)))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/standins/test_history.py
@@ -0,0 +1,141 @@
+"""Tests of the history checker: it must be able to fail."""
+
+import pytest
+
+from standins import history
+
+AMOUNT = {"millicores": 8000, "memory_mib": 10, "accelerators": 0}
+HOST = {
+    "time": 0.0,
+    "kind": "host",
+    "host": "h1",
+    "capacity": {"millicores": 16000, "memory_mib": 100, "accelerators": 0},
+}
+
+
+def start(time: float, task: str, **fields: object) -> dict:
+    """Return the record of a start."""
+    return {
+        "time": time,
+        "kind": "start",
+        "task": task,
+        "attempt": 1,
+        "host": "h1",
+        "zone": "a",
+        "resources": AMOUNT,
+        "checkpoint": None,
+        **fields,
+    }
+
+
+def end(time: float, kind: str, task: str, **fields: object) -> dict:
+    """Return the record of a finish or stop."""
+    return {**start(time, task, **fields), "kind": kind}
+
+
+def answer(**fields: object) -> dict:
+    """Return the record of an answer that a caller got."""
+    return {
+        "time": 2.0,
+        "kind": "answer",
+        "request": "r",
+        "status": 200,
+        "own": True,
+        "whole": True,
+        **fields,
+    }
+
+
+RUN = {"time": 1.0, "kind": "run", "request": "r", "by": "s/0"}
+SENT = {"time": 0.5, "kind": "request", "request": "r", "idempotent": False}
+ACCEPTED = {"time": 0.1, "kind": "job-accepted", "job": "j", "tasks": 1}
+FINAL = {"time": 9.0, "kind": "job-final", "job": "j", "state": "completed"}
+
+BROKEN = {
+    history.Promise.CAPACITY: [
+        HOST,
+        start(1, "x"),
+        start(2, "y"),
+        start(3, "z"),
+    ],
+    history.Promise.ONE_PLACE: [
+        HOST,
+        start(1, "x"),
+        start(2, "x", attempt=2, host="h2"),
+    ],
+    history.Promise.RESUMES_ONCE: [
+        HOST,
+        start(1, "x"),
+        end(2, "stop", "x", checkpoint="done=1", why="asked"),
+        start(3, "x", attempt=2),
+    ],
+    history.Promise.CLOSED_ZONE: [
+        HOST,
+        {"time": 1, "kind": "zone-out", "zone": "a"},
+        start(6.5, "x"),
+    ],
+    history.Promise.WHOLE_ANSWER: [SENT, RUN, answer(own=False)],
+    history.Promise.TRUE_REFUSAL: [
+        SENT,
+        RUN,
+        answer(status=503, outcome="not-run"),
+    ],
+    history.Promise.AT_MOST_ONCE: [SENT, RUN, {**RUN, "by": "s/1"}],
+    history.Promise.LEAVING_ENDPOINT: [
+        {"time": 1, "kind": "leaving", "by": "s/0"},
+        {**RUN, "time": 6.5},
+    ],
+    history.Promise.GRACEFUL_STOP: [
+        {"time": 1, "kind": "planned-stop", "node": "g"},
+        {"time": 2, "kind": "cut", "node": "g"},
+    ],
+    history.Promise.CONFIGURATION: [
+        {"time": 1, "kind": "generation", "node": "g", "generation": 2},
+        {"time": 2, "kind": "generation", "node": "g", "generation": 1},
+    ],
+    history.Promise.NOTHING_LOST: [ACCEPTED],
+    history.Promise.NOTHING_DOUBLED: [
+        end(1, "finish", "job/j/0"),
+        end(2, "finish", "job/j/0"),
+    ],
+}
+
+CLEAN = [
+    HOST,
+    ACCEPTED,
+    start(1, "job/j/0"),
+    end(2, "stop", "job/j/0", checkpoint="done=1", why="asked"),
+    {"time": 2.5, "kind": "zone-out", "zone": "b"},
+    start(3, "job/j/0", attempt=2, checkpoint="done=1"),
+    end(4, "finish", "job/j/0", attempt=2),
+    FINAL,
+    SENT,
+    RUN,
+    answer(),
+    {"time": 1, "kind": "generation", "node": "g", "generation": 1},
+    {"time": 2, "kind": "applied", "generation": 2},
+    {"time": 11, "kind": "generation", "node": "g", "generation": 2},
+]
+
+
+class TestCheck:
+    """Each promise has a history that breaks it."""
+
+    @pytest.mark.parametrize("promise", history.Promise)
+    def test_broken_history_is_reported(self, promise):
+        # Guards against a check that cannot fail.
+        found = history.check(BROKEN[promise])
+        assert promise in {violation.promise for violation in found}
+
+    def test_clean_history_passes(self):
+        # Guards against a check that reports allowed histories.
+        assert history.check(CLEAN) == []
+
+    def test_late_configuration_is_reported(self):
+        # Guards against a process that never follows a new generation.
+        entries = [
+            {"time": 0, "kind": "applied", "generation": 2},
+            {"time": 11, "kind": "generation", "node": "g", "generation": 1},
+        ]
+        found = history.check(entries)
+        assert history.count(found, history.Promise.CONFIGURATION) == 1
