Give each launched system a loopback address of its own

Cause: two systems that ran side by side picked the same free port; a cell of the fault matrix failed with 'nothing listens on 127.0.0.1:60105'.

Change: each launcher takes an address of its own in 127.0.0.0/8.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -67,11 +68,34 @@
     return name.partition("-")[2].rpartition("-")[0]
 
 
-def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % sock.getsockname()[1]
+class Addresses:
+    """Loopback addresses that no other launcher on this machine uses.
+
+    Each launcher has an IP address of its own in 127.0.0.0/8, so that ports
+    of systems that run side by side never collide.
+    """
+
+    numbers = itertools.count(1)
+
+    def __init__(self):
+        process = os.getpid()
+        number = next(Addresses.numbers)
+        self.host = "127.%d.%d.%d" % (
+            1 + process // 250 % 250,
+            1 + process % 250,
+            number % 250,
+        )
+        self.taken: set[int] = set()
+
+    def free(self) -> str:
+        """Return an address whose port is free now."""
+        while True:
+            with socket.socket() as sock:
+                sock.bind((self.host, 0))
+                port = sock.getsockname()[1]
+            if port not in self.taken:
+                self.taken.add(port)
+                return f"{self.host}:{port}"
 
 
 class Launcher:
@@ -85,11 +109,12 @@
         self.broken = broken
         self.folder = folder
         self.record = folder / "history.jsonl"
-        self.store = free_address()
+        self.addresses = Addresses()
+        self.store = self.addresses.free()
         self.daemons: dict[str, Daemon] = {}
         self.peer_addresses: dict[str, str] = {}
         self.listen_addresses: dict[str, str] = {}
-        self.links_control = free_address()
+        self.links_control = self.addresses.free()
         self.hosts: list[dict] = []
         # Address of a target as seen from a zone.
         self.links: dict[tuple[str, str], str] = {}
@@ -107,8 +132,8 @@
             for zone in self.layout.zones:
                 for number in range(count):
                     name = f"{kind}-{zone}-{number}"
-                    self.peer_addresses[name] = free_address()
-                    self.listen_addresses[name] = free_address()
+                    self.peer_addresses[name] = self.addresses.free()
+                    self.listen_addresses[name] = self.addresses.free()
         if self.layout.linked:
             self.start_links()
         for name in self.peer_addresses:
@@ -122,7 +147,7 @@
             for name, address in self.peer_addresses.items():
                 targets[name] = (address, zone_of(name))
             for name, (address, place) in targets.items():
-                listen = free_address()
+                listen = self.addresses.free()
                 self.links[zone, address] = listen
                 documents.append(
                     {
@@ -403,7 +428,7 @@
         hosts = [
             {
                 "host": f"{zone}-w{number}",
-                "address": free_address(),
+                "address": self.addresses.free(),
                 "zone": zone,
                 "rack": f"{zone}-r{number // shape.per_rack}",
                 "capacity": {
