Check the operators' folder against a declared list of keys

Cause: infinite numbers passed the check, a pipe or a vanishing file in the folder blocked or crashed it, deep nesting and very long numbers raised errors other than those of the TOML reader, a second definition of an id was taken for an override, and a broken file hid the mistakes in other files. Files are read with a limit and without blocking, and once more if the folder changes meanwhile. Problems carry the line. A TOML table that is defined twice has the code duplicate-id in place of not-toml; its test now also checks the line.

--- a/src/turmerichook/_internal/commands/config_apply.py
+++ b/src/turmerichook/_internal/commands/config_apply.py
@@ -4,14 +4,14 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import apply
-from turmerichook._internal.configuration import folder
+from turmerichook._internal.configuration import reading
 from turmerichook._internal.http import addresses
 from turmerichook._internal.platform import store_http
 
 
 async def run(directory: pathlib.Path, store: str, author: str) -> dict:
     """Apply a folder and return the new generation."""
-    files = folder.read(directory)
+    files = reading.read(directory)
     host, port = addresses.split(store)
     applier = apply.Applier(
         store=store_http.HttpStore(host=host, port=port),
--- a/src/turmerichook/_internal/commands/config_check.py
+++ b/src/turmerichook/_internal/commands/config_check.py
@@ -3,7 +3,7 @@
 import pathlib
 
 from turmerichook._internal.configuration import bundle
-from turmerichook._internal.configuration import folder
+from turmerichook._internal.configuration import reading
 from turmerichook._internal.models import ids
 
 
@@ -12,7 +12,7 @@
 
     :raises ConfigurationError: naming every problem.
     """
-    packed = bundle.pack_files(folder.read(directory))
+    packed = bundle.pack_files(reading.read(directory))
     accepted = bundle.accept(ids.Generation(0), packed)
     found = accepted.configuration
     return {
--- a/src/turmerichook/_internal/configuration/bundle.py
+++ b/src/turmerichook/_internal/configuration/bundle.py
@@ -3,10 +3,12 @@
 import dataclasses
 import datetime
 import hashlib
+import typing
 
 import msgpack
 
 from turmerichook._internal.configuration import folder
+from turmerichook._internal.configuration import reading
 from turmerichook._internal.configuration import schema
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
@@ -14,7 +16,7 @@
 
 HEAD_KEY = "config/head"
 BUNDLE_PREFIX = "config/bundles/"
-BUNDLE_BYTES = 768 * 1024
+BUNDLE_BYTES = reading.TOTAL_BYTES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,6 +58,7 @@
             file="",
             where="",
             expected=f"at most {BUNDLE_BYTES} bytes in all files",
+            hint="move job submissions out of the folder",
         )
         raise exceptions.ConfigurationError(problems=(problem,))
     return packed
@@ -73,10 +76,7 @@
             message=f"malformed configuration bundle: {error}",
         ) from error
     match files:
-        case dict() if all(
-            isinstance(k, str) and isinstance(v, bytes)
-            for k, v in files.items()
-        ):
+        case dict() if files and all(map(_is_file, files.items())):
             return files
         case _:
             raise exceptions.MessageError(
@@ -84,6 +84,20 @@
             )
 
 
+def _is_file(item: tuple[typing.Any, typing.Any]) -> bool:
+    name, content = item
+    # ``config pull`` writes files of these names, so a name with a path in
+    # it could write outside the folder.
+    return (
+        isinstance(name, str)
+        and isinstance(content, bytes)
+        and name.endswith(folder.SUFFIX)
+        and not name.startswith(".")
+        and "/" not in name
+        and "\0" not in name
+    )
+
+
 def digest_of(packed: bytes) -> str:
     """Return the SHA-256 of a bundle in hexadecimal."""
     return hashlib.sha256(packed).hexdigest()
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -58,7 +58,8 @@
 
     :param code: stable code of the kind of mistake.
     :param file: file name in the folder, or an empty string.
-    :param where: key path or ``line N``.
+    :param where: key path, or what the reader of the file reported.
+    :param line: line in the file, counted from 1; 0 where it is not known.
     :param expected: what the key or file should have held.
     :param hint: what to do next.
     """
@@ -68,6 +69,7 @@
     where: str
     expected: str
     hint: str = ""
+    line: int = 0
 
 
 class ConfigurationError(TurmerichookError):
--- a/tests/configuration/test_folder.py
+++ b/tests/configuration/test_folder.py
@@ -1,8 +1,11 @@
 """Tests of reading, merging and checking the operators' folder."""
 
+import os
+
 import pytest
 
 from turmerichook._internal.configuration import folder
+from turmerichook._internal.configuration import reading
 from turmerichook._internal.configuration import schema
 from turmerichook import exceptions
 
@@ -45,8 +48,35 @@
 
     def test_duplicate_table_is_an_error(self):
         # Guards against one of two definitions of an id being ignored.
-        found = problems_of({"a.toml": b"[zones.a]\n[zones.a]\n"})
-        assert found[0][:2] == ("not-toml", "a.toml")
+        text = b"[zones.a]\n[zones.a]\n"
+        with pytest.raises(exceptions.ConfigurationError) as caught:
+            schema.parse(folder.merge({"a.toml": text}))
+        (problem,) = caught.value.problems
+        assert (problem.code, problem.file, problem.line) == (
+            "duplicate-id",
+            "a.toml",
+            2,
+        )
+
+    def test_second_definition_in_another_file(self):
+        # Guards against a copied file silently replacing a service.
+        again = b"[services.s]\nteam = 't'\n"
+        assert problems_of({"a.toml": VALID, "b.toml": again}) == [
+            ("duplicate-id", "b.toml", "services.s.team")
+        ]
+
+    def test_table_replaced_by_value(self):
+        # Guards against a later file removing a whole section.
+        found = problems_of({"a.toml": VALID, "b.toml": b"teams = 1\n"})
+        assert ("wrong-type", "b.toml", "teams") in found
+
+    @pytest.mark.parametrize(
+        "text", [b"x = " + b"[" * 5000, b"x = " + b"9" * 5000]
+    )
+    def test_hostile_values(self, text):
+        # Guards against a crash where tomllib raises other errors than its
+        # own: for deep nesting and for numbers of thousands of digits.
+        assert problems_of({"a.toml": text})[0][:2] == ("not-toml", "a.toml")
 
 
 class TestSchema:
@@ -68,18 +98,91 @@
             ("unknown-team", "a.toml", "services.s.team")
         ]
 
+    @pytest.mark.parametrize(
+        ("value", "code"),
+        [
+            ("nan", "not-finite"),
+            ("inf", "not-finite"),
+            ("-inf", "not-finite"),
+            ("-0.5", "out-of-range"),
+            ("1e300", "out-of-range"),
+            ("true", "wrong-type"),
+            ("2026-01-01", "wrong-type"),
+        ],
+    )
+    def test_numbers(self, value, code):
+        # Guards against a number that no comparison or sum can handle.
+        text = VALID + f"memory_gib = {value}\n".encode()
+        assert problems_of({"a.toml": text}) == [
+            (code, "a.toml", "services.s.memory_gib")
+        ]
+
+    def test_place_and_hint(self):
+        # Guards against a message that leaves the operator searching.
+        text = VALID + b"replica = 2\n"
+        with pytest.raises(exceptions.ConfigurationError) as caught:
+            schema.parse(folder.merge({"a.toml": text}))
+        (problem,) = caught.value.problems
+        assert problem.line == 7
+        assert problem.hint == "did you mean 'replicas'?"
+
+    def test_broken_file_does_not_hide_others(self):
+        # Guards against one broken file hiding mistakes elsewhere, and
+        # against reports of teams that the broken file may define.
+        files = {"a.toml": b"[teams", "b.toml": b"[services.s]\nteam = 3\n"}
+        assert [(code, file) for code, file, _ in problems_of(files)] == [
+            ("not-toml", "a.toml"),
+            ("wrong-type", "b.toml"),
+        ]
+
 
 class TestRead:
     """Folders that cannot be used are refused."""
 
+    def test_entries_that_are_no_files(self, tmp_path):
+        # Guards against hanging on a pipe, and against a crash on a folder
+        # or a dangling link that is named like a file.
+        (tmp_path / "a.toml").mkdir()
+        (tmp_path / "b.toml").symlink_to(tmp_path / "absent")
+        os.mkfifo(tmp_path / "c.toml")
+        (tmp_path / "d.toml").write_bytes(b"x" * (reading.TOTAL_BYTES + 1))
+        (tmp_path / "e.toml").symlink_to(tmp_path / "f")
+        (tmp_path / "f").write_bytes(VALID)
+        found = reading.scan(tmp_path)
+        assert found.files == {"e.toml": VALID}
+        assert [(p.code, p.file) for p in found.problems] == [
+            ("not-a-file", "a.toml"),
+            ("link-dangling", "b.toml"),
+            ("not-a-file", "c.toml"),
+            ("too-large", "d.toml"),
+        ]
+
+    def test_file_vanishes(self, tmp_path, monkeypatch):
+        # Guards against applying a folder that lost a file while it was
+        # read; the second reading sees the folder as it is then.
+        for name in ("a.toml", "b.toml"):
+            (tmp_path / name).write_bytes(VALID)
+        listed = reading._state
+        calls = []
+
+        def state(directory):
+            found = listed(directory)
+            if not calls:
+                (tmp_path / "b.toml").unlink()
+            calls.append(directory)
+            return found
+
+        monkeypatch.setattr(reading, "_state", state)
+        assert reading.read(tmp_path) == {"a.toml": VALID}
+
     def test_empty_folder(self, tmp_path):
         # Guards against applying an empty configuration by a wrong path.
         with pytest.raises(exceptions.ConfigurationError) as caught:
-            folder.read(tmp_path)
+            reading.read(tmp_path)
         assert caught.value.problems[0].code == "folder-empty"
 
     def test_missing_folder(self, tmp_path):
         # Guards against a traceback in place of a typed error.
         with pytest.raises(exceptions.ConfigurationError) as caught:
-            folder.read(tmp_path / "absent")
+            reading.read(tmp_path / "absent")
         assert caught.value.problems[0].code == "folder-unreadable"
