Apply with lost and late answers, and distribute by heartbeats

Cause: an apply whose head write got no answer reported a conflict although the head was unchanged, and the write could still arrive. Bundles were never removed, operators overwrote changes that they had not seen, and a damaged copy of a generation kept a process from taking a good one. Every process watched the store, bundles were pushed on each connection, and each stream connection reserved a buffer of 1 MiB. Change: the head write is repeated with the same version and operation id until a conflict settles which write took effect; heads name the operations before them; 50 generations are kept. config diff, pull, history, dry run, wait, JSON and typed conflicts with the other change. One process in each zone watches the store; heartbeats carry the generation, and peers ask for a newer one. Members are recorded in the store under a lease. Streams work in both directions, limit waiting bytes, notice vanished peers and redial with jitter.

--- a/src/turmerichook/_internal/commands/config_apply.py
+++ b/src/turmerichook/_internal/commands/config_apply.py
@@ -1,21 +1,89 @@
 """``turmerichook config apply``."""
 
+import dataclasses
 import pathlib
+import uuid
 
-from turmerichook._internal import clock as clocks
+from turmerichook._internal.commands import config_check
+from turmerichook._internal.commands import config_diff
+from turmerichook._internal.commands import context as contexts
+from turmerichook._internal.commands import marker
+from turmerichook._internal.commands import members
 from turmerichook._internal.configuration import apply
-from turmerichook._internal.configuration import reading
-from turmerichook._internal.http import addresses
-from turmerichook._internal.platform import store_http
-
-
-async def run(directory: pathlib.Path, store: str, author: str) -> dict:
-    """Apply a folder and return the new generation."""
-    files = reading.read(directory)
-    host, port = addresses.split(store)
-    applier = apply.Applier(
-        store=store_http.HttpStore(host=host, port=port),
-        clock=clocks.SystemClock(),
+from turmerichook._internal.models import ids
+from turmerichook import exceptions
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """What an operator asks of an apply.
+
+    :param operation: id of an earlier run that this one repeats.
+    :param based_on: generation that the folder stems from; by default the
+        one that the folder's hidden file names.
+    :param wait: seconds to wait until all live processes have it; None
+        returns at once.
+    """
+
+    operation: str | None = None
+    based_on: int | None = None
+    force: bool = False
+    dry_run: bool = False
+    wait: float | None = None
+
+
+async def run(
+    directory: pathlib.Path,
+    context: contexts.Context,
+    options: Options,
+    report: members.Report = members.silent,
+) -> dict:
+    """Apply a folder and return the new generation.
+
+    :raises ConfigurationPendingError: with ``wait``, if some processes do
+        not have the generation in time.
+    """
+    if options.dry_run:
+        found = await config_diff.run(directory, context)
+        return {**found, "applied": False}
+    files = config_check.load(directory)
+    base = options.based_on
+    if base is None:
+        base = marker.read(directory)
+    applied = await context.applier().apply(
+        apply.Change(
+            files=files,
+            author=context.author,
+            operation=_operation(options),
+            based_on=None if base is None else ids.Generation(base),
+            at_least=await members.highest_generation(context),
+            force=options.force,
+        )
     )
-    head = await applier.apply(files=files, author=author)
-    return {"generation": head.generation, "digest": head.digest}
+    marker.write(directory, applied.head.generation)
+    result = {
+        "generation": applied.head.generation,
+        "digest": applied.head.digest,
+        "operation": applied.head.operation,
+        "applied": applied.changed,
+    }
+    if applied.overtaken is not None:
+        result["overtaken_by"] = applied.overtaken.generation
+    if options.wait is not None:
+        wanted = applied.overtaken or applied.head
+        result["processes"] = await members.wait(
+            context, wanted, options.wait, report
+        )
+    return result
+
+
+def _operation(options: Options) -> ids.OperationId:
+    if options.operation is None:
+        return ids.OperationId(uuid.uuid4().hex)
+    try:
+        return ids.OperationId(uuid.UUID(hex=options.operation).hex)
+    except ValueError as error:
+        raise exceptions.SettingsError(
+            message="--operation is not an operation id",
+            hint="copy it from the message of the earlier run",
+        ) from error
--- a/src/turmerichook/_internal/commands/config_check.py
+++ b/src/turmerichook/_internal/commands/config_check.py
@@ -3,8 +3,21 @@
 import pathlib
 
 from turmerichook._internal.configuration import bundle
+from turmerichook._internal.configuration import folder
 from turmerichook._internal.configuration import reading
-from turmerichook._internal.models import ids
+from turmerichook._internal.configuration import schema
+
+
+def load(directory: pathlib.Path) -> folder.Files:
+    """Return the files of a valid folder.
+
+    :raises ConfigurationError: naming every problem, of reading and of
+        content.
+    """
+    found = reading.scan(directory)
+    schema.parse(folder.merge(found.files, found.problems))
+    bundle.pack_files(found.files)
+    return found.files
 
 
 def run(directory: pathlib.Path) -> dict:
@@ -12,12 +25,11 @@
 
     :raises ConfigurationError: naming every problem.
     """
-    packed = bundle.pack_files(reading.read(directory))
-    accepted = bundle.accept(ids.Generation(0), packed)
-    found = accepted.configuration
+    files = load(directory)
+    found = schema.parse(folder.merge(files))
     return {
         "site": found.site,
-        "files": sorted(accepted.files),
+        "files": sorted(files),
         "zones": len(found.zones),
         "teams": len(found.teams),
         "services": len(found.services),
--- a/src/turmerichook/_internal/commands/config_show.py
+++ b/src/turmerichook/_internal/commands/config_show.py
@@ -1,26 +1,24 @@
 """``turmerichook config show``."""
 
-from turmerichook._internal import clock as clocks
-from turmerichook._internal.configuration import apply
-from turmerichook._internal.http import addresses
+from turmerichook._internal.commands import context as contexts
+from turmerichook._internal.configuration import bundle
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store_http
 
 
-async def run(store: str) -> dict:
-    """Return the head in force."""
-    host, port = addresses.split(store)
-    applier = apply.Applier(
-        store=store_http.HttpStore(host=host, port=port),
-        clock=clocks.SystemClock(),
-    )
-    found = await applier.current()
-    if isinstance(found, outcomes.Absent):
-        return {"generation": 0}
-    head, _ = found
+def describe(head: bundle.Head) -> dict:
+    """Return a head for people and programs."""
     return {
         "generation": head.generation,
         "digest": head.digest,
         "author": head.author,
         "applied": head.applied,
+        "operation": head.operation,
     }
+
+
+async def run(context: contexts.Context) -> dict:
+    """Return the head in force."""
+    found = await context.applier().current()
+    if isinstance(found, outcomes.Absent):
+        return {"generation": 0}
+    return describe(found[0])
--- /dev/null
+++ b/src/turmerichook/_internal/commands/context.py
@@ -0,0 +1,116 @@
+"""Where an operator's commands find the store and the gateways.
+
+An option takes precedence over the environment, and the environment over the
+operator's file. Only these three set addresses; nothing is discovered.
+"""
+
+import dataclasses
+import getpass
+import os
+import pathlib
+import tomllib
+import typing
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.configuration import apply
+from turmerichook._internal.http import addresses
+from turmerichook._internal.platform import store_http
+from turmerichook import exceptions
+
+FILE_VARIABLE = "TURMERICHOOK_OPERATOR_FILE"
+FILE_DEFAULT = pathlib.Path(".config/turmerichook/operator.toml")
+DEFAULTS = {"store": "127.0.0.1:7000", "gateway": "127.0.0.1:8080"}
+VARIABLES = {
+    "store": "TURMERICHOOK_STORE",
+    "gateway": "TURMERICHOOK_GATEWAY",
+    "author": "TURMERICHOOK_AUTHOR",
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Context:
+    """What the operators' commands work with.
+
+    :param store: ``ip:port`` of the platform's store.
+    :param gateway: ``ip:port`` of a gateway or of the load balancer.
+    :param author: name that is recorded with changes.
+    """
+
+    store: str
+    gateway: str
+    author: str
+
+    def open_store(self) -> store_http.HttpStore:
+        """Return a client of the store."""
+        host, port = addresses.split(self.store)
+        return store_http.HttpStore(host=host, port=port)
+
+    def applier(self) -> apply.Applier:
+        """Return a reader and writer of the configuration."""
+        return apply.Applier(
+            store=self.open_store(), clock=clocks.SystemClock()
+        )
+
+
+def load(
+    *,
+    store: str | None = None,
+    gateway: str | None = None,
+    author: str | None = None,
+    environment: typing.Mapping[str, str] | None = None,
+) -> Context:
+    """Return the context from options, environment and file.
+
+    :raises SettingsError: naming what is wrong in the file or an address.
+    """
+    environment = os.environ if environment is None else environment
+    document = _read_file(environment)
+    options = {"store": store, "gateway": gateway, "author": author}
+    values = {}
+    for key, option in options.items():
+        found = option or environment.get(VARIABLES[key])
+        found = found or document.get(key) or DEFAULTS.get(key)
+        values[key] = found or _user()
+    for key in DEFAULTS:
+        addresses.split(values[key])
+    return Context(**values)
+
+
+def _read_file(environment: typing.Mapping[str, str]) -> dict[str, str]:
+    named = environment.get(FILE_VARIABLE)
+    path = pathlib.Path(named) if named else _home(environment) / FILE_DEFAULT
+    try:
+        document = tomllib.loads(path.read_bytes().decode("utf-8"))
+    except FileNotFoundError:
+        if named:
+            raise _error(f"{path} does not exist") from None
+        return {}
+    except OSError as error:
+        raise _error(f"cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise _error(f"{path} is not TOML in UTF-8: {error}") from error
+    for key, value in document.items():
+        if key not in VARIABLES:
+            known = ", ".join(sorted(VARIABLES))
+            raise _error(f"{path}: unknown key {key!r}; known: {known}")
+        if not isinstance(value, str):
+            raise _error(f"{path}: key {key!r} must be a text")
+    return document
+
+
+def _home(environment: typing.Mapping[str, str]) -> pathlib.Path:
+    return pathlib.Path(environment.get("HOME", "/nonexistent"))
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def _error(message: str) -> exceptions.SettingsError:
+    return exceptions.SettingsError(
+        message=message,
+        hint="see docs/operators/commands.md",
+    )
--- /dev/null
+++ b/src/turmerichook/_internal/commands/marker.py
@@ -0,0 +1,40 @@
+"""Which generation an operator's folder stems from.
+
+``config pull`` and ``config apply`` write the generation into a hidden file
+in the folder. ``config apply`` compares it with the generation in force, so
+that an operator does not undo a change that the folder does not contain.
+"""
+
+import pathlib
+
+from turmerichook._internal.models import ids
+from turmerichook import exceptions
+
+NAME = ".turmerichook-generation"
+
+
+def read(directory: pathlib.Path) -> ids.Generation | None:
+    """Return the folder's generation, None if it has none.
+
+    :raises SettingsError: if the file holds something else.
+    """
+    path = directory / NAME
+    try:
+        return ids.Generation(int(path.read_text("ascii")))
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as error:
+        raise exceptions.SettingsError(
+            message=f"{path} does not hold a generation",
+            hint="remove it, or give --based-on",
+        ) from error
+
+
+def write(directory: pathlib.Path, generation: ids.Generation) -> bool:
+    """Record the folder's generation; False if it cannot be written."""
+    try:
+        (directory / NAME).write_text(f"{generation}\n", "ascii")
+    except OSError:
+        # The folder may be read-only; then the check is left out.
+        return False
+    return True
--- a/src/turmerichook/_internal/configuration/bundle.py
+++ b/src/turmerichook/_internal/configuration/bundle.py
@@ -16,6 +16,11 @@
 
 HEAD_KEY = "config/head"
 BUNDLE_PREFIX = "config/bundles/"
+HISTORY_PREFIX = "config/history/"
+# Enough for an operator whose answer was lost to find the own operation
+# after a burst of 20 changes by others. Zone owners read the head every
+# second, so it stays below 1 KB.
+PREVIOUS_KEPT = 20
 BUNDLE_BYTES = reading.TOTAL_BYTES
 
 
@@ -26,6 +31,7 @@
     :param digest: SHA-256 of the bundle, in hexadecimal.
     :param operation: id of the apply that wrote it, to recognise a write
         whose answer was lost.
+    :param previous: ids of the operations before it, the latest first.
     """
 
     generation: ids.Generation
@@ -34,6 +40,7 @@
     author: str
     applied: str
     bundle_key: str
+    previous: tuple[ids.OperationId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -110,6 +117,7 @@
     operation: ids.OperationId,
     author: str,
     now: datetime.datetime,
+    previous: tuple[ids.OperationId, ...] = (),
 ) -> Head:
     """Return the head for a bundle that is about to be applied."""
     return Head(
@@ -118,10 +126,21 @@
         operation=operation,
         author=author,
         applied=now.isoformat(),
-        bundle_key=f"{BUNDLE_PREFIX}{generation:08d}-{operation}",
+        bundle_key=bundle_prefix(generation) + operation,
+        previous=previous,
     )
 
 
+def bundle_prefix(generation: ids.Generation) -> str:
+    """Return the common prefix of all bundles of a generation."""
+    return f"{BUNDLE_PREFIX}{generation:08d}-"
+
+
+def history_key(generation: ids.Generation) -> str:
+    """Return the key that keeps the head of a replaced generation."""
+    return f"{HISTORY_PREFIX}{generation:08d}"
+
+
 def pack_head(head: Head) -> bytes:
     """Return the stored form of a head."""
     return msgpack.packb(
@@ -132,6 +151,7 @@
             head.author,
             head.applied,
             head.bundle_key,
+            [bytes.fromhex(operation) for operation in head.previous],
         ]
     )
 
@@ -142,20 +162,35 @@
     :raises MessageError: if it is malformed.
     """
     try:
-        generation, digest, operation, author, applied, key = msgpack.unpackb(
-            packed
-        )
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise exceptions.MessageError(
-            message=f"malformed configuration head: {error}",
-        ) from error
-    return Head(
-        generation=ids.Generation(generation),
-        digest=digest,
-        operation=ids.OperationId(operation),
-        author=author,
-        applied=applied,
-        bundle_key=key,
+        values = msgpack.unpackb(packed)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise _malformed_head(str(error)) from error
+    match values:
+        case [
+            int(generation),
+            str(digest),
+            str(operation),
+            str(author),
+            str(applied),
+            str(key),
+            list(previous),
+        ] if generation > 0 and all(isinstance(p, bytes) for p in previous):
+            return Head(
+                generation=ids.Generation(generation),
+                digest=digest,
+                operation=ids.OperationId(operation),
+                author=author,
+                applied=applied,
+                bundle_key=key,
+                previous=tuple(ids.OperationId(p.hex()) for p in previous),
+            )
+        case _:
+            raise _malformed_head("unexpected fields")
+
+
+def _malformed_head(why: str) -> exceptions.MessageError:
+    return exceptions.MessageError(
+        message=f"malformed configuration head: {why}",
     )
 
 
--- a/src/turmerichook/_internal/configuration/events.py
+++ b/src/turmerichook/_internal/configuration/events.py
@@ -21,3 +21,23 @@
         level=events.Level.WARNING,
         summary="the configuration cannot be read from the store",
     )
+    DAMAGED = events.Event(
+        number=3004,
+        level=events.Level.ERROR,
+        summary="a configuration bundle differs from its digest",
+    )
+    STORE_BEHIND = events.Event(
+        number=3005,
+        level=events.Level.ERROR,
+        summary="the store holds an older generation than this process",
+    )
+    DIGESTS_DIFFER = events.Event(
+        number=3006,
+        level=events.Level.ERROR,
+        summary="the store holds other files under the same generation",
+    )
+    OLDER_REFUSED = events.Event(
+        number=3007,
+        level=events.Level.ERROR,
+        summary="only generations older than before the restart were found",
+    )
--- a/src/turmerichook/_internal/configuration/messages.py
+++ b/src/turmerichook/_internal/configuration/messages.py
@@ -10,3 +10,10 @@
     generation: int
     digest: str
     bundle: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GenerationRequest:
+    """Asks for the newest generation, of at least this number."""
+
+    generation: int
--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import json
-import time
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import distribution
-from turmerichook._internal.configuration import messages as config_messages
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import client
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
 from turmerichook._internal.logs import setup as logs
-from turmerichook._internal.membership import messages as member_messages
+from turmerichook._internal.membership import member as members
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import store_http
 from turmerichook._internal.routing import endpoints
@@ -44,7 +42,14 @@
         host, port = addresses.split(settings.store)
         self.store = store_http.HttpStore(host=host, port=port)
         self.subscription = distribution.Subscription(
-            store=self.store, clock=clock
+            store=self.store, clock=clock, held=True
+        )
+        self.member = members.Member(
+            settings=settings,
+            role="gateway",
+            store=self.store,
+            clock=clock,
+            subscription=self.subscription,
         )
         self.submissions = submission.Submissions(
             store=self.store, clock=clock
@@ -53,8 +58,8 @@
         self.hub = hubs.Hub(
             codec=codec.Codec(types=scheduler_daemon.STREAM_TYPES),
             clock=clock,
-            peers=settings.peers,
             greeting=self._greeting,
+            **members.hub_peers(settings),
         )
         self.server = server.Server(handler=self._handle)
         self.turn = 0
@@ -66,34 +71,26 @@
         await self.hub.start(self.settings.peer_listen)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.subscription.run())
+                group.create_task(self.member.run(self.hub))
                 group.create_task(self._receive())
         finally:
             self.hub.stop()
             await self.server.stop(grace=30.0)
 
     def _greeting(self) -> list[object]:
-        greeting: list[object] = [
-            member_messages.Hello(
-                node=self.settings.node,
-                role="gateway",
-                zone=self.settings.zone,
-                incarnation=time.time_ns() // 1_000_000,
-            )
-        ]
-        if self.subscription.packed is not None:
-            greeting.append(self.subscription.packed)
-        greeting += list(self.directory.tables.values())
-        return greeting
+        return self.member.greeting() + list(self.directory.tables.values())
 
     async def _receive(self) -> None:
         while True:
             received = await self.hub.received.get()
+            if self.member.receive(received):
+                continue
             match received.message:
-                case config_messages.GenerationBundle():
-                    self.subscription.offer(received.message)
                 case messages.EndpointTable():
-                    self.directory.update(received.message)
+                    table = received.message
+                    if self.directory.update(table):
+                        version = (table.epoch, table.sequence)
+                        self.member.relay(received, version)
 
     async def _handle(self, exchange: server.Exchange) -> None:
         path = exchange.head.path
@@ -106,6 +103,8 @@
             await self._handle_job(exchange)
         elif path == "/healthz":
             await exchange.respond_json(document={"status": "ok"})
+        elif path == "/v1/members":
+            await exchange.respond_json(document=self.member.document())
         elif path == "/v1/status":
             await exchange.respond_json(document=self._status())
         else:
--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -1,15 +1,13 @@
 """The scheduler process: a candidate for each zone, and its owners."""
 
 import asyncio
-import time
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import distribution
-from turmerichook._internal.configuration import messages as config_messages
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import server
 from turmerichook._internal.logs import setup as logs
-from turmerichook._internal.membership import messages as member_messages
+from turmerichook._internal.membership import member as members
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import hosts_http
 from turmerichook._internal.platform import store_http
@@ -24,9 +22,7 @@
 from turmerichook import exceptions
 
 STREAM_TYPES = (
-    member_messages.Hello,
-    member_messages.Heartbeat,
-    config_messages.GenerationBundle,
+    *members.TYPES,
     messages.EndpointTable,
     messages.ZoneStatus,
 )
@@ -46,14 +42,22 @@
         self.host_list = hosts_http.HttpHostList(host=host, port=port)
         self.pool = workers_http.HttpWorkerPool()
         self.subscription = distribution.Subscription(
-            store=self.store, clock=clock
+            store=self.store, clock=clock, held=True
+        )
+        self.member = members.Member(
+            settings=settings,
+            role="scheduler",
+            store=self.store,
+            clock=clock,
+            subscription=self.subscription,
+            owned=lambda: {z: t.epoch for z, t in self.owned.items()},
         )
         self.tables: dict[str, messages.EndpointTable] = {}
         self.hub = hubs.Hub(
             codec=codec.Codec(types=STREAM_TYPES),
             clock=clock,
-            peers=settings.peers,
             greeting=self._greeting,
+            **members.hub_peers(settings),
         )
         self.server = server.Server(handler=self._handle)
         self.candidates: dict[ids.ZoneId, asyncio.Task] = {}
@@ -67,7 +71,7 @@
         self.subscription.listeners.append(lambda _: self._add_candidates())
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.subscription.run())
+                group.create_task(self.member.run(self.hub))
                 group.create_task(self._receive())
         finally:
             for task in self.candidates.values():
@@ -140,31 +144,25 @@
         self.hub.publish(message)
 
     def _greeting(self) -> list[object]:
-        hello = member_messages.Hello(
-            node=self.settings.node,
-            role="scheduler",
-            zone=self.settings.zone,
-            incarnation=time.time_ns() // 1_000_000,
-        )
-        greeting: list[object] = [hello]
-        if self.subscription.packed is not None:
-            greeting.append(self.subscription.packed)
-        greeting += [
+        return self.member.greeting() + [
             self.tables[zone] for zone in self.owned if zone in self.tables
         ]
-        return greeting
 
     async def _receive(self) -> None:
         while True:
             received = await self.hub.received.get()
+            if self.member.receive(received):
+                continue
             match received.message:
-                case config_messages.GenerationBundle():
-                    self.subscription.offer(received.message)
+                case messages.EndpointTable(epoch=epoch, sequence=sequence):
+                    self.member.relay(received, (epoch, sequence))
 
     async def _handle(self, exchange: server.Exchange) -> None:
         match exchange.head.path:
             case "/healthz":
                 await exchange.respond_json(document={"status": "ok"})
+            case "/v1/members":
+                await exchange.respond_json(document=self.member.document())
             case "/v1/status":
                 await exchange.respond_json(document=self._status())
             case _:
--- a/src/turmerichook/_internal/settings.py
+++ b/src/turmerichook/_internal/settings.py
@@ -18,7 +18,10 @@
     :param hosts: ``ip:port`` of the platform's host list.
     :param listen: ``ip:port`` for HTTP.
     :param peer_listen: ``ip:port`` for streams from other processes.
-    :param peers: ``ip:port`` of the other processes' streams.
+    :param peers: ``ip:port`` of the other processes' streams; with
+        ``zone_peers``, of those in other zones, of which a few are dialled.
+    :param zone_peers: ``ip:port`` of the streams of all processes in the
+        own zone, which are all dialled.
     :param log_style: ``text`` or ``json``.
     """
 
@@ -29,6 +32,7 @@
     listen: str
     peer_listen: str
     peers: tuple[str, ...] = ()
+    zone_peers: tuple[str, ...] = ()
     log_style: str = "text"
     log_level: str = "INFO"
 
@@ -36,6 +40,7 @@
 STYLES = ("text", "json")
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 REQUIRED = ("node", "zone", "store", "hosts", "listen", "peer_listen")
+PEER_KEYS = ("peers", "zone_peers")
 ADDRESSES = ("store", "hosts", "listen", "peer_listen")
 
 
@@ -68,20 +73,20 @@
         _check_type(key, value)
     for key in ADDRESSES:
         addresses.split(document[key])
-    peers = tuple(document.get("peers", ()))
-    for peer in peers:
+    peers = {key: tuple(document.get(key, ())) for key in PEER_KEYS}
+    for peer in peers["peers"] + peers["zone_peers"]:
         addresses.split(peer)
     _check_choice(document, "log_style", STYLES)
     _check_choice(document, "log_level", LEVELS)
-    return Settings(**{**document, "peers": peers})
+    return Settings(**{**document, **peers})
 
 
 def _check_type(key: str, value: typing.Any) -> None:
-    if key == "peers":
-        if not isinstance(value, list):
-            raise _error("key 'peers' must be a list of ip:port texts")
-        if not all(isinstance(peer, str) for peer in value):
-            raise _error("key 'peers' must be a list of ip:port texts")
+    if key in PEER_KEYS:
+        if not isinstance(value, list) or not all(
+            isinstance(peer, str) for peer in value
+        ):
+            raise _error(f"key {key!r} must be a list of ip:port texts")
     elif not isinstance(value, str) or not value:
         raise _error(f"key {key!r} must be a text that is not empty")
 
--- a/src/turmerichook/_internal/streams/codec.py
+++ b/src/turmerichook/_internal/streams/codec.py
@@ -13,6 +13,9 @@
 from turmerichook import exceptions
 
 FRAME_BYTES = 1024 * 1024
+# First size of a connection's buffer, which grows with large frames. By
+# default msgpack takes the largest size at once, 1 MiB for each connection.
+BUFFER_BYTES = 4096
 
 
 class Codec:
@@ -78,7 +81,9 @@
 
     def __init__(self, *, codec: Codec):
         self.codec = codec
-        self.unpacker = msgpack.Unpacker(max_buffer_size=FRAME_BYTES)
+        self.unpacker = msgpack.Unpacker(
+            read_size=BUFFER_BYTES, max_buffer_size=FRAME_BYTES
+        )
 
     def feed(self, data: bytes) -> list[typing.Any]:
         """Return the messages that are complete after ``data``.
--- a/src/turmerichook/_internal/streams/hub.py
+++ b/src/turmerichook/_internal/streams/hub.py
@@ -1,41 +1,43 @@
 """Streams between the product's own processes.
 
-A hub listens for peers and dials those that its settings name. Each dialled
-connection carries messages one way, from the dialler; what arrives on
-accepted connections goes to one queue. A message to a peer that cannot be
-reached is dropped: senders repeat what matters, and a new connection starts
-with the greeting messages, which hold the current state.
+A hub listens for peers and dials those that its settings name. What arrives
+goes to one queue. ``publish`` sends on the dialled connections only: peers
+dial each other, so each message arrives once. A message to a peer that
+cannot be reached is dropped: senders repeat what matters, and a new
+connection starts with the greeting messages, which hold the current state.
+
+All near peers (those of the own zone) are dialled. Of the far peers only a
+few are, so that traffic and connections stay bounded in a large site.
 """
 
 import asyncio
 import collections.abc
 import contextlib
-import dataclasses
-import datetime
+import random
 import typing
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.http import addresses
+from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.streams import codec as codecs
+from turmerichook._internal.streams import connection as connections
+from turmerichook._internal.streams import events
+from turmerichook._internal.streams import links as peer_links
 from turmerichook import exceptions
 
-READ_BYTES = 64 * 1024
-# Messages that may wait for one slow peer before the connection is dropped.
-SEND_QUEUE = 256
-CONNECT_TIMEOUT = 1.0
-REDIAL_DELAY = datetime.timedelta(seconds=1)
+Received = connections.Received
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Received:
-    """A message with the address of the connection that it came on."""
-
-    message: typing.Any
-    source: str
+RECEIVED_QUEUE = 256
+# Four times the links that a process has at the target size.
+ACCEPTED_MAX = 256
 
 
 class Hub:
-    """Listener and diallers of one process."""
+    """Listener and diallers of one process.
+
+    :param peers: addresses that are always dialled.
+    :param far_peers: addresses of which ``far_links`` are dialled.
+    """
 
     def __init__(
         self,
@@ -44,111 +46,114 @@
         clock: clocks.Clock,
         peers: collections.abc.Iterable[str],
         greeting: collections.abc.Callable[[], list[typing.Any]],
+        far_peers: collections.abc.Iterable[str] = (),
+        far_links: int = 0,
+        rng: random.Random | None = None,
     ):
         self.codec = codec
         self.clock = clock
         self.greeting = greeting
-        self.received: asyncio.Queue[Received] = asyncio.Queue(SEND_QUEUE)
-        self.links = [PeerLink(hub=self, address=peer) for peer in peers]
+        self.rng = rng or random.Random()
+        self.received: asyncio.Queue[Received] = asyncio.Queue(RECEIVED_QUEUE)
+        self.links = [
+            peer_links.PeerLink(hub=self, candidates=[peer]) for peer in peers
+        ]
+        self.far_links = peer_links.far_links(
+            hub=self, addresses=list(far_peers), count=far_links
+        )
+        self.accepted: set[connections.Connection] = set()
         self.listener: asyncio.Server | None = None
         self.tasks: list[asyncio.Task] = []
+        self.ended_bytes = [0, 0]
 
     async def start(self, address: str) -> int:
         """Listen, dial the peers, and return the port."""
         host, port = addresses.split(address)
         self.listener = await asyncio.start_server(self._accept, host, port)
-        self.tasks = [asyncio.create_task(link.run()) for link in self.links]
+        self.tasks = [
+            asyncio.create_task(link.run())
+            for link in self.links + self.far_links
+        ]
         return self.listener.sockets[0].getsockname()[1]
 
-    def publish(self, message: typing.Any) -> None:
-        """Send a message to all peers that are connected."""
+    def publish(
+        self, message: typing.Any, *, near: bool = True, far: bool = True
+    ) -> None:
+        """Send a message to the peers that are connected."""
         frame = self.codec.encode(message)
-        for link in self.links:
+        chosen = self.links if near else []
+        for link in chosen + (self.far_links if far else []):
             link.send(frame)
 
+    def settled(self) -> bool:
+        """Tell whether each near peer was dialled, with success or not."""
+        return all(link.tried for link in self.links)
+
+    def traffic(self) -> tuple[int, int]:
+        """Return the payload bytes sent and received so far."""
+        live = list(self.accepted)
+        live += [
+            link.connection
+            for link in self.links + self.far_links
+            if link.connection is not None
+        ]
+        return (
+            self.ended_bytes[0] + sum(c.bytes_sent for c in live),
+            self.ended_bytes[1] + sum(c.bytes_received for c in live),
+        )
+
+    def account(self, ended: connections.Connection) -> None:
+        """Keep the byte counts of a connection that has ended."""
+        self.ended_bytes[0] += ended.bytes_sent
+        self.ended_bytes[1] += ended.bytes_received
+
     def stop(self) -> None:
         """Close the listener and all links."""
         if self.listener is not None:
             self.listener.close()
         for task in self.tasks:
             task.cancel()
+        for connection in list(self.accepted):
+            connection.writer.close()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        source = "%s:%s" % writer.get_extra_info("peername")[:2]
-        frames = codecs.FrameReader(codec=self.codec)
+        connection = connections.Connection(
+            codec=self.codec,
+            received=self.received,
+            reader=reader,
+            writer=writer,
+            dialled=False,
+        )
+        if len(self.accepted) >= ACCEPTED_MAX:
+            logs.emit(
+                events.StreamEvent.REFUSED,
+                source=connection.source,
+                connections=len(self.accepted),
+            )
+            writer.close()
+            return
+        self.accepted.add(connection)
         try:
-            while data := await reader.read(READ_BYTES):
-                for message in frames.feed(data):
-                    received = Received(message=message, source=source)
-                    await self.received.put(received)
-        except (exceptions.MessageError, OSError):
+            connections.watch(writer)
+            await connection.run()
+        except exceptions.MessageError as error:
             # A peer that breaks the protocol is cut off; it redials.
+            logs.emit(
+                events.StreamEvent.PROTOCOL_BROKEN,
+                source=connection.source,
+                error=error,
+            )
+        except (OSError, TimeoutError):
+            # The peer has gone, or was silent; if it lives it redials.
             pass
         except asyncio.CancelledError:
             # The loop is closing. asyncio 3.11 reports a cancelled stream
             # callback as an unhandled error, so it ends normally.
             pass
         finally:
+            self.accepted.discard(connection)
+            self.account(connection)
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
-
-
-class PeerLink:
-    """Dials one peer and keeps the connection."""
-
-    def __init__(self, *, hub: Hub, address: str):
-        self.hub = hub
-        self.address = address
-        self.frames: asyncio.Queue[bytes] = asyncio.Queue(SEND_QUEUE)
-        self.connected = False
-
-    def send(self, frame: bytes) -> None:
-        """Queue a frame if the peer is connected and keeps up."""
-        if not self.connected:
-            return
-        try:
-            self.frames.put_nowait(frame)
-        except asyncio.QueueFull:
-            self.connected = False
-
-    async def run(self) -> None:
-        """Dial again whenever the connection ends."""
-        while True:
-            with contextlib.suppress(OSError, TimeoutError):
-                await self._session()
-            await self.hub.clock.sleep(REDIAL_DELAY)
-
-    async def _session(self) -> None:
-        host, port = addresses.split(self.address)
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            reader, writer = await asyncio.open_connection(host, port)
-        try:
-            await self._pump(reader, writer)
-        finally:
-            self.connected = False
-            writer.close()
-
-    async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.frames = asyncio.Queue(SEND_QUEUE)
-        self.connected = True
-        for message in self.hub.greeting():
-            writer.write(self.hub.codec.encode(message))
-        await writer.drain()
-        closed = asyncio.ensure_future(reader.read(1))
-        try:
-            while self.connected:
-                frame = asyncio.ensure_future(self.frames.get())
-                done, _ = await asyncio.wait(
-                    (frame, closed), return_when=asyncio.FIRST_COMPLETED
-                )
-                if closed in done:
-                    frame.cancel()
-                    return
-                writer.write(frame.result())
-                await writer.drain()
-        finally:
-            closed.cancel()
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -84,11 +84,43 @@
 
 
 class ConfigurationConflictError(TurmerichookError):
-    """Another operator changed the configuration first."""
+    """Another operator changed the configuration first.
+
+    :param changes: lines of a diff that shows the other change.
+    """
 
     reference = "configuration-conflict"
     exit_status = EXIT_CONFLICT
 
+    def __init__(self, *, changes: tuple[str, ...] = (), **texts: str):
+        super().__init__(**texts)
+        self.changes = changes
+
+
+class ConfigurationDamagedError(TurmerichookError):
+    """A stored bundle differs from the digest in its head."""
+
+    reference = "configuration-damaged"
+
+
+class ConfigurationNotFoundError(TurmerichookError):
+    """The store does not hold a generation."""
+
+    reference = "configuration-not-found"
+
+
+class FolderUnwritableError(TurmerichookError):
+    """A folder cannot take the files that a command would write."""
+
+    reference = "folder-unwritable"
+    exit_status = EXIT_BAD_INPUT
+
+
+class ConfigurationPendingError(TurmerichookError):
+    """Some processes do not have an applied generation yet."""
+
+    reference = "configuration-pending"
+
 
 # Store
 
