Add the operators' commands, limits on log lines, and metrics

Cause: the command line had four commands that printed JSON only; queues, owners and processes could not be seen; warnings in a loop filled the log, and values could forge lines; the scheduler had no metrics. Change: status, explain, drain, zone, jobs and services with tables, JSON, progress, examples and typed errors; addresses from options, environment or an operator's file. Warnings and errors are limited to 20 lines in 10 s for each event, with a count of what was left out; values are quoted, cut and hidden where their name is that of a secret. Histograms with two digits that are created with their first value; /metrics on the scheduler. The catalogue of events now collects the product's events only, since tests define others.

--- a/src/turmerichook/_internal/cli/daemons.py
+++ b/src/turmerichook/_internal/cli/daemons.py
@@ -12,6 +12,7 @@
 import typing
 
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.logs import events
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal import settings as settings_module
 from turmerichook import exceptions
@@ -46,11 +47,38 @@
         style=settings.log_style,
         level=settings.log_level,
     )
+    logs.emit(
+        events.ProcessEvent.STARTED,
+        program=program,
+        zone=settings.zone,
+        listen=settings.listen,
+        settings=path,
+    )
     daemon = build(settings, clocks.SystemClock())
-    asyncio.run(_run(daemon))
+    try:
+        asyncio.run(_run(daemon))
+    except OSError as error:
+        # A listener's address is in use or does not exist.
+        logs.emit(events.ProcessEvent.FAILED, error=error)
+        return exceptions.EXIT_FAILURE
+    except BaseExceptionGroup as group:
+        for error in _leaves(group):
+            logs.emit(events.ProcessEvent.FAILED, error=repr(error))
+        raise
+    logs.emit(events.ProcessEvent.STOPPED)
     return 0
 
 
+def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found += _leaves(error)
+        else:
+            found.append(error)
+    return found
+
+
 async def _run(daemon: Daemon) -> None:
     task = asyncio.create_task(daemon.run())
     loop = asyncio.get_running_loop()
--- a/src/turmerichook/_internal/cli/operator.py
+++ b/src/turmerichook/_internal/cli/operator.py
@@ -1,39 +1,28 @@
 """The ``turmerichook`` command line: assembly and exit statuses."""
 
-import asyncio
-import json
-import pathlib
 import sys
 
 import cyclopts
 
 from turmerichook._internal.cli import config
-from turmerichook._internal.cli import options as shared
+from turmerichook._internal.cli import jobs
 from turmerichook._internal.cli import output
-from turmerichook._internal.commands import jobs_show
-from turmerichook._internal.commands import jobs_submit
+from turmerichook._internal.cli import services
+from turmerichook._internal.cli import site
 from turmerichook import exceptions
 
-app = cyclopts.App(name="turmerichook", help="Operate turmerichook.")
+app = cyclopts.App(
+    name="turmerichook",
+    help="Operate turmerichook. Exit status 2: bad input, 3: conflict,"
+    " 4: unreachable service, 1: other failures.",
+)
 app.command(config.app)
-jobs = cyclopts.App(name="jobs", help="Submit and follow batch jobs.")
-app.command(jobs)
-
-
-@jobs.command(name="submit")
-def submit(
-    file: pathlib.Path, *, options: shared.Options = shared.DEFAULT
-) -> None:
-    """Submit a job from a JSON file."""
-    gateway = options.context().gateway
-    print(json.dumps(asyncio.run(jobs_submit.run(file, gateway)), indent=2))
-
-
-@jobs.command(name="show")
-def show_job(job: str, *, options: shared.Options = shared.DEFAULT) -> None:
-    """Show a job."""
-    gateway = options.context().gateway
-    print(json.dumps(asyncio.run(jobs_show.run(job, gateway)), indent=2))
+app.command(jobs.app)
+app.command(services.app)
+app.command(site.zone_app)
+app.command(site.status, name="status")
+app.command(site.explain, name="explain")
+app.command(site.drain, name="drain")
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -42,6 +31,8 @@
     try:
         app(words, result_action="return_value")
     except exceptions.TurmerichookError as error:
+        if isinstance(error, exceptions.StoreError) and not error.hint:
+            error.hint = "check --store and whether the store answers"
         output.show_error(error, as_json="--json" in words)
         return error.exit_status
     except KeyboardInterrupt:
--- a/src/turmerichook/_internal/commands/config_apply.py
+++ b/src/turmerichook/_internal/commands/config_apply.py
@@ -50,16 +50,20 @@
     base = options.based_on
     if base is None:
         base = marker.read(directory)
-    applied = await context.applier().apply(
-        apply.Change(
+    operation = _operation(options)
+    try:
+        change = apply.Change(
             files=files,
             author=context.author,
-            operation=_operation(options),
+            operation=operation,
             based_on=None if base is None else ids.Generation(base),
             at_least=await members.highest_generation(context),
             force=options.force,
         )
-    )
+        applied = await context.applier().apply(change)
+    except exceptions.StoreUnavailableError as error:
+        error.note = error.note or apply.NOT_APPLIED
+        raise
     marker.write(directory, applied.head.generation)
     result = {
         "generation": applied.head.generation,
--- /dev/null
+++ b/src/turmerichook/_internal/commands/jobs_cancel.py
@@ -0,0 +1,13 @@
+"""``turmerichook jobs cancel``."""
+
+import json
+import typing
+
+from turmerichook._internal.commands import gateway_calls
+
+
+async def run(jobs: tuple[str, ...], gateway: str) -> typing.Any:
+    """Cancel jobs, in one write for all of them."""
+    body = json.dumps({"jobs": list(jobs)}).encode()
+    target = "/v1/cancellations"
+    return await gateway_calls.call(gateway, "POST", target, body)
--- a/src/turmerichook/_internal/logs/events.py
+++ b/src/turmerichook/_internal/logs/events.py
@@ -10,6 +10,9 @@
 import enum
 
 
+LIMIT_DEFAULT = 20
+
+
 class Level(enum.Enum):
     """What a level asks of the reader.
 
@@ -31,11 +34,24 @@
     :param number: unique number, shown as ``TH-<number>``.
     :param level: severity.
     :param summary: one sentence for the catalogue and the log line.
+    :param limit: lines in 10 s; more are counted and left out. By default
+        warnings and errors are limited, and decisions, which must all be
+        there for a replay, are not.
     """
 
     number: int
     level: Level
     summary: str
+    limit: int | None = None
+
+    @property
+    def lines_allowed(self) -> int | None:
+        """Lines that may be written in 10 s; None for no limit."""
+        if self.limit is not None:
+            return self.limit
+        if self.level in (Level.WARNING, Level.ERROR):
+            return LIMIT_DEFAULT
+        return None
 
     @property
     def code(self) -> str:
@@ -50,3 +66,29 @@
     def event(self) -> Event:
         """The event's definition."""
         return self.value
+
+
+class ProcessEvent(EventEnum):
+    """Numbers 1000 to 1999: processes, settings and the log itself."""
+
+    STARTED = Event(
+        number=1001,
+        level=Level.INFO,
+        summary="the process has started",
+    )
+    STOPPED = Event(
+        number=1002,
+        level=Level.INFO,
+        summary="the process has ended as planned",
+    )
+    FAILED = Event(
+        number=1003,
+        level=Level.ERROR,
+        summary="the process ends because of an error",
+    )
+    LINES_LEFT_OUT = Event(
+        number=1010,
+        level=Level.WARNING,
+        summary="repeated lines of one event were left out",
+        limit=1000,
+    )
--- a/src/turmerichook/_internal/logs/setup.py
+++ b/src/turmerichook/_internal/logs/setup.py
@@ -1,16 +1,30 @@
 """Set-up of loguru and the function that writes a numbered event."""
 
 import json
+import re
 import sys
+import time
 import typing
 
 import loguru
 
 from turmerichook._internal.logs import events
+from turmerichook._internal.logs import limits
 
 TEXT = "text"
 JSON = "json"
 
+# Callers may put long or hostile texts into what is logged.
+VALUE_CHARACTERS = 500
+SECRET = re.compile(
+    r"authorization|cookie|credential|passw|secret|token|api.?key", re.I
+)
+HIDDEN = "(hidden)"
+# Such a value is quoted, so that it cannot look like other fields or lines.
+UNSAFE = re.compile(r"[\s\"=\x00-\x1f\x7f-\x9f\u2028\u2029]")
+
+_limiter = limits.Limiter()
+
 
 def configure(*, node: str, style: str, level: str) -> None:
     """Send all log lines to standard error.
@@ -32,18 +46,42 @@
 
 
 def emit(event: events.EventEnum, **fields: typing.Any) -> None:
-    """Write one event with its fields."""
+    """Write one event with its fields, within the event's limit."""
+    definition = event.event
+    now = time.monotonic()
+    flush(now)
+    if _limiter.allow(definition.code, definition.lines_allowed, now):
+        _write(event, fields)
+
+
+def flush(now: float) -> None:
+    """Tell how many lines were left out in the periods that have passed.
+
+    :param now: reading of ``time.monotonic``.
+    """
+    for left_out in _limiter.ended(now):
+        _write(
+            events.ProcessEvent.LINES_LEFT_OUT,
+            {"left_out": left_out.code, "count": left_out.count},
+        )
+
+
+def _write(event: events.EventEnum, fields: dict[str, typing.Any]) -> None:
     definition = event.event
+    safe = {
+        name: HIDDEN if SECRET.search(name) else _plain(value)
+        for name, value in fields.items()
+    }
     loguru.logger.bind(
         code=definition.code,
         name=event.name.lower().replace("_", "-"),
-        fields=fields,
+        fields=safe,
     ).log(definition.level.value, "{}", definition.summary)
 
 
 def _text_line(record: typing.Any) -> str:
     extra = record["extra"]
-    pairs = " ".join(f"{k}={v}" for k, v in extra["fields"].items())
+    pairs = " ".join(f"{k}={_quoted(v)}" for k, v in extra["fields"].items())
     when = record["time"].strftime("%Y-%m-%dT%H:%M:%S.%f")
     line = (
         f"{when} {record['level'].name} {extra['node']} {extra['code']} "
@@ -61,15 +99,23 @@
         "code": extra["code"],
         "event": extra.get("name", ""),
         "message": record["message"],
-        **{k: _plain(v) for k, v in extra["fields"].items()},
+        **extra["fields"],
     }
     return _escape(json.dumps(document))
 
 
 def _plain(value: typing.Any) -> typing.Any:
-    if isinstance(value, (str, int, float, bool, type(None))):
+    if isinstance(value, (int, float, bool, type(None))):
         return value
-    return str(value)
+    text = str(value)
+    if len(text) > VALUE_CHARACTERS:
+        return text[:VALUE_CHARACTERS] + "..."
+    return text
+
+
+def _quoted(value: typing.Any) -> str:
+    text = str(value)
+    return json.dumps(text) if UNSAFE.search(text) else text
 
 
 def _escape(line: str) -> str:
--- /dev/null
+++ b/src/turmerichook/_internal/metrics/timed_store.py
@@ -0,0 +1,73 @@
+"""A store that measures each call."""
+
+import datetime
+import time
+
+from turmerichook._internal.metrics import registry as registries
+from turmerichook._internal.models import ids
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import store as stores
+
+
+class TimedStore:
+    """Passes calls on and records duration and failures by kind.
+
+    A watch is counted, but its duration is mostly waiting and not recorded.
+    """
+
+    def __init__(self, *, store: stores.Store, registry: registries.Registry):
+        self.store = store
+        self.registry = registry
+
+    async def get(self, key: str) -> stores.Entry | outcomes.Absent:
+        return await self._timed("get", self.store.get(key))
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expect: ids.Version,
+        lease: ids.LeaseId | None = None,
+    ) -> ids.Version:
+        call = self.store.put(key, value, expect=expect, lease=lease)
+        return await self._timed("put", call)
+
+    async def delete(self, key: str, *, expect: ids.Version) -> None:
+        await self._timed("delete", self.store.delete(key, expect=expect))
+
+    async def list(self, prefix: str) -> stores.Listing:
+        return await self._timed("list", self.store.list(prefix))
+
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after: ids.Revision,
+        wait: datetime.timedelta,
+    ) -> stores.Changes:
+        self.registry.count("store_watches_total")
+        return await self.store.watch(prefix, after=after, wait=wait)
+
+    async def grant_lease(self, ttl: datetime.timedelta) -> ids.LeaseId:
+        return await self._timed("grant", self.store.grant_lease(ttl))
+
+    async def renew_lease(self, lease: ids.LeaseId) -> None:
+        await self._timed("renew", self.store.renew_lease(lease))
+
+    async def revoke_lease(self, lease: ids.LeaseId) -> None:
+        await self._timed("revoke", self.store.revoke_lease(lease))
+
+    async def _timed(self, kind, call):
+        began = time.monotonic()
+        try:
+            return await call
+        except Exception as error:
+            reference = getattr(error, "reference", "internal-error")
+            self.registry.count(
+                "store_failures_total", call=kind, error=reference
+            )
+            raise
+        finally:
+            elapsed = time.monotonic() - began
+            self.registry.observe("store_call_seconds", elapsed, call=kind)
--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -1,6 +1,7 @@
 """The scheduler process: a candidate for each zone, and its owners."""
 
 import asyncio
+import urllib.parse
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import distribution
@@ -8,12 +9,16 @@
 from turmerichook._internal.http import server
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.membership import member as members
+from turmerichook._internal.membership import metrics as member_metrics
+from turmerichook._internal.metrics import registry
+from turmerichook._internal.metrics import timed_store
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import hosts_http
 from turmerichook._internal.platform import store_http
 from turmerichook._internal.platform import workers_http
 from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import messages
+from turmerichook._internal.scheduling import operator_calls
 from turmerichook._internal.scheduling import owner as owners
 from turmerichook._internal.scheduling import ownership
 from turmerichook._internal import settings as settings_module
@@ -37,7 +42,11 @@
         self.settings = settings
         self.clock = clock
         host, port = addresses.split(settings.store)
-        self.store = store_http.HttpStore(host=host, port=port)
+        self.metrics = registry.Registry()
+        self.store = timed_store.TimedStore(
+            store=store_http.HttpStore(host=host, port=port),
+            registry=self.metrics,
+        )
         host, port = addresses.split(settings.hosts)
         self.host_list = hosts_http.HttpHostList(host=host, port=port)
         self.pool = workers_http.HttpWorkerPool()
@@ -62,6 +71,8 @@
         self.server = server.Server(handler=self._handle)
         self.candidates: dict[ids.ZoneId, asyncio.Task] = {}
         self.owned: dict[ids.ZoneId, ownership.Tenure] = {}
+        self.owners: dict[ids.ZoneId, owners.Owner] = {}
+        self.histories: dict[ids.ZoneId, operator_calls.QueueHistory] = {}
 
     async def run(self) -> None:
         """Run until cancelled, then give up what is owned."""
@@ -73,6 +84,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.member.run(self.hub))
                 group.create_task(self._receive())
+                group.create_task(self._sample_queues())
         finally:
             for task in self.candidates.values():
                 task.cancel()
@@ -112,6 +124,7 @@
                 )
             finally:
                 del self.owned[zone]
+                self.owners.pop(zone, None)
                 await _release(candidate, tenure)
 
     async def _own(
@@ -127,6 +140,8 @@
             configuration=lambda: self.subscription.configuration,
             publish=self._publish,
         )
+        self.owners[candidate.zone] = owner
+        self.histories[candidate.zone] = operator_calls.QueueHistory()
         async with asyncio.TaskGroup() as group:
             group.create_task(candidate.keep(tenure))
             group.create_task(owner.run())
@@ -157,10 +172,20 @@
                 case messages.EndpointTable(epoch=epoch, sequence=sequence):
                     self.member.relay(received, (epoch, sequence))
 
+    async def _sample_queues(self) -> None:
+        while True:
+            for zone, owner in self.owners.items():
+                self.histories[zone].add(owner.state)
+            await self.clock.sleep(operator_calls.SAMPLE_INTERVAL)
+
     async def _handle(self, exchange: server.Exchange) -> None:
         match exchange.head.path:
             case "/healthz":
                 await exchange.respond_json(document={"status": "ok"})
+            case "/metrics":
+                await self._metrics(exchange)
+            case "/v1/explain":
+                await self._explain(exchange)
             case "/v1/members":
                 await exchange.respond_json(document=self.member.document())
             case "/v1/status":
@@ -170,8 +195,45 @@
                     document={"code": "not-found"}, status=404
                 )
 
+    async def _metrics(self, exchange: server.Exchange) -> None:
+        member_metrics.collect(self.metrics, self.member)
+        for name in operator_calls.GAUGES:
+            self.metrics.clear(f"zone_{name}")
+        now = self.clock.monotonic()
+        for zone, owner in self.owners.items():
+            document = operator_calls.queue_document(
+                owner.state, self.histories[zone], now
+            )
+            for name in operator_calls.GAUGES:
+                self.metrics.set(f"zone_{name}", document[name], zone=zone)
+        await exchange.respond(
+            status=200,
+            body=self.metrics.render().encode(),
+            content_type=registry.CONTENT_TYPE,
+        )
+
+    async def _explain(self, exchange: server.Exchange) -> None:
+        query = urllib.parse.parse_qs(exchange.head.query)
+        name = query.get("task", [""])[0]
+        now = self.clock.monotonic()
+        for zone, owner in self.owners.items():
+            found = operator_calls.explain_document(owner.state, name, now)
+            if found is not None:
+                await exchange.respond_json(document={"zone": zone, **found})
+                return
+        await exchange.respond_json(
+            document={"code": "task-not-found"}, status=404
+        )
+
     def _status(self) -> dict:
+        now = self.clock.monotonic()
         return {
+            "zones": {
+                zone: operator_calls.queue_document(
+                    owner.state, self.histories[zone], now
+                )
+                for zone, owner in self.owners.items()
+            },
             "node": self.settings.node,
             "generation": self.subscription.generation,
             "owned": {z: t.epoch for z, t in self.owned.items()},
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -294,3 +294,63 @@
     """No job has this id."""
 
     reference = "job-not-found"
+
+
+class JobPendingError(TurmerichookError):
+    """A job has not ended within the time that the operator waits."""
+
+    reference = "job-pending"
+
+
+class JobFailedError(TurmerichookError):
+    """A job that an operator waits for failed or was cancelled."""
+
+    reference = "job-failed"
+
+
+# Operators' commands
+
+
+class GatewayUnreachableError(TurmerichookError):
+    """A gateway gave no answer to the command line."""
+
+    reference = "gateway-unreachable"
+    exit_status = EXIT_UNREACHABLE
+
+
+class GatewayRefusedError(TurmerichookError):
+    """A gateway refused a call of the command line."""
+
+    reference = "gateway-refused"
+    exit_status = EXIT_UNREACHABLE
+
+
+class TaskUnknownError(TurmerichookError):
+    """No process knows the task or request that is to be explained."""
+
+    reference = "task-unknown"
+
+
+class ServiceNotFoundError(TurmerichookError):
+    """The configuration in force does not have a service."""
+
+    reference = "service-not-found"
+
+
+class ServicePendingError(TurmerichookError):
+    """A service does not have its endpoints in time."""
+
+    reference = "service-pending"
+
+
+class ZoneUnknownError(TurmerichookError):
+    """A folder does not define a zone, or not as the command would have it."""
+
+    reference = "zone-unknown"
+    exit_status = EXIT_BAD_INPUT
+
+
+class DrainPendingError(TurmerichookError):
+    """Tasks still run in a zone that was taken out."""
+
+    reference = "drain-pending"
--- a/tools/event_catalogue.py
+++ b/tools/event_catalogue.py
@@ -30,8 +30,12 @@
             importlib.import_module(
                 f"turmerichook._internal.{path.parent.name}.events"
             )
+    # Tests define events of their own, which are not the product's.
     found = [
-        event for kind in events.EventEnum.__subclasses__() for event in kind
+        event
+        for kind in events.EventEnum.__subclasses__()
+        if kind.__module__.startswith("turmerichook.")
+        for event in kind
     ]
     return sorted(found, key=lambda event: event.event.number)
 
