--- a/src/turmerichook/_internal/configuration/bundle.py
+++ b/src/turmerichook/_internal/configuration/bundle.py
@@ -3,10 +3,12 @@
 import dataclasses
 import datetime
 import hashlib
+import typing
 
 import msgpack
 
 from turmerichook._internal.configuration import folder
+from turmerichook._internal.configuration import reading
 from turmerichook._internal.configuration import schema
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
@@ -14,7 +16,12 @@
 
 HEAD_KEY = "config/head"
 BUNDLE_PREFIX = "config/bundles/"
-BUNDLE_BYTES = 768 * 1024
+HISTORY_PREFIX = "config/history/"
+# Enough for an operator whose answer was lost to find the own operation
+# after a burst of 20 changes by others. Zone owners read the head every
+# second, so it stays below 1 KB.
+PREVIOUS_KEPT = 20
+BUNDLE_BYTES = reading.TOTAL_BYTES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,6 +31,7 @@
     :param digest: SHA-256 of the bundle, in hexadecimal.
     :param operation: id of the apply that wrote it, to recognise a write
         whose answer was lost.
+    :param previous: ids of the operations before it, the latest first.
     """
 
     generation: ids.Generation
@@ -32,6 +40,7 @@
     author: str
     applied: str
     bundle_key: str
+    previous: tuple[ids.OperationId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -56,6 +65,7 @@
             file="",
             where="",
             expected=f"at most {BUNDLE_BYTES} bytes in all files",
+            hint="move job submissions out of the folder",
         )
         raise exceptions.ConfigurationError(problems=(problem,))
     return packed
@@ -73,10 +83,7 @@
             message=f"malformed configuration bundle: {error}",
         ) from error
     match files:
-        case dict() if all(
-            isinstance(k, str) and isinstance(v, bytes)
-            for k, v in files.items()
-        ):
+        case dict() if files and all(map(_is_file, files.items())):
             return files
         case _:
             raise exceptions.MessageError(
@@ -84,6 +91,20 @@
             )
 
 
+def _is_file(item: tuple[typing.Any, typing.Any]) -> bool:
+    name, content = item
+    # ``config pull`` writes files of these names, so a name with a path in
+    # it could write outside the folder.
+    return (
+        isinstance(name, str)
+        and isinstance(content, bytes)
+        and name.endswith(folder.SUFFIX)
+        and not name.startswith(".")
+        and "/" not in name
+        and "\0" not in name
+    )
+
+
 def digest_of(packed: bytes) -> str:
     """Return the SHA-256 of a bundle in hexadecimal."""
     return hashlib.sha256(packed).hexdigest()
@@ -96,6 +117,7 @@
     operation: ids.OperationId,
     author: str,
     now: datetime.datetime,
+    previous: tuple[ids.OperationId, ...] = (),
 ) -> Head:
     """Return the head for a bundle that is about to be applied."""
     return Head(
@@ -104,10 +126,21 @@
         operation=operation,
         author=author,
         applied=now.isoformat(),
-        bundle_key=f"{BUNDLE_PREFIX}{generation:08d}-{operation}",
+        bundle_key=bundle_prefix(generation) + operation,
+        previous=previous,
     )
 
 
+def bundle_prefix(generation: ids.Generation) -> str:
+    """Return the common prefix of all bundles of a generation."""
+    return f"{BUNDLE_PREFIX}{generation:08d}-"
+
+
+def history_key(generation: ids.Generation) -> str:
+    """Return the key that keeps the head of a replaced generation."""
+    return f"{HISTORY_PREFIX}{generation:08d}"
+
+
 def pack_head(head: Head) -> bytes:
     """Return the stored form of a head."""
     return msgpack.packb(
@@ -118,6 +151,7 @@
             head.author,
             head.applied,
             head.bundle_key,
+            [bytes.fromhex(operation) for operation in head.previous],
         ]
     )
 
@@ -128,20 +162,35 @@
     :raises MessageError: if it is malformed.
     """
     try:
-        generation, digest, operation, author, applied, key = msgpack.unpackb(
-            packed
-        )
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise exceptions.MessageError(
-            message=f"malformed configuration head: {error}",
-        ) from error
-    return Head(
-        generation=ids.Generation(generation),
-        digest=digest,
-        operation=ids.OperationId(operation),
-        author=author,
-        applied=applied,
-        bundle_key=key,
+        values = msgpack.unpackb(packed)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise _malformed_head(str(error)) from error
+    match values:
+        case [
+            int(generation),
+            str(digest),
+            str(operation),
+            str(author),
+            str(applied),
+            str(key),
+            list(previous),
+        ] if generation > 0 and all(isinstance(p, bytes) for p in previous):
+            return Head(
+                generation=ids.Generation(generation),
+                digest=digest,
+                operation=ids.OperationId(operation),
+                author=author,
+                applied=applied,
+                bundle_key=key,
+                previous=tuple(ids.OperationId(p.hex()) for p in previous),
+            )
+        case _:
+            raise _malformed_head("unexpected fields")
+
+
+def _malformed_head(why: str) -> exceptions.MessageError:
+    return exceptions.MessageError(
+        message=f"malformed configuration head: {why}",
     )
 
 
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -58,7 +58,8 @@
 
     :param code: stable code of the kind of mistake.
     :param file: file name in the folder, or an empty string.
-    :param where: key path or ``line N``.
+    :param where: key path, or what the reader of the file reported.
+    :param line: line in the file, counted from 1; 0 where it is not known.
     :param expected: what the key or file should have held.
     :param hint: what to do next.
     """
@@ -68,6 +69,7 @@
     where: str
     expected: str
     hint: str = ""
+    line: int = 0
 
 
 class ConfigurationError(TurmerichookError):
@@ -82,11 +84,43 @@
 
 
 class ConfigurationConflictError(TurmerichookError):
-    """Another operator changed the configuration first."""
+    """Another operator changed the configuration first.
+
+    :param changes: lines of a diff that shows the other change.
+    """
 
     reference = "configuration-conflict"
     exit_status = EXIT_CONFLICT
 
+    def __init__(self, *, changes: tuple[str, ...] = (), **texts: str):
+        super().__init__(**texts)
+        self.changes = changes
+
+
+class ConfigurationDamagedError(TurmerichookError):
+    """A stored bundle differs from the digest in its head."""
+
+    reference = "configuration-damaged"
+
+
+class ConfigurationNotFoundError(TurmerichookError):
+    """The store does not hold a generation."""
+
+    reference = "configuration-not-found"
+
+
+class FolderUnwritableError(TurmerichookError):
+    """A folder cannot take the files that a command would write."""
+
+    reference = "folder-unwritable"
+    exit_status = EXIT_BAD_INPUT
+
+
+class ConfigurationPendingError(TurmerichookError):
+    """Some processes do not have an applied generation yet."""
+
+    reference = "configuration-pending"
+
 
 # Store
 
@@ -260,3 +294,63 @@
     """No job has this id."""
 
     reference = "job-not-found"
+
+
+class JobPendingError(TurmerichookError):
+    """A job has not ended within the time that the operator waits."""
+
+    reference = "job-pending"
+
+
+class JobFailedError(TurmerichookError):
+    """A job that an operator waits for failed or was cancelled."""
+
+    reference = "job-failed"
+
+
+# Operators' commands
+
+
+class GatewayUnreachableError(TurmerichookError):
+    """A gateway gave no answer to the command line."""
+
+    reference = "gateway-unreachable"
+    exit_status = EXIT_UNREACHABLE
+
+
+class GatewayRefusedError(TurmerichookError):
+    """A gateway refused a call of the command line."""
+
+    reference = "gateway-refused"
+    exit_status = EXIT_UNREACHABLE
+
+
+class TaskUnknownError(TurmerichookError):
+    """No process knows the task or request that is to be explained."""
+
+    reference = "task-unknown"
+
+
+class ServiceNotFoundError(TurmerichookError):
+    """The configuration in force does not have a service."""
+
+    reference = "service-not-found"
+
+
+class ServicePendingError(TurmerichookError):
+    """A service does not have its endpoints in time."""
+
+    reference = "service-pending"
+
+
+class ZoneUnknownError(TurmerichookError):
+    """A folder does not define a zone, or not as the command would have it."""
+
+    reference = "zone-unknown"
+    exit_status = EXIT_BAD_INPUT
+
+
+class DrainPendingError(TurmerichookError):
+    """Tasks still run in a zone that was taken out."""
+
+    reference = "drain-pending"
