Put a bounded connection under the HTTP client and server

Cause: asyncio streams hide bytes that arrive while no request is in progress, so a late or duplicated answer could be taken for the answer to the next request; a request with both Transfer-Encoding and Content-Length was passed on; an answer sent before the end of the request could be lost to a reset; a full listener dropped new connections while idle ones stayed. Change: http/wire.py holds the socket; bytes on a quiet connection close it; double framing is refused; the rest of an unread request is drained for a bounded time; the longest idle connection makes room for a new one.

--- a/src/turmerichook/_internal/http/client.py
+++ b/src/turmerichook/_internal/http/client.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import typing
 
 import h11
 
 from turmerichook._internal.http import heads
+from turmerichook._internal.http import wire as wires
 from turmerichook import exceptions
 
-READ_BYTES = 64 * 1024
-
 
 class ClientConnection:
     """One connection to a server.
@@ -24,19 +22,23 @@
     def __init__(
         self,
         *,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        wire: wires.Wire,
         address: str,
         limits: heads.Limits,
+        read_limit: float | None = None,
     ):
-        self.reader = reader
-        self.writer = writer
+        self.wire = wire
         self.address = address
         self.protocol = h11.Connection(
             our_role=h11.CLIENT,
             max_incomplete_event_size=limits.head_bytes,
         )
         self.progress = exceptions.Progress.NOTHING_SENT
+        # Seconds that the server may take for each piece that it sends or
+        # accepts; None where the caller of the methods sets a limit.
+        self.read_limit = read_limit
+        # Monotonic time in seconds at which it was last given back.
+        self.idle_since = 0.0
 
     @classmethod
     async def open(
@@ -46,17 +48,17 @@
         port: int,
         timeout: float,
         limits: heads.Limits | None = None,
+        read_limit: float | None = None,
     ) -> "ClientConnection":
         """Connect within ``timeout`` seconds.
 
         :raises ConnectError: if no connection was made.
         """
         address = f"{host}:{port}"
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(
-                    host, port, limit=READ_BYTES
-                )
+                _, wire = await loop.create_connection(wires.Wire, host, port)
         except (OSError, TimeoutError) as error:
             reason = str(error) or "timed out"
             raise exceptions.ConnectError(
@@ -64,10 +66,10 @@
                 context=address,
             ) from error
         return cls(
-            reader=reader,
-            writer=writer,
+            wire=wire,
             address=address,
             limits=limits or heads.Limits(),
+            read_limit=read_limit,
         )
 
     @property
@@ -75,17 +77,35 @@
         """Whether another exchange may follow on this connection."""
         return (
             self.protocol.our_state is h11.IDLE
-            and not self.reader.at_eof()
-            and not self.writer.is_closing()
+            and self.wire.usable
+            and not self.wire.received
+            and not self.protocol.trailing_data[0]
         )
 
     async def send_head(self, head: heads.RequestHead) -> None:
         """Send the request's head."""
-        event = h11.Request(
-            method=head.method, target=head.target, headers=head.headers
-        )
+        self.wire.quiet = False
+        try:
+            event = h11.Request(
+                method=head.method, target=head.target, headers=head.headers
+            )
+        except h11.LocalProtocolError as error:
+            raise self._failure(f"invalid request: {error}") from error
         await self._send(event)
 
+    async def send_request(self, head: heads.RequestHead) -> None:
+        """Send a whole request that has no body, in one piece."""
+        self.wire.quiet = False
+        try:
+            event = h11.Request(
+                method=head.method, target=head.target, headers=head.headers
+            )
+            data = self.protocol.send(event)
+            data += self.protocol.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise self._failure(f"invalid request: {error}") from error
+        await self._write(data)
+
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body."""
         await self._send(h11.Data(data=data))
@@ -105,9 +125,7 @@
                     self.progress = exceptions.Progress.RESPONSE_STARTED
                     return heads.ResponseHead(
                         status=event.status_code,
-                        headers=[
-                            (bytes(k), bytes(v)) for k, v in event.headers
-                        ],
+                        headers=list(event.headers),
                     )
                 case _:
                     raise self._failure("the server closed the connection")
@@ -129,27 +147,34 @@
         if (
             self.protocol.our_state is h11.DONE
             and self.protocol.their_state is h11.DONE
+            and not self.wire.received
+            and not self.protocol.trailing_data[0]
         ):
             self.protocol.start_next_cycle()
             self.progress = exceptions.Progress.NOTHING_SENT
+            self.wire.quiet = True
 
     def close(self) -> None:
         """Close the connection at once."""
-        with contextlib.suppress(OSError, RuntimeError):
-            self.writer.close()
+        self.wire.abort()
 
     async def _send(self, event: typing.Any) -> None:
         try:
             data = self.protocol.send(event)
         except h11.LocalProtocolError as error:
             raise self._failure(f"invalid request: {error}") from error
-        if not data:
-            return
+        if data:
+            await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        if self.wire.lost:
+            raise self._failure("the server closed the connection")
         if self.progress is exceptions.Progress.NOTHING_SENT:
             self.progress = exceptions.Progress.REQUEST_STARTED
         try:
-            self.writer.write(data)
-            await self.writer.drain()
+            await self.wire.write(data, self.read_limit)
+        except TimeoutError as error:
+            raise self._failure("the server takes nothing") from error
         except OSError as error:
             raise self._failure(f"sending failed: {error}") from error
 
@@ -162,7 +187,9 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self.reader.read(READ_BYTES)
+                data = await self.wire.read(self.read_limit)
+            except TimeoutError as error:
+                raise self._failure("the server sends nothing") from error
             except OSError as error:
                 raise self._failure(f"receiving failed: {error}") from error
             self.protocol.receive_data(data)
--- a/src/turmerichook/_internal/http/server.py
+++ b/src/turmerichook/_internal/http/server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 listener over h11 and asyncio streams.
+"""HTTP/1.1 listener over h11.
 
 One task serves one connection. A handler gets an ``Exchange`` and must send
 one whole response on it. A connection whose exchange did not end cleanly is
@@ -13,10 +13,12 @@
 
 import h11
 
+from turmerichook._internal.http import connection as connections
 from turmerichook._internal.http import heads
+from turmerichook._internal.http import wire as wires
 from turmerichook import exceptions
 
-READ_BYTES = 64 * 1024
+BACKLOG = 256
 
 Handler = collections.abc.Callable[
     ["Exchange"], collections.abc.Awaitable[None]
@@ -30,17 +32,29 @@
     and ``ExchangeError`` when the connection ends or a time limit passes.
     """
 
+    __slots__ = ("head", "connection", "response_started", "response_ended")
+
     def __init__(
         self,
         *,
         head: heads.RequestHead,
-        connection: "ServerConnection",
+        connection: connections.ServerConnection,
     ):
         self.head = head
         self.connection = connection
         self.response_started = False
         self.response_ended = False
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a request body follows the head."""
+        for name, value in self.head.headers:
+            if name == b"transfer-encoding":
+                return True
+            if name == b"content-length":
+                return int(value) > 0
+        return False
+
     async def body(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the pieces of the request body as they arrive."""
         limit = self.connection.limits.body_timeout.total_seconds()
@@ -73,19 +87,35 @@
                 )
         return bytes(pieces)
 
-    async def start(self, *, status: int, headers: heads.Headers) -> None:
-        """Send the head of the response."""
+    async def start(
+        self, *, status: int, headers: heads.Headers, body: bytes = b""
+    ) -> None:
+        """Send the head of the response, and a first piece of its body."""
         self.response_started = True
         event = h11.Response(status_code=status, headers=headers)
-        await self.connection.send_event(event)
+        if body:
+            await self.connection.send_events(event, h11.Data(data=body))
+        else:
+            await self.connection.send_events(event)
 
     async def send(self, data: bytes) -> None:
         """Send a piece of the response body."""
-        await self.connection.send_event(h11.Data(data=data))
+        await self.connection.send_events(h11.Data(data=data))
 
     async def end(self) -> None:
         """End the response."""
-        await self.connection.send_event(h11.EndOfMessage())
+        await self.connection.send_events(h11.EndOfMessage())
+        self.response_ended = True
+
+    async def finish(
+        self, *, status: int, headers: heads.Headers, body: bytes
+    ) -> None:
+        """Send a whole response in one piece."""
+        self.response_started = True
+        events = [h11.Response(status_code=status, headers=headers)]
+        if body:
+            events.append(h11.Data(data=body))
+        await self.connection.send_events(*events, h11.EndOfMessage())
         self.response_ended = True
 
     async def respond(
@@ -101,10 +131,11 @@
             (b"content-type", content_type.encode()),
             (b"content-length", str(len(body)).encode()),
         ]
-        await self.start(status=status, headers=head + (headers or []))
-        if body and self.head.method != "HEAD":
-            await self.send(body)
-        await self.end()
+        if self.head.method == "HEAD":
+            body = b""
+        await self.finish(
+            status=status, headers=head + (headers or []), body=body
+        )
 
     async def respond_json(
         self,
@@ -116,128 +147,6 @@
         await self.respond(status=status, body=json.dumps(document).encode())
 
 
-class ServerConnection:
-    """The state of one accepted connection."""
-
-    def __init__(
-        self,
-        *,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        limits: heads.Limits,
-    ):
-        self.reader = reader
-        self.writer = writer
-        self.limits = limits
-        self.protocol = h11.Connection(
-            our_role=h11.SERVER,
-            max_incomplete_event_size=limits.head_bytes,
-        )
-        # Set while a request is being handled.
-        self.busy = False
-
-    async def next_event(self, limit: float) -> typing.Any:
-        """Return the next h11 event, reading from the socket as needed.
-
-        :param limit: seconds to wait for each piece of data.
-        """
-        while True:
-            try:
-                event = self.protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise exceptions.MessageError(
-                    message=f"malformed HTTP: {error}",
-                ) from error
-            if event is not h11.NEED_DATA:
-                return event
-            self.protocol.receive_data(await self._read(limit))
-
-    async def _read(self, limit: float) -> bytes:
-        try:
-            async with asyncio.timeout(limit):
-                return await self.reader.read(READ_BYTES)
-        except TimeoutError as error:
-            raise exceptions.DeadlineExceededError(
-                message="the caller sent nothing in time",
-                progress=exceptions.Progress.REQUEST_STARTED,
-            ) from error
-        except OSError as error:
-            raise exceptions.ExchangeError(
-                message=f"the connection failed: {error}",
-                progress=exceptions.Progress.REQUEST_STARTED,
-            ) from error
-
-    async def send_continue(self) -> None:
-        """Answer ``Expect: 100-continue`` once the body is wanted."""
-        if self.protocol.they_are_waiting_for_100_continue:
-            event = h11.InformationalResponse(status_code=100, headers=[])
-            await self.send_event(event)
-
-    async def send_event(self, event: typing.Any) -> None:
-        """Send one h11 event and wait until the socket takes it."""
-        try:
-            data = self.protocol.send(event)
-        except h11.LocalProtocolError as error:
-            raise exceptions.ExchangeError(
-                message=f"the response cannot be sent: {error}",
-                progress=exceptions.Progress.RESPONSE_STARTED,
-            ) from error
-        if not data:
-            return
-        try:
-            self.writer.write(data)
-            await self._drain()
-        except OSError as error:
-            raise exceptions.ExchangeError(
-                message=f"the connection failed: {error}",
-                progress=exceptions.Progress.RESPONSE_STARTED,
-            ) from error
-
-    async def _drain(self) -> None:
-        limit = self.limits.body_timeout.total_seconds()
-        try:
-            async with asyncio.timeout(limit):
-                await self.writer.drain()
-        except TimeoutError as error:
-            raise exceptions.DeadlineExceededError(
-                message="the caller read nothing in time",
-                progress=exceptions.Progress.RESPONSE_STARTED,
-            ) from error
-
-    async def read_head(
-        self,
-        *,
-        first: bool,
-    ) -> heads.RequestHead | None:
-        """Return the next request's head, or None when the peer is done."""
-        limit = self.limits.head_timeout
-        if not first:
-            limit = self.limits.idle_timeout
-        async with asyncio.timeout(limit.total_seconds()):
-            event = await self.next_event(limit.total_seconds())
-        match event:
-            case h11.Request():
-                return heads.RequestHead(
-                    method=event.method.decode("ascii"),
-                    target=event.target.decode("latin-1"),
-                    headers=[(bytes(k), bytes(v)) for k, v in event.headers],
-                )
-            case _:
-                return None
-
-    def can_continue(self) -> bool:
-        """Tell whether both sides ended cleanly and may go on."""
-        return (
-            self.protocol.our_state is h11.DONE
-            and self.protocol.their_state is h11.DONE
-        )
-
-    def close(self) -> None:
-        """Close the connection at once."""
-        with contextlib.suppress(OSError, RuntimeError):
-            self.writer.close()
-
-
 class Server:
     """A listener that hands each request to one handler."""
 
@@ -249,14 +158,21 @@
     ):
         self.handler = handler
         self.limits = limits or heads.Limits()
-        self.connections: dict[ServerConnection, asyncio.Task] = {}
+        self.connections: dict[connections.ServerConnection, asyncio.Task]
+        self.connections = {}
+        # Connections between two requests, the longest idle one first.
+        self.idle: dict[connections.ServerConnection, None] = {}
         self.listener: asyncio.Server | None = None
         self.stopping = False
 
     async def start(self, *, host: str, port: int) -> int:
         """Listen and return the port, useful when ``port`` is 0."""
-        self.listener = await asyncio.start_server(
-            self._accept, host, port, limit=READ_BYTES
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: wires.Wire(on_made=self._accept),
+            host,
+            port,
+            backlog=BACKLOG,
         )
         return self.listener.sockets[0].getsockname()[1]
 
@@ -274,20 +190,29 @@
         for task in list(self.connections.values()):
             task.cancel()
 
-    async def _accept(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        connection = ServerConnection(
-            reader=reader, writer=writer, limits=self.limits
-        )
-        if self.stopping or len(self.connections) >= self.limits.connections:
-            connection.close()
+    def _accept(self, wire: wires.Wire) -> None:
+        if self.stopping or not self._make_room():
+            wire.abort()
             return
-        task = asyncio.current_task()
-        assert task is not None
+        connection = connections.ServerConnection(
+            wire=wire, limits=self.limits
+        )
+        task = wire.loop.create_task(self._run(connection))
+        connection.task = task
+        wire.on_lost = lambda _: _abort(connection)
         self.connections[connection] = task
+
+    def _make_room(self) -> bool:
+        """Close the longest idle connection where the limit is reached."""
+        if len(self.connections) < self.limits.connections:
+            return True
+        for connection in self.idle:
+            del self.idle[connection]
+            connection.close()
+            return True
+        return False
+
+    async def _run(self, connection: connections.ServerConnection) -> None:
         try:
             await self._serve(connection)
         except (exceptions.TurmerichookError, TimeoutError, OSError):
@@ -296,34 +221,58 @@
             # handler.
             pass
         except asyncio.CancelledError:
-            # The listener is closing. asyncio 3.11 reports a cancelled stream
-            # callback as an unhandled error, so it ends normally.
+            # The listener is closing, or the caller is gone.
             pass
         finally:
+            connection.busy = False
+            self.idle.pop(connection, None)
             del self.connections[connection]
             connection.close()
 
-    async def _serve(self, connection: ServerConnection) -> None:
+    async def _serve(self, connection: connections.ServerConnection) -> None:
         first = True
         while not self.stopping:
             try:
+                if not first:
+                    self.idle[connection] = None
                 head = await connection.read_head(first=first)
             except exceptions.MessageError:
                 await _refuse_malformed(connection)
                 return
+            finally:
+                self.idle.pop(connection, None)
             if head is None:
                 return
             first = False
-            exchange = Exchange(head=head, connection=connection)
-            connection.busy = True
-            await self.handler(exchange)
-            connection.busy = False
+            await self._exchange(connection, head)
             if not connection.can_continue():
+                await connection.linger()
                 return
             connection.protocol.start_next_cycle()
 
+    async def _exchange(
+        self,
+        connection: connections.ServerConnection,
+        head: heads.RequestHead,
+    ) -> None:
+        exchange = Exchange(head=head, connection=connection)
+        connection.busy = True
+        try:
+            await self.handler(exchange)
+        except BaseException:
+            connection.cut_short = exchange.response_started
+            raise
+        connection.busy = False
+        connection.abortable = False
+        connection.cut_short = not exchange.response_ended
+
 
-async def _refuse_malformed(connection: ServerConnection) -> None:
+def _abort(connection: connections.ServerConnection) -> None:
+    if connection.abortable and connection.task is not None:
+        connection.task.cancel()
+
+
+async def _refuse_malformed(connection: connections.ServerConnection) -> None:
     state = connection.protocol.our_state
     if state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
@@ -331,12 +280,13 @@
     headers = [
         (b"content-type", b"application/problem+json"),
         (b"content-length", str(len(body)).encode()),
+        (b"request-outcome", b"not-run"),
         (b"connection", b"close"),
     ]
-    hint = connection.protocol.their_state is h11.ERROR
-    status = 400 if hint else 500
-    await connection.send_event(
-        h11.Response(status_code=status, headers=headers)
-    )
-    await connection.send_event(h11.Data(data=body))
-    await connection.send_event(h11.EndOfMessage())
+    with contextlib.suppress(exceptions.ExchangeError):
+        await connection.send_events(
+            h11.Response(status_code=connection.error_status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        await connection.linger()
