Route requests by selection, limits and a retry budget

Cause: the gateway took endpoints in turn, opened a connection for each request, and had no limits, queue, retries or planned stop. Change: pure modules decide (selection, health, concurrency, queues, rates, retries, sharing, requests); rooms, balancer, attempts and forwarding hold the state and sockets; connections are kept and used again only after a clean exchange; refusals have stable codes; /readyz and /metrics exist; the stop gives notice first. Teams may have a request_rate. Settings may have notice_s. Measured: nothing yet.

--- a/src/turmerichook/_internal/configuration/schema.py
+++ b/src/turmerichook/_internal/configuration/schema.py
@@ -21,7 +21,7 @@
 UNLIMITED = float("inf")
 
 ZONE_KEYS = frozenset({"region", "state"})
-TEAM_KEYS = frozenset({"quota", "weight"})
+TEAM_KEYS = frozenset({"quota", "weight", "request_rate"})
 AMOUNT_KEYS = frozenset({"cores", "memory_gib", "accelerators"})
 SERVICE_KEYS = AMOUNT_KEYS | {
     "team",
@@ -260,10 +260,16 @@
         amounts = checker.table(table["quota"], path)
         checker.keys(amounts, AMOUNT_KEYS, path)
         quota = _amount(checker, amounts, path)
+    rate = None
+    if "request_rate" in table:
+        rate = checker.number(
+            table, "request_rate", where, 1.0, low=0.1, high=1e6
+        )
     return site.Team(
         team=ids.TeamId(name),
         quota=quota,
         weight=checker.number(table, "weight", where, 1.0, low=0.001),
+        request_rate=rate,
     )
 
 
--- a/src/turmerichook/_internal/http/client.py
+++ b/src/turmerichook/_internal/http/client.py
@@ -142,6 +142,20 @@
                 case _:
                     raise self._failure("the response was cut off")
 
+    def buffered(self) -> tuple[bytes, bool]:
+        """Return the body that has arrived, and whether it is whole."""
+        pieces = []
+        while True:
+            match self._parse():
+                case h11.Data() as event:
+                    pieces.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    return b"".join(pieces), True
+                case h11.NEED_DATA:
+                    return b"".join(pieces), False
+                case _:
+                    raise self._failure("the response was cut off")
+
     def finish(self) -> None:
         """Get ready for the next exchange if this one ended cleanly."""
         if (
@@ -180,10 +194,7 @@
 
     async def _next_event(self) -> typing.Any:
         while True:
-            try:
-                event = self.protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise self._failure(f"malformed HTTP: {error}") from error
+            event = self._parse()
             if event is not h11.NEED_DATA:
                 return event
             try:
@@ -194,6 +205,12 @@
                 raise self._failure(f"receiving failed: {error}") from error
             self.protocol.receive_data(data)
 
+    def _parse(self) -> typing.Any:
+        try:
+            return self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise self._failure(f"malformed HTTP: {error}") from error
+
     def _failure(self, message: str) -> exceptions.ExchangeError:
         return exceptions.ExchangeError(
             message=message,
--- a/src/turmerichook/_internal/http/connection.py
+++ b/src/turmerichook/_internal/http/connection.py
@@ -30,6 +30,7 @@
         "task",
         "cut_short",
         "error_status",
+        "last",
     )
 
     def __init__(self, *, wire: wires.Wire, limits: heads.Limits):
@@ -47,6 +48,8 @@
         # Set when a response was started and will not be whole.
         self.cut_short = False
         self.error_status = 400
+        # Set when the next answer is to be the last one here.
+        self.last = False
 
     async def next_event(self, limit: float) -> typing.Any:
         """Return the next h11 event, reading from the socket as needed.
@@ -85,6 +88,12 @@
             event = h11.InformationalResponse(status_code=100, headers=[])
             await self.send_events(event)
 
+    def response(self, status: int, headers: heads.Headers) -> h11.Response:
+        """Return the head of a response."""
+        if self.last:
+            headers = [*headers, (b"connection", b"close")]
+        return h11.Response(status_code=status, headers=headers)
+
     async def send_events(self, *events: typing.Any) -> None:
         """Send h11 events in one piece and wait until the socket takes it."""
         try:
--- a/src/turmerichook/_internal/http/server.py
+++ b/src/turmerichook/_internal/http/server.py
@@ -57,20 +57,26 @@
 
     async def body(self) -> collections.abc.AsyncIterator[bytes]:
         """Yield the pieces of the request body as they arrive."""
+        while (piece := await self.next_piece()) is not None:
+            yield piece
+
+    async def next_piece(self) -> bytes | None:
+        """Return the next piece of the request body, None at its end.
+
+        A call that is cancelled loses nothing; the next one goes on.
+        """
         limit = self.connection.limits.body_timeout.total_seconds()
         await self.connection.send_continue()
-        while True:
-            event = await self.connection.next_event(limit)
-            match event:
-                case h11.Data():
-                    yield bytes(event.data)
-                case h11.EndOfMessage():
-                    return
-                case _:
-                    raise exceptions.ExchangeError(
-                        message="the request body was cut off",
-                        progress=exceptions.Progress.REQUEST_STARTED,
-                    )
+        match await self.connection.next_event(limit):
+            case h11.Data() as event:
+                return bytes(event.data)
+            case h11.EndOfMessage():
+                return None
+            case _:
+                raise exceptions.ExchangeError(
+                    message="the request body was cut off",
+                    progress=exceptions.Progress.REQUEST_STARTED,
+                )
 
     async def read_all(self) -> bytes:
         """Return the whole request body.
@@ -92,7 +98,7 @@
     ) -> None:
         """Send the head of the response, and a first piece of its body."""
         self.response_started = True
-        event = h11.Response(status_code=status, headers=headers)
+        event = self.connection.response(status, headers)
         if body:
             await self.connection.send_events(event, h11.Data(data=body))
         else:
@@ -112,7 +118,7 @@
     ) -> None:
         """Send a whole response in one piece."""
         self.response_started = True
-        events = [h11.Response(status_code=status, headers=headers)]
+        events = [self.connection.response(status, headers)]
         if body:
             events.append(h11.Data(data=body))
         await self.connection.send_events(*events, h11.EndOfMessage())
@@ -164,6 +170,7 @@
         self.idle: dict[connections.ServerConnection, None] = {}
         self.listener: asyncio.Server | None = None
         self.stopping = False
+        self.closing = False
 
     async def start(self, *, host: str, port: int) -> int:
         """Listen and return the port, useful when ``port`` is 0."""
@@ -176,11 +183,24 @@
         )
         return self.listener.sockets[0].getsockname()[1]
 
-    async def stop(self, *, grace: float) -> None:
-        """Stop listening, let exchanges end for ``grace`` seconds, close."""
-        self.stopping = True
+    def announce_stop(self) -> None:
+        """Ask callers to close: each connection gets one more answer."""
+        self.closing = True
+        for connection in self.connections:
+            connection.last = True
+
+    async def stop(self, *, grace: float, idle_grace: float = 0.0) -> None:
+        """Stop listening, let exchanges end for ``grace`` seconds, close.
+
+        :param idle_grace: seconds in which a request that is under way on an
+            idle connection is still answered.
+        """
+        self.announce_stop()
         if self.listener is not None:
             self.listener.close()
+        if idle_grace and self.connections:
+            await asyncio.wait(self.connections.values(), timeout=idle_grace)
+        self.stopping = True
         for connection in list(self.connections):
             if not connection.busy:
                 connection.close()
@@ -199,6 +219,7 @@
         )
         task = wire.loop.create_task(self._run(connection))
         connection.task = task
+        connection.last = self.closing
         wire.on_lost = lambda _: _abort(connection)
         self.connections[connection] = task
 
--- a/src/turmerichook/_internal/http/wire.py
+++ b/src/turmerichook/_internal/http/wire.py
@@ -10,15 +10,21 @@
 import socket
 import struct
 
-# Received bytes that wait for their reader before the peer is held back.
-RECEIVE_BYTES = 64 * 1024
+# Bytes that one reading takes, and that may wait for their reader before the
+# peer is held back. Small, since each relayed exchange may hold it twice.
+RECEIVE_BYTES = 16 * 1024
+SEND_BYTES = 16 * 1024
 # Linger for 0 s: closing sends a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+# Receives for all connections: the event loop copies a reading out of it
+# before it starts the next one.
+SCRATCH = bytearray(RECEIVE_BYTES)
+
 Callback = collections.abc.Callable[["Wire"], None]
 
 
-class Wire(asyncio.Protocol):
+class Wire(asyncio.BufferedProtocol):
     """Reads and writes of one connection.
 
     :param on_made: called when the connection exists.
@@ -67,10 +73,15 @@
 
     def connection_made(self, transport) -> None:
         self.transport = transport
+        transport.set_write_buffer_limits(high=SEND_BYTES)
         if self.on_made is not None:
             self.on_made(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return SCRATCH
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = bytes(memoryview(SCRATCH)[:nbytes])
         if self.quiet:
             self.stray = True
             self.abort()
--- a/src/turmerichook/_internal/models/site.py
+++ b/src/turmerichook/_internal/models/site.py
@@ -39,11 +39,14 @@
 
     :param quota: limit for the sum of commitments; None for no limit.
     :param weight: share of contended room relative to other teams.
+    :param request_rate: requests a second to the team's services on all
+        gateways together; None for no limit.
     """
 
     team: ids.TeamId
     quota: resources.Resources | None = None
     weight: float = 1.0
+    request_rate: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/turmerichook/_internal/outcomes.py
+++ b/src/turmerichook/_internal/outcomes.py
@@ -16,6 +16,8 @@
     NEVER_FITS = "larger-than-any-worker"
     NO_ZONE_OPEN = "no-allowed-zone-open"
     NO_ENDPOINT = "no-endpoint"
+    NO_ROOM = "no-endpoint-with-room"
+    MALFORMED_HEADER = "malformed-header"
     NO_OWNER = "zone-has-no-owner"
     NO_START_AUTHORITY = "no-start-authority"
     NOT_YET_KNOWN = "not-yet-known"
--- /dev/null
+++ b/src/turmerichook/_internal/routing/balancer.py
@@ -0,0 +1,117 @@
+"""The rooms of all services, kept in step with endpoints and configuration."""
+
+import collections.abc
+import random
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import site
+from turmerichook._internal.routing import endpoints as endpoint_module
+from turmerichook._internal.routing import rooms
+from turmerichook._internal.routing import sharing
+
+# A service whose only endpoints are in zones that operators took out may use
+# them so long, while its replicas start elsewhere.
+ZONE_GRACE_S = 4.0
+
+Gateways = collections.abc.Callable[[], int]
+
+
+class Balancer:
+    """Decides which endpoints each service may use.
+
+    :param gateways: returns the number of gateways that share the endpoints.
+    :param now: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: ids.NodeId,
+        zone: ids.ZoneId,
+        gateways: Gateways,
+        now: rooms.Now,
+        source: random.Random,
+    ):
+        self.node = node
+        self.zone = zone
+        self.gateways = gateways
+        self.now = now
+        self.source = source
+        self.links: dict[ids.ZoneId, float] = {zone: 0.0}
+        self.rooms: dict[str, rooms.ServiceRoom] = {}
+        self.counted = 0
+        # Time at which each zone that is out was first seen to be.
+        self.out_since: dict[ids.ZoneId, float] = {}
+
+    def refresh(
+        self,
+        directory: endpoint_module.EndpointDirectory,
+        configuration: site.Configuration,
+    ) -> None:
+        """Bring all rooms in step."""
+        now = self.now()
+        out = {
+            name
+            for name, zone in configuration.zones.items()
+            if zone.state is site.ZoneState.OUT
+        }
+        self.out_since = {name: self.out_since.get(name, now) for name in out}
+        self.counted = max(1, self.gateways())
+        for service in set(self.rooms) - set(directory.by_service):
+            self.rooms[service].update((), self.counted)
+        for service, endpoints in directory.by_service.items():
+            self._room(service).update(
+                sharing.subset(
+                    endpoints=self._allowed(endpoints, now),
+                    node=self.node,
+                    gateways=self.counted,
+                ),
+                self.counted,
+            )
+
+    def tick(
+        self,
+        directory: endpoint_module.EndpointDirectory,
+        configuration: site.Configuration,
+    ) -> None:
+        """Do what depends on time alone; to be called every second."""
+        if self.out_since or self.counted != max(1, self.gateways()):
+            self.refresh(directory, configuration)
+        for name, room in list(self.rooms.items()):
+            room.tick()
+            busy = room.targets or len(room.queue)
+            if not busy and name not in configuration.services:
+                del self.rooms[name]
+
+    def room(self, service: str) -> rooms.ServiceRoom | None:
+        """Return the service's room if it ever had an endpoint."""
+        return self.rooms.get(service)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for room in self.rooms.values():
+            room.close()
+
+    def _room(self, service: str) -> rooms.ServiceRoom:
+        room = self.rooms.get(service)
+        if room is None:
+            room = rooms.ServiceRoom(
+                zone=self.zone,
+                now=self.now,
+                source=self.source,
+                links=self.links,
+            )
+            self.rooms[service] = room
+        return room
+
+    def _allowed(
+        self, endpoints: list[endpoint_module.Endpoint], now: float
+    ) -> list[endpoint_module.Endpoint]:
+        inside = [e for e in endpoints if e.zone not in self.out_since]
+        if inside:
+            return inside
+        return [
+            endpoint
+            for endpoint in endpoints
+            if now - self.out_since[endpoint.zone] < ZONE_GRACE_S
+        ]
--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -1,55 +1,83 @@
 """The gateway process."""
 
 import asyncio
-import json
+import datetime
+import random
 import time
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import distribution
 from turmerichook._internal.configuration import messages as config_messages
 from turmerichook._internal.http import addresses
-from turmerichook._internal.http import client
-from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.membership import messages as member_messages
-from turmerichook._internal.models import ids
 from turmerichook._internal.platform import store_http
+from turmerichook._internal.routing import balancer as balancers
 from turmerichook._internal.routing import endpoints
 from turmerichook._internal.routing import events
+from turmerichook._internal.routing import forwarding
+from turmerichook._internal.routing import job_calls
+from turmerichook._internal.routing import metrics as metrics_module
 from turmerichook._internal.routing import refusals
-from turmerichook._internal.routing import relay
+from turmerichook._internal.routing import requests
 from turmerichook._internal.routing import submission
 from turmerichook._internal.scheduling import daemon as scheduler_daemon
-from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import messages
 from turmerichook._internal import settings as settings_module
 from turmerichook._internal.streams import codec
 from turmerichook._internal.streams import hub as hubs
-from turmerichook import exceptions
 
-CONNECT_TIMEOUT = 1.0
-SERVICE_PREFIX = "/services/"
-JOB_PREFIX = "/v1/jobs/"
+TICK = datetime.timedelta(seconds=1)
+# How long a request that is under way on an idle connection is waited for
+# once the listener is closed.
+IDLE_GRACE_S = 1.0
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class GatewayDaemon:
-    """Everything that one gateway process runs."""
+    """Everything that one gateway process runs.
+
+    :param gateways: returns the number of gateways of the site; without it
+        the settings' peers tell, of which half are taken for schedulers.
+    """
 
     def __init__(
-        self, *, settings: settings_module.Settings, clock: clocks.Clock
+        self,
+        *,
+        settings: settings_module.Settings,
+        clock: clocks.Clock,
+        gateways: balancers.Gateways | None = None,
     ):
         self.settings = settings
         self.clock = clock
+        self.stopping = False
         host, port = addresses.split(settings.store)
         self.store = store_http.HttpStore(host=host, port=port)
         self.subscription = distribution.Subscription(
             store=self.store, clock=clock
         )
-        self.submissions = submission.Submissions(
-            store=self.store, clock=clock
+        self.subscription.listeners.append(self._configured)
+        self.jobs = job_calls.JobCalls(
+            submissions=submission.Submissions(store=self.store, clock=clock),
+            subscription=self.subscription,
         )
         self.directory = endpoints.EndpointDirectory()
+        source = random.Random()
+        self.balancer = balancers.Balancer(
+            node=settings.node,
+            zone=settings.zone,
+            gateways=gateways or self._gateways_of_settings,
+            now=time.monotonic,
+            source=source,
+        )
+        self.metrics = metrics_module.Metrics()
+        self.forwarder = forwarding.Forwarder(
+            balancer=self.balancer,
+            metrics=self.metrics,
+            now=time.monotonic,
+            source=source,
+        )
         self.hub = hubs.Hub(
             codec=codec.Codec(types=scheduler_daemon.STREAM_TYPES),
             clock=clock,
@@ -57,7 +85,6 @@
             greeting=self._greeting,
         )
         self.server = server.Server(handler=self._handle)
-        self.turn = 0
 
     async def run(self) -> None:
         """Run until cancelled, then let requests in progress end."""
@@ -68,9 +95,34 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.subscription.run())
                 group.create_task(self._receive())
+                group.create_task(self._tick())
         finally:
-            self.hub.stop()
-            await self.server.stop(grace=30.0)
+            await self._stop()
+
+    async def _stop(self) -> None:
+        """Tell the load balancer first, then close, then finish."""
+        logs.emit(
+            events.RoutingEvent.STOPPING,
+            notice_s=self.settings.notice_s,
+            connections=len(self.server.connections),
+        )
+        self.stopping = True
+        self.server.announce_stop()
+        rest = [
+            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._tick()),
+        ]
+        await asyncio.sleep(self.settings.notice_s)
+        await self.server.stop(
+            grace=forwarding.EXCHANGE_LIMIT_S, idle_grace=IDLE_GRACE_S
+        )
+        for task in rest:
+            task.cancel()
+        self.balancer.close()
+        self.hub.stop()
+
+    def _gateways_of_settings(self) -> int:
+        return (len(self.settings.peers) + 2) // 2
 
     def _greeting(self) -> list[object]:
         greeting: list[object] = [
@@ -86,6 +138,13 @@
         greeting += list(self.directory.tables.values())
         return greeting
 
+    def _configured(self, _) -> None:
+        self.forwarder.configure(self.subscription.configuration)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        self.balancer.refresh(self.directory, self.subscription.configuration)
+
     async def _receive(self) -> None:
         while True:
             received = await self.hub.received.get()
@@ -93,23 +152,76 @@
                 case config_messages.GenerationBundle():
                     self.subscription.offer(received.message)
                 case messages.EndpointTable():
-                    self.directory.update(received.message)
+                    now = time.monotonic()
+                    if self.directory.update(received.message, now):
+                        self._refresh()
+
+    async def _tick(self) -> None:
+        while True:
+            await self.clock.sleep(TICK)
+            self.directory.report_old(time.monotonic())
+            self.balancer.tick(self.directory, self.subscription.configuration)
 
     async def _handle(self, exchange: server.Exchange) -> None:
         path = exchange.head.path
         method = exchange.head.method
-        if path.startswith(SERVICE_PREFIX):
-            await self._handle_service(exchange)
+        if path.startswith(requests.SERVICE_PREFIX):
+            await self.forwarder.handle(exchange)
         elif path == "/v1/jobs" and method == "POST":
-            await self._handle_submit(exchange)
-        elif path.startswith(JOB_PREFIX) and method == "GET":
-            await self._handle_job(exchange)
+            await self.jobs.submit(exchange)
+        elif path.startswith(job_calls.JOB_PREFIX) and method == "GET":
+            await self.jobs.show(exchange)
         elif path == "/healthz":
             await exchange.respond_json(document={"status": "ok"})
+        elif path == "/readyz":
+            await self._handle_ready(exchange)
+        elif path == "/metrics":
+            await self._handle_metrics(exchange)
         elif path == "/v1/status":
             await exchange.respond_json(document=self._status())
         else:
-            await self._refuse(exchange, _not_found())
+            refusal = refusals.build(refusals.Code.NOT_FOUND)
+            await job_calls.refuse(exchange, refusal)
+
+    async def _handle_ready(self, exchange: server.Exchange) -> None:
+        reason = self._unready()
+        status = 503 if reason else 200
+        await exchange.respond_json(
+            document={"status": reason or "ready"}, status=status
+        )
+
+    def _unready(self) -> str:
+        """Return why callers should not be sent here, or an empty text."""
+        if self.stopping:
+            return "stopping"
+        if not self.subscription.generation:
+            return "no-configuration"
+        services = self.subscription.configuration.services
+        if services and not self.directory.tables:
+            return "no-endpoint-table"
+        return ""
+
+    async def _handle_metrics(self, exchange: server.Exchange) -> None:
+        now = time.monotonic()
+        for zone, age in self.directory.ages(now).items():
+            labels = (("zone", zone),)
+            self.metrics.set("endpoint_table_age_seconds", age, labels)
+        self.metrics.set("connections", len(self.server.connections))
+        self.metrics.set(
+            "configuration_generation", self.subscription.generation
+        )
+        for service, room in self.balancer.rooms.items():
+            labels = (("service", service),)
+            targets = room.targets.values()
+            self.metrics.set("endpoints", len(targets), labels)
+            in_flight = sum(target.in_flight for target in targets)
+            self.metrics.set("in_flight", in_flight, labels)
+            self.metrics.set("queue_length", len(room.queue), labels)
+        await exchange.respond(
+            status=200,
+            body=self.metrics.render().encode(),
+            content_type=METRICS_TYPE,
+        )
 
     def _status(self) -> dict:
         return {
@@ -119,156 +231,5 @@
                 service: len(found)
                 for service, found in self.directory.by_service.items()
             },
+            "endpoint_table_age_s": self.directory.ages(time.monotonic()),
         }
-
-    async def _handle_service(self, exchange: server.Exchange) -> None:
-        service = exchange.head.path.removeprefix(SERVICE_PREFIX)
-        service = service.partition("/")[0]
-        found = self.directory.of_service(service)
-        if not found:
-            await self._refuse(exchange, _no_endpoint(service))
-            return
-        self.turn += 1
-        endpoint = found[self.turn % len(found)]
-        host, port = addresses.split(endpoint.address)
-        try:
-            connection = await client.ClientConnection.open(
-                host=host, port=port, timeout=CONNECT_TIMEOUT
-            )
-        except exceptions.ConnectError:
-            await self._refuse(exchange, _no_endpoint(service))
-            return
-        logs.emit(
-            events.RoutingEvent.REQUEST_ROUTED,
-            service=service,
-            endpoint=endpoint.address,
-            zone=endpoint.zone,
-            reason="next-in-turn",
-        )
-        head = heads.RequestHead(
-            method=exchange.head.method,
-            target=exchange.head.target,
-            headers=relay.end_to_end(exchange.head.headers),
-        )
-        try:
-            await relay.relay(
-                exchange=exchange, connection=connection, head=head
-            )
-        except exceptions.ExchangeError as error:
-            logs.emit(
-                events.RoutingEvent.EXCHANGE_FAILED,
-                service=service,
-                endpoint=endpoint.address,
-                error=error,
-            )
-            if exchange.response_started:
-                raise
-            await self._refuse(exchange, _endpoint_failed(service))
-        finally:
-            connection.close()
-
-    async def _handle_submit(self, exchange: server.Exchange) -> None:
-        body = await exchange.read_all()
-        try:
-            record = await self.submissions.submit(
-                body, self.subscription.configuration
-            )
-        except exceptions.TurmerichookError as error:
-            await self._refuse(exchange, _submission_refusal(error))
-            return
-        logs.emit(
-            events.RoutingEvent.JOB_ACCEPTED,
-            job=record.spec.job,
-            home=record.home,
-        )
-        await exchange.respond_json(document=_document(record), status=202)
-
-    async def _handle_job(self, exchange: server.Exchange) -> None:
-        name = exchange.head.path.removeprefix(JOB_PREFIX)
-        try:
-            record = await self.submissions.find(ids.JobId(name))
-        except exceptions.TurmerichookError as error:
-            await self._refuse(exchange, _submission_refusal(error))
-            return
-        await exchange.respond_json(document=_document(record))
-
-    async def _refuse(
-        self, exchange: server.Exchange, refusal: refusals.Refusal
-    ) -> None:
-        logs.emit(
-            events.RoutingEvent.REQUEST_REFUSED,
-            target=json.dumps(exchange.head.path[:80]),
-            code=refusal.code,
-            outcome=refusal.outcome.value,
-        )
-        await refusals.send(exchange, refusal)
-
-
-def _document(record: jobs.JobRecord) -> dict:
-    return {
-        "id": record.spec.job,
-        "state": record.state.value,
-        "home": record.home,
-        "tasks": record.spec.tasks,
-        "accepted": record.accepted,
-        "detail": record.detail,
-    }
-
-
-def _not_found() -> refusals.Refusal:
-    return refusals.Refusal(
-        status=404,
-        code="not-found",
-        title="nothing is served at this path",
-        outcome=refusals.Outcome.NOT_RUN,
-    )
-
-
-def _no_endpoint(service: str) -> refusals.Refusal:
-    return refusals.Refusal(
-        status=503,
-        code="no-endpoint",
-        title=f"service {service[:63]} has no endpoint now",
-        outcome=refusals.Outcome.NOT_RUN,
-        retry_after=1,
-    )
-
-
-def _endpoint_failed(service: str) -> refusals.Refusal:
-    return refusals.Refusal(
-        status=502,
-        code="endpoint-failed",
-        title=f"an endpoint of {service[:63]} broke off",
-        outcome=refusals.Outcome.UNKNOWN,
-    )
-
-
-def _submission_refusal(
-    error: exceptions.TurmerichookError,
-) -> refusals.Refusal:
-    status = 503
-    outcome = refusals.Outcome.NOT_RUN
-    match error:
-        case exceptions.JobInvalidError() | exceptions.ConfigurationError():
-            status = 400
-        case exceptions.JobConflictError():
-            status = 409
-        case exceptions.JobNotFoundError():
-            status = 404
-        case exceptions.StoreOutcomeUnknownError():
-            outcome = refusals.Outcome.UNKNOWN
-    return refusals.Refusal(
-        status=status,
-        code=error.reference,
-        title=_title(error),
-        outcome=outcome,
-        retry_after=1 if status == 503 else 0,
-    )
-
-
-def _title(error: exceptions.TurmerichookError) -> str:
-    if isinstance(error, exceptions.ConfigurationError):
-        return "; ".join(
-            f"{p.where}: expected {p.expected}" for p in error.problems
-        )
-    return error.message
--- a/src/turmerichook/_internal/routing/events.py
+++ b/src/turmerichook/_internal/routing/events.py
@@ -26,8 +26,38 @@
         level=events.Level.INFO,
         summary="the endpoints of a zone have changed",
     )
+    ENDPOINT_EJECTED = events.Event(
+        number=6005,
+        level=events.Level.WARNING,
+        summary="an endpoint fails and gets no requests for a while",
+    )
+    ENDPOINT_RETURNED = events.Event(
+        number=6006,
+        level=events.Level.INFO,
+        summary="an endpoint that was ejected answers again",
+    )
+    ENDPOINTS_OLD = events.Event(
+        number=6007,
+        level=events.Level.WARNING,
+        summary="the endpoints of a zone were not confirmed for long",
+    )
+    CALLER_GONE = events.Event(
+        number=6008,
+        level=events.Level.INFO,
+        summary="a caller broke off before its exchange had ended",
+    )
+    REQUEST_FAILED = events.Event(
+        number=6009,
+        level=events.Level.ERROR,
+        summary="a request ended with an unexpected error in the gateway",
+    )
     JOB_ACCEPTED = events.Event(
         number=6010,
         level=events.Level.INFO,
         summary="a job was accepted and is durable",
     )
+    STOPPING = events.Event(
+        number=6011,
+        level=events.Level.INFO,
+        summary="the gateway stops and tells the load balancer first",
+    )
--- /dev/null
+++ b/src/turmerichook/_internal/routing/forwarding.py
@@ -0,0 +1,279 @@
+"""The whole life of one service request in the gateway."""
+
+import asyncio
+import itertools
+import random
+
+from turmerichook._internal.http import server
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.routing import attempts
+from turmerichook._internal.routing import balancer as balancers
+from turmerichook._internal.routing import bodies
+from turmerichook._internal.routing import call as calls
+from turmerichook._internal.routing import events
+from turmerichook._internal.routing import metrics as metrics_module
+from turmerichook._internal.routing import queues
+from turmerichook._internal.routing import rates
+from turmerichook._internal.routing import refusals
+from turmerichook._internal.routing import relay
+from turmerichook._internal.routing import requests
+from turmerichook._internal.routing import retries
+from turmerichook._internal.routing import rooms
+from turmerichook._internal.routing import selection
+from turmerichook import exceptions
+
+# Largest request body that is relayed.
+BODY_BYTES = 256 * 1024 * 1024
+# Longest time of one exchange, bodies included.
+EXCHANGE_LIMIT_S = 900.0
+NOT_RELAYED = frozenset({"CONNECT", "TRACE"})
+
+SHED_CODES = {
+    queues.Shed.QUEUE_FULL: refusals.Code.QUEUE_FULL,
+    queues.Shed.DISPLACED: refusals.Code.DISPLACED,
+    queues.Shed.CANNOT_MEET_DEADLINE: refusals.Code.CANNOT_MEET_DEADLINE,
+    queues.Shed.DEADLINE_PASSED: refusals.Code.DEADLINE_PASSED,
+}
+
+
+class Forwarder:
+    """Relays service requests.
+
+    :param now: monotonic seconds, the clock of the event loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        balancer: balancers.Balancer,
+        metrics: metrics_module.Metrics,
+        now: rooms.Now,
+        source: random.Random,
+    ):
+        self.balancer = balancer
+        self.metrics = metrics
+        self.now = now
+        self.configuration: site.Configuration = site.EMPTY
+        self.budget = retries.Budget()
+        self.rates = rates.TeamRates()
+        self.keep_room = bodies.KeepRoom()
+        # Part of the exchange ids, so that those of two gateways differ.
+        self.prefix = f"{source.getrandbits(48):012x}"
+        self.numbers = itertools.count(1)
+
+    def configure(self, configuration: site.Configuration) -> None:
+        """Use a configuration from now on."""
+        self.configuration = configuration
+        self.rates.keep(set(configuration.teams))
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer a request to a service."""
+        began = self.now()
+        exchange.connection.abortable = True
+        self.metrics.count("requests_total")
+        call = None
+        try:
+            call = self._admit(exchange, began)
+            async with asyncio.timeout(EXCHANGE_LIMIT_S):
+                await self._answer(call)
+        except calls.RefusedError as error:
+            await self._refuse(exchange, error, _may_have_run(call))
+        except (asyncio.CancelledError, relay.CallerError) as error:
+            self._caller_gone(exchange, error)
+            raise
+        except (exceptions.ExchangeError, TimeoutError):
+            if exchange.response_started:
+                # The server closes the connection, so the caller sees that
+                # the answer is not whole.
+                raise
+            error = calls.RefusedError(code=refusals.Code.ENDPOINT_FAILED)
+            await self._refuse(exchange, error, True)
+        except Exception as error:
+            await self._fail(exchange, error, call)
+        finally:
+            if call is not None and call.body is not None:
+                call.body.forget()
+        if call is not None:
+            labels = (("urgency", call.urgency.value),)
+            self.metrics.record("seconds", self.now() - began, labels)
+
+    def _caller_gone(
+        self, exchange: server.Exchange, error: BaseException
+    ) -> None:
+        self.metrics.count("callers_gone_total")
+        logs.emit(
+            events.RoutingEvent.CALLER_GONE,
+            target=ascii(exchange.head.path[:80]),
+            error=error,
+        )
+
+    async def _fail(
+        self,
+        exchange: server.Exchange,
+        error: Exception,
+        call: calls.Call | None,
+    ) -> None:
+        """Answer although the gateway itself has failed."""
+        logs.emit(
+            events.RoutingEvent.REQUEST_FAILED,
+            target=ascii(exchange.head.path[:80]),
+            error=repr(error),
+        )
+        if exchange.response_started:
+            raise exceptions.ExchangeError(
+                message="the gateway failed",
+                progress=exceptions.Progress.RESPONSE_STARTED,
+            ) from error
+        refused = calls.RefusedError(code=refusals.Code.INTERNAL)
+        tried = call is not None and call.attempts > 0
+        await self._refuse(exchange, refused, tried)
+
+    # Admission
+
+    def _admit(self, exchange: server.Exchange, began: float) -> calls.Call:
+        request = requests.parse(exchange.head)
+        if isinstance(request, outcomes.Absent):
+            raise calls.RefusedError(
+                code=refusals.Code.MALFORMED_HEADER, detail=request.detail
+            )
+        if exchange.head.method in NOT_RELAYED:
+            raise calls.RefusedError(code=refusals.Code.METHOD_NOT_RELAYED)
+        service = self.configuration.services.get(request.service)
+        if service is None and self.configuration.services:
+            raise calls.RefusedError(code=refusals.Code.UNKNOWN_SERVICE)
+        urgency = request.urgency or _default_urgency(service)
+        team = self._team(service)
+        self._check_rate(team, began)
+        return calls.Call(
+            exchange=exchange,
+            request=request,
+            urgency=urgency,
+            team=team.team,
+            weight=team.weight,
+            deadline=began + request.timeout,
+            body=self._body(exchange),
+        )
+
+    def _team(self, service: site.Service | None) -> site.Team:
+        if service is None:
+            return site.Team(team=ids.TeamId(""))
+        found = self.configuration.teams.get(service.team)
+        return found or site.Team(team=service.team)
+
+    def _check_rate(self, team: site.Team, now: float) -> None:
+        wait = self.rates.take(
+            team=team.team,
+            rate=team.request_rate,
+            gateways=self.balancer.counted,
+            now=now,
+        )
+        if wait > 0:
+            raise calls.RefusedError(
+                code=refusals.Code.TEAM_RATE, retry_after=wait
+            )
+
+    def _body(self, exchange: server.Exchange) -> bodies.ReplayBody | None:
+        if not exchange.has_body:
+            return None
+        length = exchange.head.header(b"content-length")
+        if length and int(length) > BODY_BYTES:
+            raise calls.RefusedError(code=refusals.Code.BODY_TOO_LARGE)
+        return bodies.ReplayBody(
+            exchange=exchange, room=self.keep_room, limit=BODY_BYTES
+        )
+
+    # Attempts
+
+    async def _answer(self, call: calls.Call) -> None:
+        if call.request.attempt == 1:
+            self.budget.deposit()
+        while True:
+            lease = await self._acquire(call)
+            call.attempts += 1
+            self._log_routed(call, lease)
+            number = f"{self.prefix}-{next(self.numbers)}"
+            attempt = attempts.EndpointAttempt(
+                call=call,
+                lease=lease,
+                budget=self.budget,
+                exchange_id=number.encode(),
+            )
+            try:
+                answered = await attempt.run()
+            finally:
+                lease.release()
+            if answered:
+                return
+            call.tried |= {lease.target.endpoint.task}
+            self.metrics.count("retries_total")
+
+    async def _acquire(self, call: calls.Call) -> rooms.Lease:
+        room = self.balancer.room(call.request.service)
+        if room is None:
+            raise calls.RefusedError(code=refusals.Code.NO_ENDPOINT)
+        probe = call.request.idempotent and call.attempts == 0
+        result = await room.acquire(
+            wanted=selection.Wanted(probe=probe, tried=call.tried),
+            urgency=call.urgency,
+            team=call.team,
+            weight=call.weight,
+            deadline=call.deadline,
+        )
+        match result:
+            case rooms.Lease():
+                return result
+            case queues.Shed():
+                raise calls.RefusedError(
+                    code=SHED_CODES[result],
+                    retry_after=room.queue.wait_for(call.urgency),
+                )
+        raise calls.RefusedError(code=refusals.Code.NO_ENDPOINT)
+
+    def _log_routed(self, call: calls.Call, lease: rooms.Lease) -> None:
+        endpoint = lease.target.endpoint
+        logs.emit(
+            events.RoutingEvent.REQUEST_ROUTED,
+            service=call.request.service,
+            endpoint=endpoint.address,
+            task=endpoint.task,
+            zone=endpoint.zone,
+            reason=lease.why.value,
+            attempt=call.attempts,
+            urgency=call.urgency.value,
+            in_flight=lease.target.in_flight,
+        )
+
+    async def _refuse(
+        self,
+        exchange: server.Exchange,
+        error: calls.RefusedError,
+        may_have_run: bool,
+    ) -> None:
+        outcome = refusals.Outcome.NOT_RUN
+        if may_have_run:
+            outcome = refusals.Outcome.UNKNOWN
+        refusal = refusals.build(
+            error.code,
+            outcome=outcome,
+            retry_after=error.retry_after,
+            detail=error.detail,
+        )
+        logs.emit(
+            events.RoutingEvent.REQUEST_REFUSED,
+            target=ascii(exchange.head.path[:80]),
+            code=refusal.code,
+            outcome=refusal.outcome.value,
+        )
+        self.metrics.count("refusals_total", (("code", refusal.code),))
+        await refusals.send(exchange, refusal)
+
+
+def _default_urgency(service: site.Service | None) -> site.Urgency:
+    return site.Urgency.NORMAL if service is None else service.urgency
+
+
+def _may_have_run(call: calls.Call | None) -> bool:
+    return call is not None and call.may_have_run
--- /dev/null
+++ b/src/turmerichook/_internal/routing/rooms.py
@@ -0,0 +1,245 @@
+"""Endpoints of one service with their connections, and who waits for them."""
+
+import asyncio
+import collections.abc
+import random
+
+from turmerichook._internal.http import addresses
+from turmerichook._internal.http import pool as pools
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.routing import concurrency
+from turmerichook._internal.routing import endpoints as endpoint_module
+from turmerichook._internal.routing import health as healths
+from turmerichook._internal.routing import queues
+from turmerichook._internal.routing import selection
+from turmerichook._internal.routing import sharing
+
+CONNECT_TIMEOUT_S = 1.0
+
+Now = collections.abc.Callable[[], float]
+
+
+class Lease:
+    """The right to one exchange with one endpoint."""
+
+    __slots__ = ("room", "target", "pool", "why", "released")
+
+    def __init__(
+        self, *, room: "ServiceRoom", chosen: selection.Chosen
+    ) -> None:
+        self.room = room
+        self.target = chosen.target
+        self.pool = room.pools[chosen.target.endpoint.task]
+        self.why = chosen.why
+        self.released = False
+        self.target.in_flight += 1
+
+    def release(self) -> None:
+        """Give the right back, once."""
+        if not self.released:
+            self.released = True
+            self.target.in_flight -= 1
+            self.room.freed()
+
+
+class ServiceRoom:
+    """Targets, connection pools and the queue of one service.
+
+    :param now: monotonic seconds.
+    :param links: round trips to other zones, shared by all services.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: ids.ZoneId,
+        now: Now,
+        source: random.Random,
+        links: dict[ids.ZoneId, float],
+    ):
+        self.zone = zone
+        self.now = now
+        self.source = source
+        self.links = links
+        self.targets: dict[ids.TaskId, selection.Target] = {}
+        self.pools: dict[ids.TaskId, pools.ConnectionPool] = {}
+        self.queue = queues.Queue()
+        # Smoothed time in seconds that an exchange needs to its head.
+        self.latency = selection.LATENCY_PRIOR_S
+
+    # Endpoints
+
+    def update(
+        self,
+        endpoints: collections.abc.Iterable[endpoint_module.Endpoint],
+        gateways: int,
+    ) -> None:
+        """Use these endpoints from now on.
+
+        Exchanges with other ones go on, but get no successors.
+        """
+        now = self.now()
+        present = {endpoint.task: endpoint for endpoint in endpoints}
+        for task in list(self.targets):
+            known = self.targets[task].endpoint
+            if task not in present or present[task].address != known.address:
+                del self.targets[task]
+                self.pools.pop(task).close()
+        # The first endpoints that a gateway learns of are not new to the
+        # callers, so they get no slow start.
+        since = now if self.targets else now - healths.SLOW_START_S
+        for task, endpoint in present.items():
+            self._put(endpoint, since, gateways)
+        self.freed()
+
+    def _put(
+        self, endpoint: endpoint_module.Endpoint, since: float, gateways: int
+    ) -> None:
+        connections = sharing.connection_share(
+            connections=endpoint.connections, gateways=gateways
+        )
+        ceiling = min(endpoint.slots, connections)
+        target = self.targets.get(endpoint.task)
+        if target is not None:
+            target.endpoint = endpoint
+            target.limit.ceiling = float(ceiling)
+            target.limit.value = min(target.limit.value, float(ceiling))
+            self.pools[endpoint.task].limit = connections
+            return
+        share = sharing.slot_share(slots=endpoint.slots, gateways=gateways)
+        self.targets[endpoint.task] = selection.Target(
+            endpoint=endpoint,
+            limit=concurrency.start(share=share, ceiling=ceiling),
+            health=healths.Health(since=since),
+        )
+        host, port = addresses.split(endpoint.address)
+        self.pools[endpoint.task] = pools.ConnectionPool(
+            host=host,
+            port=port,
+            limit=connections,
+            connect_timeout=CONNECT_TIMEOUT_S,
+        )
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for pool in self.pools.values():
+            pool.close()
+
+    def tick(self) -> None:
+        """Close stale connections; go on after ejections have ended."""
+        for pool in self.pools.values():
+            pool.expire()
+        self.freed()
+
+    # Room for requests
+
+    def choose(
+        self, wanted: selection.Wanted
+    ) -> selection.Chosen | outcomes.Absent:
+        """Choose an endpoint, one that has failed the request at last."""
+        chosen = self._choose(wanted)
+        if isinstance(chosen, outcomes.Absent) and wanted.tried:
+            return self._choose(selection.Wanted(probe=wanted.probe))
+        return chosen
+
+    def _choose(
+        self, wanted: selection.Wanted
+    ) -> selection.Chosen | outcomes.Absent:
+        return selection.choose(
+            targets=tuple(self.targets.values()),
+            wanted=wanted,
+            zone=self.zone,
+            links=self.links,
+            now=self.now(),
+            source=self.source,
+        )
+
+    async def acquire(
+        self,
+        *,
+        wanted: selection.Wanted,
+        urgency: site.Urgency,
+        team: str,
+        weight: float,
+        deadline: float,
+    ) -> Lease | queues.Shed | outcomes.Absent:
+        """Wait for room at an endpoint.
+
+        :returns: a lease, or why there is none: the request was shed, or the
+            service has no endpoint.
+        """
+        if not len(self.queue):
+            chosen = self.choose(wanted)
+            if isinstance(chosen, selection.Chosen):
+                return Lease(room=self, chosen=chosen)
+            if chosen.reason is outcomes.Reason.NO_ENDPOINT:
+                return chosen
+        future = asyncio.get_running_loop().create_future()
+        entry = queues.Entry(
+            urgency=urgency,
+            team=team,
+            weight=weight,
+            deadline=deadline,
+            ticket=(future, wanted),
+        )
+        shed, displaced = self.queue.offer(
+            entry, now=self.now(), needed=self.latency
+        )
+        if displaced is not None:
+            _resolve(displaced, queues.Shed.DISPLACED)
+        if shed is not None:
+            return shed
+        return await self._wait(entry, future)
+
+    async def _wait(
+        self, entry: queues.Entry, future: asyncio.Future
+    ) -> Lease | queues.Shed | outcomes.Absent:
+        loop = asyncio.get_running_loop()
+        handle = loop.call_later(
+            max(0.0, entry.deadline - self.now()),
+            _resolve,
+            entry,
+            queues.Shed.DEADLINE_PASSED,
+        )
+        try:
+            return await future
+        except asyncio.CancelledError:
+            # The caller is gone. It may have got a lease a moment before.
+            if future.done() and not future.cancelled():
+                result = future.result()
+                if isinstance(result, Lease):
+                    result.release()
+            raise
+        finally:
+            handle.cancel()
+            self.queue.remove(entry)
+
+    def freed(self) -> None:
+        """Let waiting requests go on as far as there is room."""
+        while len(self.queue):
+            entry = self.queue.pop()
+            if entry is None:
+                return
+            now = self.now()
+            if now + self.latency > entry.deadline:
+                _resolve(entry, queues.Shed.CANNOT_MEET_DEADLINE)
+                continue
+            chosen = self.choose(entry.ticket[1])
+            if isinstance(chosen, selection.Chosen):
+                _resolve(entry, Lease(room=self, chosen=chosen))
+                continue
+            if chosen.reason is outcomes.Reason.NO_ENDPOINT:
+                _resolve(entry, chosen)
+                continue
+            self.queue.put_back(entry)
+            return
+
+
+def _resolve(entry: queues.Entry, result: object) -> None:
+    future = entry.ticket[0]
+    if not future.done():
+        future.set_result(result)
+    elif isinstance(result, Lease):
+        result.release()
--- a/src/turmerichook/_internal/settings.py
+++ b/src/turmerichook/_internal/settings.py
@@ -20,6 +20,8 @@
     :param peer_listen: ``ip:port`` for streams from other processes.
     :param peers: ``ip:port`` of the other processes' streams.
     :param log_style: ``text`` or ``json``.
+    :param notice_s: seconds from a planned stop, when readiness ends, to the
+        end of the listener; what the load balancer needs to notice.
     """
 
     node: ids.NodeId
@@ -31,11 +33,13 @@
     peers: tuple[str, ...] = ()
     log_style: str = "text"
     log_level: str = "INFO"
+    notice_s: float = 5.0
 
 
 STYLES = ("text", "json")
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 REQUIRED = ("node", "zone", "store", "hosts", "listen", "peer_listen")
+NOTICE_MAX_S = 600.0
 ADDRESSES = ("store", "hosts", "listen", "peer_listen")
 
 
@@ -82,6 +86,12 @@
             raise _error("key 'peers' must be a list of ip:port texts")
         if not all(isinstance(peer, str) for peer in value):
             raise _error("key 'peers' must be a list of ip:port texts")
+    elif key == "notice_s":
+        number = type(value) in (int, float)
+        if not number or not 0 <= value <= NOTICE_MAX_S:
+            raise _error(
+                f"key 'notice_s' must be a number from 0 to {NOTICE_MAX_S:g}"
+            )
     elif not isinstance(value, str) or not value:
         raise _error(f"key {key!r} must be a text that is not empty")
 
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -1,23 +1,40 @@
 """Stand-in for a service endpoint.
 
+``python -m standins.endpoint --task t1 --listen 127.0.0.1:0 --record FILE``
+
 Each request takes ``work_s`` of one slot. A request is recorded when it
 starts to run, so that a checker can count runs for each request id. The
 answer holds the request's id and body, so that the caller can check it.
+
+A request may say in headers how it is to be answered: ``Test-Status`` (status
+of the answer), ``Test-Bytes`` (length of filling in the answer),
+``Test-Early`` (answer before the body is read), ``Test-Work`` (seconds).
 """
 
+import argparse
 import asyncio
 import collections.abc
 import hashlib
 import json
+import pathlib
+import time
 
+from standins import process
+from turmerichook._internal.http import addresses
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
 
 Recorder = collections.abc.Callable[[dict], None]
 
+# Requests that may wait for a slot, relative to the slots.
+WAITING_FACTOR = 1
+
 
 class Endpoint:
-    """One replica with slots."""
+    """One replica with slots.
+
+    :param fail_every: answer each n-th request with status 500, 0 for none.
+    """
 
     def __init__(
         self,
@@ -27,20 +44,25 @@
         connections: int,
         record: Recorder,
         work_s: float = 0.002,
+        fail_every: int = 0,
     ):
         self.task = task
         self.record = record
         self.work_s = work_s
+        self.fail_every = fail_every
+        self.slot_count = slots
         self.slots = asyncio.Semaphore(slots)
+        self.present = 0
+        self.seen = 0
         self.server = server.Server(
             handler=self._handle,
             limits=heads.Limits(connections=connections),
         )
         self.port = 0
 
-    async def start(self) -> int:
+    async def start(self, port: int = 0) -> int:
         """Listen on loopback and return the port."""
-        self.port = await self.server.start(host="127.0.0.1", port=0)
+        self.port = await self.server.start(host="127.0.0.1", port=port)
         return self.port
 
     async def stop(self) -> None:
@@ -48,15 +70,104 @@
         await self.server.stop(grace=0)
 
     async def _handle(self, exchange: server.Exchange) -> None:
-        body = await exchange.read_all()
-        request = exchange.head.header(b"request-id")
+        head = exchange.head
+        wanted = head.header(b"endpoint-task")
+        room = self.slot_count * (1 + WAITING_FACTOR)
+        if wanted and wanted != self.task:
+            await self._refuse(exchange, "another task")
+            return
+        if self.present >= room:
+            await self._refuse(exchange, "no slot")
+            return
+        self.present += 1
+        try:
+            await self._work(exchange)
+        finally:
+            self.present -= 1
+
+    async def _work(self, exchange: server.Exchange) -> None:
+        head = exchange.head
+        body = b""
+        if not head.header(b"test-early"):
+            body = await exchange.read_all()
+        request = head.header(b"request-id")
+        self.seen += 1
         async with self.slots:
             self.record({"kind": "run", "request": request, "by": self.task})
-            await asyncio.sleep(self.work_s)
-            document = {
-                "request": request,
-                "by": self.task,
-                "bytes": len(body),
-                "sha256": hashlib.sha256(body).hexdigest(),
-            }
-        await exchange.respond(status=200, body=json.dumps(document).encode())
+            work = float(head.header(b"test-work") or self.work_s)
+            await asyncio.sleep(work)
+        status = int(head.header(b"test-status") or 200)
+        if self.fail_every and self.seen % self.fail_every == 0:
+            status = 500
+        document = {
+            "request": request,
+            "by": self.task,
+            "bytes": len(body),
+            "sha256": hashlib.sha256(body).hexdigest(),
+            "attempt": head.header(b"request-attempt"),
+            "timeout": head.header(b"request-timeout"),
+            "filling": "x" * int(head.header(b"test-bytes") or 0),
+        }
+        payload = json.dumps(document).encode()
+        if status in (204, 304):
+            payload = b""
+        await exchange.respond(
+            status=status, body=payload, headers=self._headers(exchange)
+        )
+
+    async def _refuse(self, exchange: server.Exchange, why: str) -> None:
+        headers = self._headers(exchange)
+        headers.append((b"request-outcome", b"not-run"))
+        await exchange.respond(
+            status=503, body=json.dumps({"why": why}).encode(), headers=headers
+        )
+
+    def _headers(self, exchange: server.Exchange) -> heads.Headers:
+        load = self.present / self.slot_count
+        headers = [(b"endpoint-load", f"{load:.3f}".encode())]
+        echo = exchange.head.header(b"exchange-id")
+        if echo:
+            headers.append((b"exchange-id", echo.encode("latin-1")))
+        return headers
+
+
+def file_recorder(path: pathlib.Path) -> Recorder:
+    """Return a recorder that appends JSON lines to a file."""
+    file = path.open("a", buffering=1)
+
+    def record(entry: dict) -> None:
+        file.write(json.dumps({"time": time.time(), **entry}) + "\n")
+
+    return record
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Serve until cancelled."""
+    replica = Endpoint(
+        task=options.task,
+        slots=options.slots,
+        connections=options.connections,
+        record=file_recorder(options.record),
+        work_s=options.work,
+        fail_every=options.fail_every,
+    )
+    _, port = addresses.split(options.listen)
+    await replica.start(port)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description="Stand-in endpoint.")
+    parser.add_argument("--task", required=True)
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--record", type=pathlib.Path, required=True)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--connections", type=int, default=64)
+    parser.add_argument("--work", type=float, default=0.002)
+    parser.add_argument("--fail-every", type=int, default=0)
+    process.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -19,6 +19,7 @@
 
 STOP_TIMEOUT_S = 10.0
 CALL_TIMEOUT_S = 5.0
+NOTICE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -271,6 +272,7 @@
                 f'listen = "{self.listen_addresses[name]}"',
                 f'peer_listen = "{self.peer_addresses[name]}"',
                 f"peers = {json.dumps(peers)}",
+                f"notice_s = {NOTICE_S}",
                 "",
             )
         )
