--- a/src/turmerichook/_internal/configuration/schema.py
+++ b/src/turmerichook/_internal/configuration/schema.py
@@ -112,7 +112,10 @@
         known = SECTIONS["teams.*.quota"]
         quota = _amount(checker.values(amounts, known, path))
     return site.Team(
-        team=ids.TeamId(name), quota=quota, weight=values["weight"]
+        team=ids.TeamId(name),
+        quota=quota,
+        weight=values["weight"],
+        request_rate=values["request_rate"] or None,
     )
 
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -20,6 +20,7 @@
 
 STOP_TIMEOUT_S = 10.0
 CALL_TIMEOUT_S = 5.0
+NOTICE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -416,6 +417,7 @@
                 f'listen = "{self.listen_addresses[name]}"',
                 f'peer_listen = "{self.peer_addresses[name]}"',
                 f"peers = {json.dumps(peers)}",
+                f"notice_s = {NOTICE_S}",
                 "",
             )
         )
