--- a/src/turmerichook/_internal/clock.py
+++ b/src/turmerichook/_internal/clock.py
@@ -65,3 +65,19 @@
             _, _, future = heapq.heappop(self.sleepers)
             if not future.done():
                 future.set_result(None)
+
+
+async def wait_event(
+    clock: Clock, event: asyncio.Event, limit: datetime.timedelta
+) -> bool:
+    """Wait for an event for at most ``limit``; tell whether it is set."""
+    waiter = asyncio.ensure_future(event.wait())
+    sleeper = asyncio.ensure_future(clock.sleep(limit))
+    try:
+        await asyncio.wait(
+            (waiter, sleeper), return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        waiter.cancel()
+        sleeper.cancel()
+    return event.is_set()
--- a/src/turmerichook/_internal/platform/store.py
+++ b/src/turmerichook/_internal/platform/store.py
@@ -79,8 +79,14 @@
         :raises VersionConflictError: if the version differs.
         """
 
-    async def list(self, prefix: str) -> Listing:
-        """Return all entries below a prefix."""
+    async def list(
+        self, prefix: str, *, start: str = "", limit: int = 0
+    ) -> Listing:
+        """Return the entries below a prefix in the order of their keys.
+
+        :param start: key after which the listing begins.
+        :param limit: most entries to return; 0 for all.
+        """
 
     async def watch(
         self,
--- a/src/turmerichook/_internal/platform/store_http.py
+++ b/src/turmerichook/_internal/platform/store_http.py
@@ -72,8 +72,15 @@
         _check_conflict(answer, key, expect)
         _expect_ok(answer)
 
-    async def list(self, prefix: str) -> store.Listing:
-        answer = await self._read("/v1/range?prefix=" + _quote(prefix))
+    async def list(
+        self, prefix: str, *, start: str = "", limit: int = 0
+    ) -> store.Listing:
+        target = "/v1/range?prefix=" + _quote(prefix)
+        if start:
+            target += "&start=" + _quote(start)
+        if limit:
+            target += f"&limit={limit}"
+        answer = await self._read(target)
         document = _expect_ok(answer)
         return store.Listing(
             revision=ids.Revision(document["revision"]),
--- a/src/turmerichook/_internal/platform/store_memory.py
+++ b/src/turmerichook/_internal/platform/store_memory.py
@@ -78,9 +78,15 @@
         if key in self.entries:
             self._remove(key)
 
-    async def list(self, prefix: str) -> store.Listing:
+    async def list(
+        self, prefix: str, *, start: str = "", limit: int = 0
+    ) -> store.Listing:
         self._expire()
-        found = sorted(k for k in self.entries if k.startswith(prefix))
+        found = sorted(
+            k for k in self.entries if k.startswith(prefix) and k > start
+        )
+        if limit:
+            found = found[:limit]
         return store.Listing(
             revision=ids.Revision(self.revision),
             entries=tuple(self.entries[k] for k in found),
@@ -100,12 +106,10 @@
         waiter = (prefix, event)
         self.waiters.append(waiter)
         try:
-            async with asyncio.timeout(wait.total_seconds()):
-                await event.wait()
-        except TimeoutError:
-            pass
+            await clocks.wait_event(self.clock, event, wait)
         finally:
             self.waiters.remove(waiter)
+        self._expire()
         return self._changes(prefix, after)
 
     async def grant_lease(self, ttl: datetime.timedelta) -> ids.LeaseId:
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/announcements.py
@@ -0,0 +1,107 @@
+"""What a zone's owner tells the other processes."""
+
+import datetime
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import messages
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import state as states
+
+BEGUN = (states.Phase.ASSIGNED, states.Phase.RUNNING, states.Phase.STOPPING)
+
+
+class Announcer:
+    """Builds endpoint tables and status messages of one zone."""
+
+    def __init__(
+        self,
+        *,
+        zone: ids.ZoneId,
+        epoch: ids.Epoch,
+        node: ids.NodeId,
+        state: states.ZoneTasks,
+    ):
+        self.zone = zone
+        self.epoch = epoch
+        self.node = node
+        self.state = state
+        self.sequence = 0
+        # Service tasks, so that a table costs nothing for batch tasks.
+        self.services: list[ids.TaskId] = []
+
+    def note_tasks(self) -> None:
+        """Note which tasks may be endpoints, after a change of the plan."""
+        self.services = [
+            name
+            for name, task in self.state.tasks.items()
+            if task.spec.kind is workers.TaskKind.SERVICE
+        ]
+
+    def inherit(self, table: messages.EndpointTable | None) -> None:
+        """Use a former owner's addresses until the workers have answered.
+
+        Without them the endpoints on workers that only this owner cannot
+        reach would vanish from the gateways with its first table.
+        """
+        if table is None:
+            return
+        for _, name, address, _, _, _ in table.endpoints:
+            task = self.state.tasks.get(name)
+            if task is None or task.address:
+                continue
+            if task.phase is states.Phase.ASSIGNED:
+                task.address = address
+
+    def table(self) -> messages.EndpointTable:
+        """Return all endpoints with the ones that are about to stop."""
+        self.sequence += 1
+        endpoints = []
+        for name in self.services:
+            task = self.state.tasks.get(name)
+            if task is None or not task.address:
+                continue
+            endpoints.append(
+                [
+                    plan.service_of(name),
+                    name,
+                    task.address,
+                    task.spec.slots,
+                    task.spec.connections,
+                    task.phase is states.Phase.STOPPING,
+                ]
+            )
+        return messages.EndpointTable(
+            zone=self.zone,
+            epoch=self.epoch,
+            sequence=self.sequence,
+            endpoints=endpoints,
+        )
+
+    def status(self, now: datetime.timedelta) -> messages.ZoneStatus:
+        """Return how much waits and runs, and for how long."""
+        rows: dict[str, list] = {}
+        for task in self.state.tasks.values():
+            row = rows.setdefault(task.spec.urgency.value, [0, 0, 0.0])
+            if task.phase is states.Phase.WAITING:
+                row[0] += 1
+                age = (now - task.since).total_seconds()
+                row[2] = max(row[2], round(age, 1))
+            elif task.phase in BEGUN:
+                row[1] += 1
+        capacity = sum(
+            host.capacity.millicores
+            for host in self.state.hosts.values()
+            if host.state is hosts.HostState.LIVE
+        )
+        return messages.ZoneStatus(
+            zone=self.zone,
+            epoch=self.epoch,
+            owner=self.node,
+            waiting=sum(row[0] for row in rows.values()),
+            running=sum(row[1] for row in rows.values()),
+            oldest_s=max((row[2] for row in rows.values()), default=0.0),
+            capacity=capacity,
+            urgencies=rows,
+        )
--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -1,6 +1,7 @@
 """The scheduler process: a candidate for each zone, and its owners."""
 
 import asyncio
+import datetime
 import time
 
 from turmerichook._internal import clock as clocks
@@ -8,20 +9,18 @@
 from turmerichook._internal.configuration import messages as config_messages
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import server
-from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.membership import messages as member_messages
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import hosts_http
 from turmerichook._internal.platform import store_http
 from turmerichook._internal.platform import workers_http
-from turmerichook._internal.scheduling import events
+from turmerichook._internal.scheduling import environment as environments
 from turmerichook._internal.scheduling import messages
-from turmerichook._internal.scheduling import owner as owners
 from turmerichook._internal.scheduling import ownership
+from turmerichook._internal.scheduling import tenures
 from turmerichook._internal import settings as settings_module
 from turmerichook._internal.streams import codec
 from turmerichook._internal.streams import hub as hubs
-from turmerichook import exceptions
 
 STREAM_TYPES = (
     member_messages.Hello,
@@ -29,7 +28,9 @@
     config_messages.GenerationBundle,
     messages.EndpointTable,
     messages.ZoneStatus,
+    messages.ZoneReleased,
 )
+FLUSH_TIME = datetime.timedelta(milliseconds=100)
 
 
 class SchedulerDaemon:
@@ -48,7 +49,7 @@
         self.subscription = distribution.Subscription(
             store=self.store, clock=clock
         )
-        self.tables: dict[str, messages.EndpointTable] = {}
+        self.peers = environments.Peers()
         self.hub = hubs.Hub(
             codec=codec.Codec(types=STREAM_TYPES),
             clock=clock,
@@ -57,7 +58,17 @@
         )
         self.server = server.Server(handler=self._handle)
         self.candidates: dict[ids.ZoneId, asyncio.Task] = {}
-        self.owned: dict[ids.ZoneId, ownership.Tenure] = {}
+        self.tenures: dict[ids.ZoneId, tenures.Tenures] = {}
+        self.environment = environments.Environment(
+            node=settings.node,
+            store=self.store,
+            pool=self.pool,
+            host_list=self.host_list,
+            clock=clock,
+            configuration=lambda: self.subscription.configuration,
+            publish=self._publish,
+            peers=self.peers,
+        )
 
     async def run(self) -> None:
         """Run until cancelled, then give up what is owned."""
@@ -75,16 +86,17 @@
             await asyncio.gather(
                 *self.candidates.values(), return_exceptions=True
             )
+            # Lets the links send what the candidates published last.
+            await self.clock.sleep(FLUSH_TIME)
             self.hub.stop()
             await self.server.stop(grace=1.0)
 
     def _add_candidates(self) -> None:
         for zone in self.subscription.configuration.zones:
-            if zone not in self.candidates:
-                task = asyncio.create_task(self._candidate(zone))
-                self.candidates[zone] = task
+            if zone not in self.tenures:
+                self._add_candidate(zone)
 
-    async def _candidate(self, zone: ids.ZoneId) -> None:
+    def _add_candidate(self, zone: ids.ZoneId) -> None:
         candidate = ownership.Candidate(
             zone=zone,
             node=self.settings.node,
@@ -94,49 +106,23 @@
             clock=self.clock,
             confirm=self.subscription.read,
         )
-        while True:
-            tenure = await candidate.gain()
-            self.owned[zone] = tenure
-            try:
-                await self._own(candidate, tenure)
-            except* exceptions.TurmerichookError as group:
-                logs.emit(
-                    events.SchedulingEvent.OWNERSHIP_LOST,
-                    zone=zone,
-                    epoch=tenure.epoch,
-                    error=group.exceptions[0],
-                )
-            finally:
-                del self.owned[zone]
-                await _release(candidate, tenure)
-
-    async def _own(
-        self, candidate: ownership.Candidate, tenure: ownership.Tenure
-    ) -> None:
-        owner = owners.Owner(
-            tenure=tenure,
-            node=self.settings.node,
-            store=self.store,
-            pool=self.pool,
-            host_list=self.host_list,
-            clock=self.clock,
-            configuration=lambda: self.subscription.configuration,
-            publish=self._publish,
+        self.tenures[zone] = tenures.Tenures(
+            candidate=candidate, environment=self.environment
         )
-        async with asyncio.TaskGroup() as group:
-            group.create_task(candidate.keep(tenure))
-            group.create_task(owner.run())
+        self.candidates[zone] = asyncio.create_task(self.tenures[zone].run())
 
     def _publish(self, message: object) -> None:
         if isinstance(message, messages.EndpointTable):
-            former = self.tables.get(message.zone)
-            self.tables[message.zone] = message
+            former = self.peers.tables.get(message.zone)
+            self.peers.tables[message.zone] = message
             if (
                 former is not None
                 and former.epoch == message.epoch
                 and former.endpoints == message.endpoints
             ):
                 return
+        if isinstance(message, messages.ZoneStatus):
+            self.peers.statuses[message.zone] = message
         self.hub.publish(message)
 
     def _greeting(self) -> list[object]:
@@ -149,17 +135,39 @@
         greeting: list[object] = [hello]
         if self.subscription.packed is not None:
             greeting.append(self.subscription.packed)
-        greeting += [
-            self.tables[zone] for zone in self.owned if zone in self.tables
-        ]
+        greeting += self.peers.tables.values()
         return greeting
 
     async def _receive(self) -> None:
         while True:
             received = await self.hub.received.get()
-            match received.message:
-                case config_messages.GenerationBundle():
-                    self.subscription.offer(received.message)
+            self._take(received.message)
+
+    def _take(self, message: object) -> None:
+        match message:
+            case config_messages.GenerationBundle():
+                self.subscription.offer(message)
+            case messages.EndpointTable():
+                self._heard_epoch(message.zone, message.epoch, "a peer")
+                known = self.peers.tables.get(message.zone)
+                version = (message.epoch, message.sequence)
+                if known is None or version > (known.epoch, known.sequence):
+                    self.peers.tables[message.zone] = message
+            case messages.ZoneStatus():
+                self._heard_epoch(message.zone, message.epoch, message.owner)
+                self.peers.statuses[message.zone] = message
+            case messages.ZoneReleased():
+                tenure = self.tenures.get(ids.ZoneId(message.zone))
+                if tenure is not None:
+                    tenure.heard_release(message)
+            case member_messages.Heartbeat():
+                for zone, epoch in message.owned.items():
+                    self._heard_epoch(zone, epoch, message.node)
+
+    def _heard_epoch(self, zone: str, epoch: int, source: str) -> None:
+        tenure = self.tenures.get(ids.ZoneId(zone))
+        if tenure is not None:
+            tenure.heard_epoch(epoch, source)
 
     async def _handle(self, exchange: server.Exchange) -> None:
         match exchange.head.path:
@@ -176,15 +184,9 @@
         return {
             "node": self.settings.node,
             "generation": self.subscription.generation,
-            "owned": {z: t.epoch for z, t in self.owned.items()},
+            "owned": {
+                zone: tenure.owner.epoch
+                for zone, tenure in self.tenures.items()
+                if tenure.owner is not None
+            },
         }
-
-
-async def _release(
-    candidate: ownership.Candidate, tenure: ownership.Tenure
-) -> None:
-    try:
-        await candidate.release(tenure)
-    except exceptions.TurmerichookError:
-        # The lease lapses by itself.
-        pass
--- a/src/turmerichook/_internal/scheduling/events.py
+++ b/src/turmerichook/_internal/scheduling/events.py
@@ -51,6 +51,31 @@
         level=events.Level.WARNING,
         summary="the zone's journal cannot be written",
     )
+    OWNER_FAILED = events.Event(
+        number=5014,
+        level=events.Level.ERROR,
+        summary="the zone's owner ended by an error; it is claimed again",
+    )
+    JOURNAL_UNREADABLE = events.Event(
+        number=5015,
+        level=events.Level.ERROR,
+        summary="the zone's journal is not understood; nothing is started",
+    )
+    RENEWALS_KEPT = events.Event(
+        number=5016,
+        level=events.Level.WARNING,
+        summary="running tasks are renewed until the zone has an owner again",
+    )
+    ZONE_RELEASED = events.Event(
+        number=5017,
+        level=events.Level.INFO,
+        summary="a former owner no longer renews the zone's tasks",
+    )
+    RENEWALS_ENDED = events.Event(
+        number=5018,
+        level=events.Level.ERROR,
+        summary="the store has not confirmed for too long; tasks may lapse",
+    )
     RECOVERED = events.Event(
         number=5013,
         level=events.Level.INFO,
@@ -66,6 +91,16 @@
         level=events.Level.INFO,
         summary="a worker answers again",
     )
+    STRAY_STOPPED = events.Event(
+        number=5023,
+        level=events.Level.WARNING,
+        summary="a worker runs an attempt that nobody wants; it is stopped",
+    )
+    CHECKPOINT_TOO_LONG = events.Event(
+        number=5024,
+        level=events.Level.ERROR,
+        summary="a checkpoint's name exceeds 128 bytes and is not kept",
+    )
     WORKER_LOST = events.Event(
         number=5022,
         level=events.Level.WARNING,
@@ -76,6 +111,36 @@
         level=events.Level.INFO,
         summary="all tasks of a job have finished",
     )
+    JOB_MOVED = events.Event(
+        number=5033,
+        level=events.Level.INFO,
+        summary="a job has another home zone",
+    )
+    JOB_CANCELLED = events.Event(
+        number=5034,
+        level=events.Level.INFO,
+        summary="a job was cancelled",
+    )
+    RECORD_UNREADABLE = events.Event(
+        number=5035,
+        level=events.Level.ERROR,
+        summary="a record in the store is not understood and is skipped",
+    )
+    RECORD_UNWRITTEN = events.Event(
+        number=5036,
+        level=events.Level.WARNING,
+        summary="a job record cannot be written; it is tried again",
+    )
+    ZONE_CLOSED = events.Event(
+        number=5040,
+        level=events.Level.WARNING,
+        summary="the zone is out: starts stop and its work is drained",
+    )
+    ZONE_OPENED = events.Event(
+        number=5041,
+        level=events.Level.INFO,
+        summary="the zone is in; new starts grow slowly if it was out",
+    )
     JOBS_UNREADABLE = events.Event(
         number=5031,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/scheduling/jobs.py
+++ b/src/turmerichook/_internal/scheduling/jobs.py
@@ -12,6 +12,9 @@
 from turmerichook import exceptions
 
 PREFIX = "jobs/"
+CANCEL_PREFIX = "cancels/"
+# Final records, and cancellations, are kept this long.
+RETENTION = datetime.timedelta(hours=24)
 
 
 class JobState(enum.Enum):
@@ -30,6 +33,10 @@
     :param home: zone whose owner runs the job.
     :param operation: id of the write that made this version.
     :param accepted: time of acceptance, ISO 8601.
+    :param ended: time at which the state became final, ISO 8601.
+    :param finished: tasks that had their result when this was written.
+    :param progress: what the former home zone had done, as
+        ``progress.JobFacts.pack`` returns it; None if there was none.
     """
 
     spec: site.Job
@@ -38,6 +45,20 @@
     operation: ids.OperationId
     accepted: str
     detail: str = ""
+    ended: str = ""
+    finished: int = 0
+    progress: list | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cancellation:
+    """A batch of jobs to cancel.
+
+    :param created: time of the request, ISO 8601.
+    """
+
+    jobs: tuple[ids.JobId, ...]
+    created: str
 
 
 def key_of(job: ids.JobId) -> str:
@@ -67,6 +88,9 @@
             "operation": record.operation,
             "accepted": record.accepted,
             "detail": record.detail,
+            "ended": record.ended,
+            "finished": record.finished,
+            "progress": record.progress,
         }
     )
 
@@ -77,7 +101,7 @@
     :raises MessageError: if it is malformed.
     """
     try:
-        fields = msgpack.unpackb(value)
+        fields = msgpack.unpackb(value, strict_map_key=False)
         return _record(fields)
     except (
         KeyError,
@@ -90,6 +114,46 @@
         ) from error
 
 
+def pack_cancellation(cancellation: Cancellation) -> bytes:
+    """Return the stored form of a cancellation."""
+    return msgpack.packb(
+        {"jobs": list(cancellation.jobs), "created": cancellation.created}
+    )
+
+
+def unpack_cancellation(value: bytes) -> Cancellation:
+    """Return a stored cancellation.
+
+    :raises MessageError: if it is malformed.
+    """
+    match _unpacked(value):
+        case {"jobs": list(names), "created": str(created)}:
+            return Cancellation(
+                jobs=tuple(ids.JobId(name) for name in names),
+                created=created,
+            )
+        case _:
+            raise exceptions.MessageError(message="malformed cancellation")
+
+
+def older_than(stamp: str, age: datetime.timedelta, now) -> bool:
+    """Tell whether an ISO 8601 time lies further back than ``age``."""
+    try:
+        return now - datetime.datetime.fromisoformat(stamp) > age
+    except (TypeError, ValueError):
+        # A time without a zone or in another form is never old enough.
+        return False
+
+
+def _unpacked(value: bytes) -> object:
+    try:
+        return msgpack.unpackb(value)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise exceptions.MessageError(
+            message=f"not msgpack: {error}",
+        ) from error
+
+
 def _record(fields: dict) -> JobRecord:
     millicores, memory, accelerators = fields["amount"]
     spec = site.Job(
@@ -112,4 +176,7 @@
         operation=ids.OperationId(fields["operation"]),
         accepted=fields["accepted"],
         detail=fields["detail"],
+        ended=fields.get("ended", ""),
+        finished=fields.get("finished", 0),
+        progress=fields.get("progress"),
     )
--- a/src/turmerichook/_internal/scheduling/journal.py
+++ b/src/turmerichook/_internal/scheduling/journal.py
@@ -1,23 +1,20 @@
-"""The zone's placement journal in the store.
+"""Entries of a zone's placement journal, and the facts that they add up to.
 
-The tail holds the entries since the last base. Each group of entries is one
-compare-and-swap of the tail; a tail that has grown is folded into a new base.
-The tail carries the epoch of its writer, so that the first write of a new
-owner makes every later write of a former owner fail.
+The module does no I/O; ``journal_store`` reads and writes the journal, and
+``journal_format`` holds its stored form.
 """
 
+import collections.abc
 import dataclasses
-import typing
-import uuid
-
-import msgpack
 
 from turmerichook._internal.models import ids
-from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
-from turmerichook import exceptions
+from turmerichook._internal.scheduling import progress
 
-TAIL_BYTES = 32 * 1024
+# Bounds that keep a packed base below the store's value limit of 1 MiB: at
+# most 4,500 rows of at most 180 bytes, and 192 KiB for finished tasks.
+LIVE_TASKS = 4500
+CHECKPOINT_BYTES = 128
+FINISHED_BYTES = 192 * 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,235 +51,202 @@
     task: ids.TaskId
 
 
-Entry = Assigned | Returned | Finished | Forgotten
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class TaskFacts:
-    """What the journal knows about a task."""
-
-    attempt: ids.Attempt = ids.Attempt(0)
-    host: ids.HostId | None = None
-    checkpoint: ids.CheckpointId | None = None
-    succeeded: bool | None = None
-
-
-Facts = dict[ids.TaskId, TaskFacts]
-
-
-def fold(facts: Facts, entry: Entry) -> None:
-    """Apply one entry to the facts."""
-    match entry:
-        case Forgotten():
-            facts.pop(entry.task, None)
-        case Assigned():
-            fact = facts.setdefault(entry.task, TaskFacts())
-            fact.attempt = entry.attempt
-            fact.host = entry.host
-        case Returned():
-            fact = facts.setdefault(entry.task, TaskFacts())
-            fact.attempt = entry.attempt
-            fact.host = None
-            fact.checkpoint = entry.checkpoint
-        case Finished():
-            fact = facts.setdefault(entry.task, TaskFacts())
-            fact.attempt = entry.attempt
-            fact.host = None
-            fact.succeeded = entry.succeeded
-
-
-class Journal:
-    """Reads and writes the journal of one zone for one owner."""
-
-    def __init__(
-        self, *, zone: ids.ZoneId, epoch: ids.Epoch, store: stores.Store
-    ):
-        self.zone = zone
-        self.epoch = epoch
-        self.store = store
-        self.facts: Facts = {}
-        self.pending: list[Entry] = []
-        self.rows: list[list] = []
-        self.bytes = 0
-        self.base_key = ""
-        self.version = stores.ABSENT_VERSION
-
-    @property
-    def tail_key(self) -> str:
-        """Key of the tail."""
-        return f"journal/{self.zone}/tail"
-
-    async def take_over(self) -> None:
-        """Read base and tail, and fence the former owner.
-
-        :raises StaleEpochError: if a later owner has written.
-        :raises StoreError: if the store gives no answer.
-        """
-        found = await self.store.get(self.tail_key)
-        if not isinstance(found, outcomes.Absent):
-            await self._load(found)
-        await self._write(self.rows, self.base_key)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobForgotten:
+    """The entries of all tasks of a job are no longer needed."""
 
-    def append(self, entry: Entry) -> None:
-        """Add an entry to the next group."""
-        self.pending.append(entry)
+    job: ids.JobId
 
-    async def commit(self) -> None:
-        """Make all pending entries durable.
 
-        On an error they stay pending.
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Moving:
+    """A write may be under way that gives a job another home zone.
+
+    Until the write is settled the job's tasks must not start here, not even
+    under a later owner, since the write may still arrive.
+    """
 
-        :raises StaleEpochError: if a later owner has written.
-        :raises StoreError: if the store gives no answer.
+    job: ids.JobId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Settled:
+    """The job stays in this zone, and no earlier write can change that."""
+
+    job: ids.JobId
+
+
+Entry = (
+    Assigned
+    | Returned
+    | Finished
+    | Forgotten
+    | JobForgotten
+    | Moving
+    | Settled
+)
+
+
+TaskFacts = progress.TaskFacts
+
+
+class Facts:
+    """Sum of a journal's entries."""
+
+    def __init__(self):
+        self.jobs: dict[ids.JobId, progress.JobFacts] = {}
+        self.others: dict[ids.TaskId, TaskFacts] = {}
+        self.moving: set[ids.JobId] = set()
+        self.live = 0
+        self.finished_bytes = 0
+
+    def __len__(self):
+        return self.live
+
+    def get(self, task: ids.TaskId) -> TaskFacts | None:
+        """Return what is known about a task, or None."""
+        place = _place(task)
+        if place is None:
+            return self.others.get(task)
+        found = self.jobs.get(place[0])
+        return None if found is None else found.get(place[1])
+
+    def assigned(self) -> collections.abc.Iterator[tuple[ids.TaskId, str]]:
+        """Yield the tasks that may run, with their hosts."""
+        for task, fact in self.rows():
+            if fact.host is not None:
+                yield task, fact.host
+
+    def rows(
+        self,
+    ) -> collections.abc.Iterator[tuple[ids.TaskId, TaskFacts]]:
+        """Yield the tasks that have begun and have no result."""
+        yield from self.others.items()
+        for job, found in self.jobs.items():
+            for number, fact in found.live.items():
+                yield ids.TaskId(f"job/{job}/{number}"), fact
+
+    def admits(self, task: ids.TaskId) -> bool:
+        """Tell whether a task may begin within the bounds of the base."""
+        place = _place(task)
+        if self.get(task) is not None:
+            return True
+        if self.live >= LIVE_TASKS:
+            return False
+        known = place is not None and place[0] in self.jobs
+        return known or self.finished_bytes < FINISHED_BYTES
+
+    def adopt(self, job: ids.JobId, brought: progress.JobFacts) -> None:
+        """Take over the progress that a job brought from another zone.
+
+        Attempts rise with each start in any zone, so that of two facts the
+        one with the higher attempt is newer.
         """
-        group = list(self.pending)
-        if not group:
-            return
-        rows = self.rows + [_pack_entry(entry) for entry in group]
-        await self._write(rows, self.base_key)
-        del self.pending[: len(group)]
-        for entry in group:
-            fold(self.facts, entry)
-        if self.bytes > TAIL_BYTES:
-            await self._fold_tail()
-
-    async def _load(self, found: stores.Entry) -> None:
-        tail = msgpack.unpackb(found.value)
-        if tail["epoch"] > self.epoch:
-            raise self._stale(tail["epoch"])
-        self.version = found.version
-        self.base_key = tail["base"]
-        self.rows = tail["rows"]
-        self.facts = {}
-        if self.base_key:
-            base = await self.store.get(self.base_key)
-            if isinstance(base, outcomes.Absent):
-                raise exceptions.StoreUnavailableError(
-                    message="the journal's base is missing",
-                    context=self.base_key,
-                )
-            self.facts = _unpack_facts(base.value)
-        for row in self.rows:
-            fold(self.facts, _unpack_entry(row))
-
-    async def _fold_tail(self) -> None:
-        former = self.base_key
-        key = f"journal/{self.zone}/base/{self.epoch}-{uuid.uuid4().hex[:12]}"
-        value = _pack_facts(self.facts)
-        try:
-            await self.store.put(key, value, expect=stores.ABSENT_VERSION)
-            await self._write([], key)
-        except exceptions.StaleEpochError:
-            raise
-        except exceptions.StoreError:
-            # The long tail stays valid; the next commit folds again.
+        for number in range(len(brought.succeeded.octets) * 8):
+            if number in brought.succeeded:
+                self._end(job, number, succeeded=True)
+        for number in range(len(brought.failed.octets) * 8):
+            if number in brought.failed:
+                self._end(job, number, succeeded=False)
+        for number, fact in brought.live.items():
+            known = self.jobs[job].get(number) if job in self.jobs else None
+            if known is None or (
+                known.succeeded is None and known.attempt < fact.attempt
+            ):
+                self._job(job)
+                self._set(job, number, dataclasses.replace(fact))
+
+    def fold(self, entry: Entry) -> None:
+        """Apply one entry."""
+        match entry:
+            case JobForgotten():
+                self._drop_job(entry.job)
+                self.moving.discard(entry.job)
+            case Moving():
+                self.moving.add(entry.job)
+            case Settled():
+                self.moving.discard(entry.job)
+            case Forgotten():
+                self._drop(entry.task)
+            case Assigned():
+                fact = self._row(entry.task)
+                fact.attempt = entry.attempt
+                fact.host = entry.host
+            case Returned():
+                fact = self._row(entry.task)
+                fact.attempt = entry.attempt
+                fact.host = None
+                fact.checkpoint = entry.checkpoint
+            case Finished():
+                self._finish(entry)
+
+    def load(self, job: ids.JobId, found: progress.JobFacts) -> None:
+        """Set the facts of a job that has none."""
+        self.jobs[job] = found
+        self.finished_bytes += found.bytes
+        self.live += len(found.live)
+
+    def _row(self, task: ids.TaskId) -> TaskFacts:
+        place = _place(task)
+        if place is None:
+            if task not in self.others:
+                self.others[task] = TaskFacts()
+                self.live += 1
+            return self.others[task]
+        job, number = place
+        live = self._job(job).live
+        if number not in live:
+            self._set(job, number, TaskFacts())
+        return live[number]
+
+    def _job(self, job: ids.JobId) -> progress.JobFacts:
+        found = self.jobs.get(job)
+        if found is None:
+            found = self.jobs[job] = progress.JobFacts()
+            self.finished_bytes += found.bytes
+        return found
+
+    def _set(self, job: ids.JobId, number: int, fact: TaskFacts) -> None:
+        live = self.jobs[job].live
+        self.live += number not in live
+        live[number] = fact
+
+    def _finish(self, entry: Finished) -> None:
+        place = _place(entry.task)
+        if place is not None:
+            self._end(*place, succeeded=entry.succeeded)
             return
-        if former:
-            await self._discard(former)
-
-    async def _discard(self, key: str) -> None:
-        try:
-            found = await self.store.get(key)
-            if not isinstance(found, outcomes.Absent):
-                await self.store.delete(key, expect=found.version)
-        except exceptions.StoreError:
-            # An orphaned base wastes room but is never read.
-            pass
-
-    async def _write(self, rows: list[list], base_key: str) -> None:
-        operation = uuid.uuid4().hex
-        value = msgpack.packb(
-            {
-                "epoch": self.epoch,
-                "operation": operation,
-                "base": base_key,
-                "rows": rows,
-            }
-        )
-        try:
-            version = await self.store.put(
-                self.tail_key, value, expect=self.version
-            )
-        except (
-            exceptions.VersionConflictError,
-            exceptions.StoreOutcomeUnknownError,
-        ):
-            version = await self._verify(operation)
-        self.version = version
-        self.rows = rows
-        self.base_key = base_key
-        self.bytes = len(value)
-
-    async def _verify(self, operation: str) -> ids.Version:
-        """Return the version that the write made, if it took effect."""
-        found = await self.store.get(self.tail_key)
-        if not isinstance(found, outcomes.Absent):
-            tail = msgpack.unpackb(found.value)
-            if tail["operation"] == operation:
-                return found.version
-            if found.version != self.version:
-                raise self._stale(tail["epoch"])
-        raise exceptions.StoreUnavailableError(
-            message="the journal write took no effect so far",
-            context=self.tail_key,
-        )
-
-    def _stale(self, epoch: int) -> exceptions.StaleEpochError:
-        return exceptions.StaleEpochError(
-            message=f"the journal of zone {self.zone} has epoch {epoch}",
-            context=f"this owner has epoch {self.epoch}",
-        )
-
-
-def _pack_entry(entry: Entry) -> list:
-    match entry:
-        case Assigned():
-            return ["a", entry.task, entry.attempt, entry.host]
-        case Returned():
-            return ["r", entry.task, entry.attempt, entry.checkpoint]
-        case Finished():
-            return ["f", entry.task, entry.attempt, entry.succeeded]
-        case Forgotten():
-            return ["x", entry.task]
-
-
-def _unpack_entry(row: list) -> Entry:
-    match row:
-        case ["a", task, attempt, host]:
-            return Assigned(task=task, attempt=attempt, host=host)
-        case ["r", task, attempt, checkpoint]:
-            return Returned(task=task, attempt=attempt, checkpoint=checkpoint)
-        case ["f", task, attempt, succeeded]:
-            return Finished(task=task, attempt=attempt, succeeded=succeeded)
-        case ["x", task]:
-            return Forgotten(task=task)
-        case _:
-            raise exceptions.MessageError(
-                message="malformed journal entry",
-                context=repr(row)[:80],
-            )
-
-
-def _pack_facts(facts: Facts) -> bytes:
-    rows: dict[str, typing.Any] = {
-        task: [f.attempt, f.host, f.checkpoint, f.succeeded]
-        for task, f in facts.items()
-    }
-    return msgpack.packb(rows)
-
-
-def _unpack_facts(value: bytes) -> Facts:
-    return {
-        ids.TaskId(task): TaskFacts(
-            attempt=attempt,
-            host=host,
-            checkpoint=checkpoint,
-            succeeded=succeeded,
-        )
-        for task, (
-            attempt,
-            host,
-            checkpoint,
-            succeeded,
-        ) in msgpack.unpackb(value).items()
-    }
+        fact = self._row(entry.task)
+        fact.attempt = entry.attempt
+        fact.host = None
+        fact.succeeded = entry.succeeded
+
+    def _end(self, job: ids.JobId, number: int, *, succeeded: bool) -> None:
+        found = self._job(job)
+        self.finished_bytes -= found.bytes
+        (found.succeeded if succeeded else found.failed).add(number)
+        self.finished_bytes += found.bytes
+        if found.live.pop(number, None) is not None:
+            self.live -= 1
+
+    def _drop(self, task: ids.TaskId) -> None:
+        place = _place(task)
+        if place is None:
+            self.live -= self.others.pop(task, None) is not None
+        elif place[0] in self.jobs:
+            live = self.jobs[place[0]].live
+            self.live -= live.pop(place[1], None) is not None
+
+    def _drop_job(self, job: ids.JobId) -> None:
+        found = self.jobs.pop(job, None)
+        if found is not None:
+            self.live -= len(found.live)
+            self.finished_bytes -= found.bytes
+
+
+def _place(task: ids.TaskId) -> tuple[ids.JobId, int] | None:
+    kind, _, rest = task.partition("/")
+    job, _, number = rest.rpartition("/")
+    if kind != "job" or not job or not number.isdecimal():
+        return None
+    return ids.JobId(job), int(number)
--- a/src/turmerichook/_internal/scheduling/messages.py
+++ b/src/turmerichook/_internal/scheduling/messages.py
@@ -24,6 +24,8 @@
 
     :param waiting: tasks that wait for a start.
     :param oldest_s: age of the oldest of them in seconds.
+    :param capacity: processors of the zone's live hosts in millicores.
+    :param urgencies: for each urgency ``[waiting, running, oldest_s]``.
     """
 
     zone: str
@@ -32,3 +34,19 @@
     waiting: int
     running: int
     oldest_s: float
+    capacity: int = 0
+    urgencies: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ZoneReleased:
+    """A former owner no longer renews the zone's tasks.
+
+    :param epoch: epoch of the former owner.
+    :param ages: seconds since its last renewal of each worker that it had
+        reached, when the message was sent.
+    """
+
+    zone: str
+    epoch: int
+    ages: dict
--- a/src/turmerichook/_internal/scheduling/ownership.py
+++ b/src/turmerichook/_internal/scheduling/ownership.py
@@ -57,11 +57,21 @@
 
 
 def unpack(value: bytes) -> OwnerRecord:
-    """Return a stored owner record."""
-    epoch, node, address = msgpack.unpackb(value)
-    return OwnerRecord(
-        epoch=ids.Epoch(epoch), node=ids.NodeId(node), address=address
-    )
+    """Return a stored owner record.
+
+    :raises MessageError: if it is malformed.
+    """
+    try:
+        epoch, node, address = msgpack.unpackb(value)
+        return OwnerRecord(
+            epoch=ids.Epoch(int(epoch)),
+            node=ids.NodeId(node),
+            address=address,
+        )
+    except (TypeError, ValueError, msgpack.UnpackException) as error:
+        raise exceptions.MessageError(
+            message=f"malformed owner record: {error}",
+        ) from error
 
 
 class Candidate:
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -0,0 +1,294 @@
+"""The decisions of one round of a zone's owner."""
+
+import datetime
+import typing
+
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import events
+from turmerichook._internal.scheduling import jobs
+from turmerichook._internal.scheduling import journal as journals
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import records
+from turmerichook._internal.scheduling import state as states
+from turmerichook._internal.scheduling import zone_drain
+
+if typing.TYPE_CHECKING:
+    from turmerichook._internal.scheduling import owner as owners
+
+PLACEMENTS_PER_ROUND = 1000
+STATUS_INTERVAL = datetime.timedelta(seconds=2)
+RECORDS_INTERVAL = datetime.timedelta(seconds=1)
+
+
+class Rounds:
+    """Plans, places and announces for one owner."""
+
+    def __init__(self, *, owner: "owners.Owner"):
+        self.owner = owner
+        self.zone = owner.zone
+        self.clock = owner.clock
+        self.state = owner.state
+        self.journal = owner.journal
+        self.board = owner.board
+        self.reports = owner.reports
+        self.drain = zone_drain.ZoneDrain(zone=owner.zone)
+        self.peers = owner.environment.peers
+        # Whether the wanted tasks are known and were compared with the
+        # journal. Reports of workers mean nothing before.
+        self.ready = False
+        self.planned: tuple | None = None
+        self.status_due = datetime.timedelta()
+        self.records_due = datetime.timedelta()
+        self.configuration = site.EMPTY
+        self.refused: dict[str, outcomes.Reason] = {}
+
+    def prepare(self) -> bool:
+        """Bring the wanted tasks up to date; False if they are unknown."""
+        configuration = self.owner.environment.configuration()
+        known = self.board.known and self.owner.cancels.known
+        if not known or not configuration.zones:
+            return False
+        now = self.clock.monotonic()
+        self.configuration = configuration
+        if self.drain.note(configuration, now):
+            closed = self.drain.closed
+            event = (
+                events.SchedulingEvent.ZONE_CLOSED
+                if closed
+                else events.SchedulingEvent.ZONE_OPENED
+            )
+            logs.emit(event, zone=self.zone)
+        self.state.weights = configuration.weights
+        self.state.open = not self.drain.closed
+        self._plan(configuration, now)
+        if not self.ready:
+            self._begin()
+        return True
+
+    def decide(self) -> None:
+        """Place waiting tasks, and announce and send what is due."""
+        now = self.clock.monotonic()
+        self.announce(now)
+        for command in self.drain.evictions(self.state, now):
+            self.owner.stops.add(command, now)
+        for due in self.owner.stops.take_due(now):
+            boot = self.reports.seen.get(due.host)
+            if boot is not None:
+                self.owner.links.send(due.host, (due.stop,), boot=boot[0])
+        if self.owner.tenure.authority.remaining(now):
+            self._place(now)
+
+    def announce(self, now: datetime.timedelta) -> None:
+        """Publish the endpoints, and the status when it is due."""
+        publish = self.owner.environment.publish
+        publish(self.owner.announcer.table())
+        if now >= self.status_due:
+            self.status_due = now + STATUS_INTERVAL
+            publish(self.owner.announcer.status(now))
+
+    def send_starts(self) -> None:
+        """Send the starts whose assignments are durable."""
+        now = self.clock.monotonic()
+        authority = self.owner.tenure.authority
+        # The configuration may have changed while the journal was written.
+        configuration = self.owner.environment.configuration()
+        allowed = self.zone in configuration.open_zones() and bool(
+            authority.remaining(now)
+        )
+        starts = list(self.reports.starts.values())
+        self.reports.starts.clear()
+        batches: dict[ids.HostId, list[workers.Operation]] = {}
+        for command in starts:
+            if not allowed:
+                logs.emit(
+                    events.SchedulingEvent.START_WITHHELD, task=command.task
+                )
+                self.reports.return_task(command.task, command.attempt, None)
+                continue
+            if not self._current(command):
+                # It was decided meanwhile to stop it; nothing was sent.
+                self.reports.return_task(command.task, command.attempt, None)
+                continue
+            self.reports.sent[command.task] = (command.attempt, now)
+            operation = self._start_operation(command)
+            batches.setdefault(command.host, []).append(operation)
+        for host, operations in batches.items():
+            self.owner.links.send(
+                host,
+                tuple(operations),
+                boot=self.reports.seen[host][0],
+                authority_end=authority.end,
+            )
+
+    def write_records(self) -> None:
+        """Queue the record changes that are due, once a second."""
+        now = self.clock.monotonic()
+        if now < self.records_due or self.journal.pending:
+            return
+        self.records_due = now + RECORDS_INTERVAL
+        entries = self.board.forgettable()
+        if self.drain.closed:
+            entries += self.board.movable(
+                configuration=self.configuration, busy=self._busy_jobs()
+            )
+        for entry in entries:
+            self.journal.append(entry)
+        writes = self.board.due_writes(
+            configuration=self.configuration,
+            statuses=self.peers.statuses,
+            now=self.clock.now(),
+        )
+        progress = self.board.progress_write(now)
+        if progress is not None:
+            writes.append(progress)
+        for write in writes:
+            self.owner.writer.put(write)
+
+    def note_written(self, result: records.Written) -> None:
+        """Log what a record write has changed."""
+        record = result.write.record
+        if record is None:
+            return
+        job = record.spec.job
+        if record.home != self.zone:
+            logs.emit(
+                events.SchedulingEvent.JOB_MOVED, job=job, home=record.home
+            )
+        elif record.state is jobs.JobState.COMPLETED:
+            logs.emit(
+                events.SchedulingEvent.JOB_COMPLETED,
+                job=job,
+                tasks=record.spec.tasks,
+            )
+        elif record.state is jobs.JobState.CANCELLED:
+            logs.emit(events.SchedulingEvent.JOB_CANCELLED, job=job)
+
+    def _plan(
+        self, configuration: site.Configuration, now: datetime.timedelta
+    ) -> None:
+        kept = self.drain.kept_replicas(
+            self.state, configuration, self.peers.tables, now
+        )
+        moving = frozenset(self.journal.facts.moving)
+        key = (
+            configuration,
+            self.board.changes,
+            moving,
+            tuple(spec.task for spec in kept),
+        )
+        if self._planned_already(key):
+            return
+        self.planned = key
+        specs = plan.service_tasks(self.zone, configuration)
+        specs += kept
+        specs += self.board.specs()
+        for command in self.state.want(specs, self.journal.facts, now):
+            if isinstance(command, states.StopCommand):
+                self.owner.stops.add(command, now)
+        self.owner.announcer.note_tasks()
+
+    def _planned_already(self, key: tuple) -> bool:
+        if self.planned is None:
+            return False
+        # A configuration is compared by identity, since it may be large.
+        return key[0] is self.planned[0] and key[1:] == self.planned[1:]
+
+    def _begin(self) -> None:
+        self.ready = True
+        self.owner.strays.find_orphans()
+        self.owner.announcer.inherit(self.peers.tables.get(self.zone))
+        for host in self.owner.links.links:
+            self.owner.links.ask_inventory(host)
+
+    def _place(self, now: datetime.timedelta) -> None:
+        limit = self.drain.start_limit(
+            PLACEMENTS_PER_ROUND, len(self.state.usable), now
+        )
+        entries, commands, refused = self.state.decide(now, limit)
+        for entry in entries:
+            if isinstance(entry, journals.Assigned):
+                if not self.journal.facts.admits(entry.task):
+                    self._take_back(entry, now)
+                    continue
+            self.journal.append(entry)
+        for command in commands:
+            match command:
+                case states.StopCommand():
+                    self.owner.stops.add(command, now)
+                case states.StartCommand():
+                    self._note_start(command)
+        self._log_refusals(refused)
+
+    def _log_refusals(self, refused: list[outcomes.Absent]) -> None:
+        """Log why tasks wait, once for each reason."""
+        reasons = {absent.detail: absent.reason for absent in refused}
+        for task, reason in reasons.items():
+            if self.refused.get(task) is not reason:
+                logs.emit(
+                    events.SchedulingEvent.TASK_WAITS,
+                    task=task,
+                    reason=reason.value,
+                )
+        self.refused = reasons
+
+    def _take_back(
+        self, entry: journals.Assigned, now: datetime.timedelta
+    ) -> None:
+        """Undo a placement that the journal has no room for."""
+        self.state.returned(
+            entry.task, entry.attempt, checkpoint=None, now=now
+        )
+        logs.emit(
+            events.SchedulingEvent.TASK_WAITS,
+            task=entry.task,
+            reason="journal-is-full",
+        )
+
+    def _note_start(self, command: states.StartCommand) -> None:
+        if not self._current(command):
+            return
+        self.reports.starts[command.task] = command
+        logs.emit(
+            events.SchedulingEvent.TASK_PLACED,
+            task=command.task,
+            attempt=command.attempt,
+            host=command.host,
+        )
+
+    def _current(self, command: states.StartCommand) -> bool:
+        """Tell whether a start still stands for the task's present attempt."""
+        task = self.state.tasks.get(command.task)
+        return (
+            task is not None
+            and task.phase is states.Phase.ASSIGNED
+            and task.attempt == command.attempt
+            and task.host == command.host
+        )
+
+    def _start_operation(self, command: states.StartCommand) -> workers.Start:
+        task = self.state.tasks[command.task]
+        spec = task.spec
+        return workers.Start(
+            task=command.task,
+            attempt=command.attempt,
+            kind=spec.kind,
+            resources=spec.resources,
+            # The link sets it from the authority that is left when it sends.
+            not_after=datetime.timedelta(),
+            run_time=spec.run_time,
+            checkpoint=task.checkpoint,
+            slots=spec.slots,
+            connections=spec.connections,
+        )
+
+    def _busy_jobs(self) -> set[ids.JobId]:
+        return {
+            plan.job_of(name)
+            for name, task in self.state.tasks.items()
+            if task.host is not None
+            and task.spec.kind is workers.TaskKind.BATCH
+        }
--- a/src/turmerichook/_internal/scheduling/state.py
+++ b/src/turmerichook/_internal/scheduling/state.py
@@ -177,9 +177,10 @@
         now: datetime.timedelta,
     ) -> list[journal.Entry]:
         """Note that an attempt gave its result."""
-        task = self._current(name, attempt)
+        task = self._current(name, attempt) or self._lapsed(name, attempt)
         if task is None:
             return []
+        self.waiting.pop(name, None)
         self._leave_host(task)
         task.phase = Phase.FINISHED if succeeded else Phase.FAILED
         task.since = now
@@ -196,9 +197,11 @@
         now: datetime.timedelta,
     ) -> list[journal.Entry]:
         """Note that an attempt has certainly ended without a result."""
-        task = self._current(name, attempt)
+        task = self._current(name, attempt) or self._lapsed(name, attempt)
         if task is None:
             return []
+        if task.host is None and checkpoint in (None, task.checkpoint):
+            return []
         self._leave_host(task)
         task.checkpoint = checkpoint or task.checkpoint
         task.since = now
@@ -213,6 +216,15 @@
             )
         ]
 
+    def stop(self, name: ids.TaskId, now: datetime.timedelta) -> StopCommand:
+        """Begin to stop a task that has a host; batch is checkpointed."""
+        task = self.tasks[name]
+        task.phase = Phase.STOPPING
+        task.since = now
+        batch = task.spec.kind is workers.TaskKind.BATCH
+        stop = workers.Stop(task=name, attempt=task.attempt, checkpoint=batch)
+        return StopCommand(host=task.host, stop=stop)
+
     def on_host(self, host: ids.HostId) -> list[ids.TaskId]:
         """Return the tasks that run or may run on a host."""
         account = self.ledger.hosts.get(host)
@@ -253,11 +265,7 @@
             return []
         if task.phase is Phase.STOPPING or task.host is None:
             return []
-        task.phase = Phase.STOPPING
-        task.since = now
-        batch = task.spec.kind is workers.TaskKind.BATCH
-        stop = workers.Stop(task=name, attempt=task.attempt, checkpoint=batch)
-        return [StopCommand(host=task.host, stop=stop)]
+        return [self.stop(name, now)]
 
     def _assign(
         self, name: ids.TaskId, host: ids.HostId, now: datetime.timedelta
@@ -278,6 +286,16 @@
             return None
         return task
 
+    def _lapsed(self, name: ids.TaskId, attempt: ids.Attempt) -> Task | None:
+        """Return a task whose last attempt was given up and not repeated.
+
+        Its worker may still report a result or a newer checkpoint.
+        """
+        task = self.tasks.get(name)
+        if task is None or task.attempt != attempt or not attempt:
+            return None
+        return task if task.phase is Phase.WAITING else None
+
     def _leave_host(self, task: Task) -> None:
         if task.host is not None:
             self.ledger.release(task.host, task.spec.task)
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -0,0 +1,208 @@
+"""What workers report, applied to the zone's tasks and the journal."""
+
+import datetime
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import authority as authorities
+from turmerichook._internal.scheduling import events
+from turmerichook._internal.scheduling import journal as journals
+from turmerichook._internal.scheduling import journal_store
+from turmerichook._internal.scheduling import links
+from turmerichook._internal.scheduling import state as states
+from turmerichook._internal.scheduling import strays as stray_module
+
+
+class WorkerReports:
+    """Applies answers once the zone's wanted tasks are known."""
+
+    def __init__(
+        self,
+        *,
+        state: states.ZoneTasks,
+        journal: journal_store.Journal,
+        strays: stray_module.Strays,
+        clock: clocks.Clock,
+    ):
+        self.state = state
+        self.journal = journal
+        self.strays = strays
+        self.clock = clock
+        # Boot id and highest applied event of each worker that answered.
+        self.seen: dict[ids.HostId, tuple[ids.BootId, int]] = {}
+        # Events to acknowledge once the journal holds their entries.
+        self.acknowledgements: dict[ids.HostId, tuple[ids.BootId, int]] = {}
+        # Starts that wait for the journal, and those that were sent.
+        self.starts: dict[ids.TaskId, states.StartCommand] = {}
+        self.sent: dict[ids.TaskId, tuple[ids.Attempt, datetime.timedelta]]
+        self.sent = {}
+
+    def answered(self, report: links.Answered) -> None:
+        """Apply a worker's answer."""
+        host = report.host
+        answer = report.answer
+        self._usable(host)
+        boot, last = self.seen.get(host, (answer.boot, 0))
+        if boot != answer.boot:
+            last = 0
+            self.return_host(host)
+        for event in answer.events:
+            if event.sequence > last:
+                self._event(host, event)
+                last = event.sequence
+        self.seen[host] = (answer.boot, last)
+        self.acknowledgements[host] = (answer.boot, last)
+        if report.inventory:
+            self._inventory(report)
+
+    def unreachable(self, host: ids.HostId) -> None:
+        """Give a worker no new tasks until it answers."""
+        if host in self.state.usable:
+            self.state.usable.discard(host)
+            logs.emit(events.SchedulingEvent.WORKER_UNREACHABLE, host=host)
+
+    def return_host(self, host: ids.HostId) -> None:
+        """Note that nothing runs on a host any more."""
+        names = self.state.on_host(host)
+        if names:
+            logs.emit(
+                events.SchedulingEvent.WORKER_LOST, host=host, tasks=len(names)
+            )
+        for name in names:
+            task = self.state.tasks.get(name)
+            if task is not None and task.host == host:
+                self.return_task(name, task.attempt, None)
+            else:
+                self.state.ledger.release(host, name)
+        self.strays.listed(host, set())
+
+    def return_task(
+        self,
+        name: ids.TaskId,
+        attempt: ids.Attempt,
+        checkpoint: ids.CheckpointId | None,
+    ) -> None:
+        """Note that an attempt has certainly ended without a result."""
+        if checkpoint and len(checkpoint) > journals.CHECKPOINT_BYTES:
+            logs.emit(
+                events.SchedulingEvent.CHECKPOINT_TOO_LONG,
+                task=name,
+                attempt=attempt,
+            )
+            checkpoint = None
+        entries = self.state.returned(
+            name, attempt, checkpoint=checkpoint, now=self.clock.monotonic()
+        )
+        self._append(entries)
+        if entries:
+            self._forget_start(name, attempt)
+            logs.emit(
+                events.SchedulingEvent.TASK_RETURNED,
+                task=name,
+                attempt=attempt,
+                checkpoint=checkpoint,
+            )
+
+    def doubtful_hosts(self, now: datetime.timedelta) -> set[ids.HostId]:
+        """Return the hosts whose inventory must show the fate of a start."""
+        found = set()
+        for name, (attempt, sent) in list(self.sent.items()):
+            task = self.state.tasks.get(name)
+            current = (
+                task is not None
+                and task.attempt == attempt
+                and task.phase is states.Phase.ASSIGNED
+            )
+            if not current:
+                del self.sent[name]
+            elif now - sent > authorities.START_FATE_KNOWN:
+                found.add(task.host)
+        return found
+
+    def _usable(self, host: ids.HostId) -> None:
+        known = self.state.hosts.get(host)
+        if known is None or known.state is not hosts.HostState.LIVE:
+            return
+        if host not in self.state.usable:
+            self.state.usable.add(host)
+            logs.emit(events.SchedulingEvent.WORKER_RETURNED, host=host)
+
+    def _event(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        match event.state:
+            case workers.TaskState.RUNNING:
+                if self.state.running(
+                    event.task, event.attempt, event.address
+                ):
+                    logs.emit(
+                        events.SchedulingEvent.TASK_RUNNING,
+                        task=event.task,
+                        attempt=event.attempt,
+                    )
+            case workers.TaskState.FINISHED:
+                self._finished(host, event)
+            case _:
+                self._returned(host, event)
+
+    def _finished(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        entries = self.state.ended(
+            event.task,
+            event.attempt,
+            succeeded=True,
+            now=self.clock.monotonic(),
+        )
+        self._append(entries)
+        self.strays.ended(host, event.task, event.attempt, None, finished=True)
+
+    def _returned(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        self.return_task(event.task, event.attempt, event.checkpoint)
+        self.strays.ended(host, event.task, event.attempt, event.checkpoint)
+
+    def _inventory(self, report: links.Answered) -> None:
+        host = report.host
+        running = {
+            (item.task, item.attempt): item for item in report.answer.running
+        }
+        for name in self.state.on_host(host):
+            task = self.state.tasks.get(name)
+            if task is None or task.host != host:
+                continue
+            item = running.pop((name, task.attempt), None)
+            if item is not None:
+                self.state.running(name, item.attempt, item.address)
+            elif self._never_ran(name, task, report.sent):
+                self.return_task(name, task.attempt, None)
+        self.strays.listed(host, set(running))
+        for item in running.values():
+            self.strays.running(host, item, self.clock.monotonic())
+
+    def _never_ran(
+        self,
+        name: ids.TaskId,
+        task: states.Task,
+        asked: datetime.timedelta,
+    ) -> bool:
+        """Tell whether an attempt missing from an inventory cannot run.
+
+        A start of a former owner is refused by the worker once it has
+        answered this owner. This owner's start may still be on its way
+        until ``not_after`` has passed, so the inventory must have been
+        asked for later than that.
+        """
+        if name in self.starts:
+            return False
+        attempt, sent = self.sent.get(name, (None, None))
+        if attempt != task.attempt:
+            return True
+        return asked - sent > authorities.START_FATE_KNOWN
+
+    def _forget_start(self, name: ids.TaskId, attempt: ids.Attempt) -> None:
+        command = self.starts.get(name)
+        if command is not None and command.attempt == attempt:
+            del self.starts[name]
+
+    def _append(self, entries: list[journals.Entry]) -> None:
+        for entry in entries:
+            self.journal.append(entry)
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -157,6 +157,12 @@
     exit_status = EXIT_CONFLICT
 
 
+class JournalUnreadableError(TurmerichookError):
+    """A zone's journal is damaged or from a newer version of the product."""
+
+    reference = "journal-unreadable"
+
+
 class HostListUnavailableError(TurmerichookError):
     """The platform's host list gave no answer."""
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -147,7 +147,11 @@
         return 200, {}
 
     async def _range(self, query: dict) -> tuple[int, dict]:
-        listing = await self.store.list(query["prefix"][0])
+        listing = await self.store.list(
+            query["prefix"][0],
+            start=query.get("start", [""])[0],
+            limit=int(query.get("limit", ["0"])[0]),
+        )
         return 200, {
             "revision": listing.revision,
             "entries": [_encode(entry) for entry in listing.entries],
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -98,6 +98,8 @@
 
     async def sync(self, request: workers.SyncRequest) -> workers.SyncAnswer:
         """Apply a request and return what has happened."""
+        # A renewal must not revive a lease that lapsed before it arrived.
+        await self._expire_leases()
         if request.boot == self.boot:
             self.events = [
                 e for e in self.events if e.sequence > request.acknowledged
@@ -126,10 +128,13 @@
         """Stop tasks whose lease has lapsed."""
         while True:
             await self.clock.sleep(LEASE_CHECK)
-            now = self.clock.monotonic()
-            for name, attempt in list(self.running.items()):
-                if attempt.lease_until < now:
-                    await self._stop(name, "lease lapsed", checkpoint=True)
+            await self._expire_leases()
+
+    async def _expire_leases(self) -> None:
+        now = self.clock.monotonic()
+        for name, attempt in list(self.running.items()):
+            if attempt.lease_until < now and name in self.running:
+                await self._stop(name, "lease lapsed", checkpoint=True)
 
     def _inventory(self) -> tuple[workers.RunningTask, ...]:
         return tuple(
