--- a/src/turmerichook/_internal/metrics/timed_store.py
+++ b/src/turmerichook/_internal/metrics/timed_store.py
@@ -36,8 +36,11 @@
     async def delete(self, key: str, *, expect: ids.Version) -> None:
         await self._timed("delete", self.store.delete(key, expect=expect))
 
-    async def list(self, prefix: str) -> stores.Listing:
-        return await self._timed("list", self.store.list(prefix))
+    async def list(
+        self, prefix: str, *, start: str = "", limit: int = 0
+    ) -> stores.Listing:
+        listing = self.store.list(prefix, start=start, limit=limit)
+        return await self._timed("list", listing)
 
     async def watch(
         self,
