Decide placements by lanes, an index of room and fair shares

Each round rebuilt the wanted tasks of all jobs, sorted all waiting tasks, scanned all hosts for each of them and logged each refusal again. Waiting tasks are now groups in lanes of equal amounts, hosts are found through a tree of free room, and a round without changes ends at once. Teams get weighted fair shares and quotas, urgent tasks reserve room and preempt batch tasks, a failing task is retried after a growing delay, and jobs that fail everywhere or pass their deadline fail for good. Placements log what they were chosen from, and waits are logged when their reason changes.

--- a/src/turmerichook/_internal/configuration/schema.py
+++ b/src/turmerichook/_internal/configuration/schema.py
@@ -19,6 +19,8 @@
 MILLICORES_PER_CORE = 1000
 MIB_PER_GIB = 1024
 UNLIMITED = float("inf")
+# A year in seconds; longer run times and deadlines are mistakes.
+LONGEST_S = 366 * 24 * 3600
 
 ZONE_KEYS = frozenset({"region", "state"})
 TEAM_KEYS = frozenset({"quota", "weight"})
@@ -31,7 +33,15 @@
     "connections",
     "urgency",
 }
-JOB_KEYS = AMOUNT_KEYS | {"team", "tasks", "run_time_s", "zones", "urgency"}
+JOB_KEYS = AMOUNT_KEYS | {
+    "team",
+    "tasks",
+    "run_time_s",
+    "zones",
+    "urgency",
+    "start_by_s",
+    "deadline_s",
+}
 SITE_KEYS = frozenset({"name", "spread", "pack"})
 TOP_KEYS = frozenset({"site", "zones", "teams", "services", "jobs"})
 
@@ -286,7 +296,7 @@
 
 def _job(checker: Checker, name: str, table: dict, where: str) -> site.Job:
     checker.keys(table, JOB_KEYS, where)
-    seconds = checker.number(table, "run_time_s", where, 60.0)
+    seconds = checker.number(table, "run_time_s", where, 60.0, high=LONGEST_S)
     zones = checker.names(table, "zones", where)
     return site.Job(
         job=ids.JobId(name),
@@ -296,9 +306,20 @@
         run_time=datetime.timedelta(seconds=seconds),
         zones=tuple(ids.ZoneId(zone) for zone in zones),
         urgency=checker.choice(table, "urgency", where, site.Urgency.NORMAL),
+        start_by=_interval(checker, table, "start_by_s", where),
+        deadline=_interval(checker, table, "deadline_s", where),
     )
 
 
+def _interval(
+    checker: Checker, table: dict, key: str, where: str
+) -> datetime.timedelta | None:
+    if key not in table:
+        return None
+    seconds = checker.number(table, key, where, 1.0, low=1.0, high=LONGEST_S)
+    return datetime.timedelta(seconds=seconds)
+
+
 def _amount(checker: Checker, table: dict, where: str) -> resources.Resources:
     cores = checker.number(table, "cores", where, 0.0, high=1e6)
     gib = checker.number(table, "memory_gib", where, 0.0, high=1e6)
--- a/src/turmerichook/_internal/models/resources.py
+++ b/src/turmerichook/_internal/models/resources.py
@@ -32,6 +32,26 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def lesser(self, other: "Resources") -> "Resources":
+        """Return the smaller amount of each resource."""
+        return Resources(
+            millicores=min(self.millicores, other.millicores),
+            memory_mib=min(self.memory_mib, other.memory_mib),
+            accelerators=min(self.accelerators, other.accelerators),
+        )
+
+    def greater(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each resource."""
+        return Resources(
+            millicores=max(self.millicores, other.millicores),
+            memory_mib=max(self.memory_mib, other.memory_mib),
+            accelerators=max(self.accelerators, other.accelerators),
+        )
+
+    def at_least_nothing(self) -> "Resources":
+        """Return the amounts with negative ones raised to zero."""
+        return self.greater(NOTHING)
+
     def fits(self, capacity: "Resources") -> bool:
         """Tell whether no amount exceeds that of ``capacity``."""
         return (
@@ -40,6 +60,13 @@
             and self.accelerators <= capacity.accelerators
         )
 
+    def text(self) -> str:
+        """Return a short form for people."""
+        parts = [f"{self.millicores}m", f"{self.memory_mib}MiB"]
+        if self.accelerators:
+            parts.append(f"{self.accelerators}acc")
+        return "/".join(parts)
+
     def to_map(self) -> dict[str, int]:
         """Return the form used in stored values and messages."""
         return {
--- a/src/turmerichook/_internal/models/site.py
+++ b/src/turmerichook/_internal/models/site.py
@@ -73,6 +73,9 @@
     :param tasks: number of tasks.
     :param run_time: declared run time of one task.
     :param zones: allowed zones; empty for all.
+    :param start_by: time after acceptance by which tasks should start; it
+        orders the jobs of one team.
+    :param deadline: time after acceptance at which an unfinished job fails.
     """
 
     job: ids.JobId
@@ -82,6 +85,8 @@
     run_time: datetime.timedelta
     zones: tuple[ids.ZoneId, ...] = ()
     urgency: Urgency = Urgency.NORMAL
+    start_by: datetime.timedelta | None = None
+    deadline: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/turmerichook/_internal/outcomes.py
+++ b/src/turmerichook/_internal/outcomes.py
@@ -20,6 +20,13 @@
     NO_START_AUTHORITY = "no-start-authority"
     NOT_YET_KNOWN = "not-yet-known"
     QUOTA_REACHED = "team-quota-reached"
+    QUOTA_TOO_SMALL = "larger-than-team-quota-in-zone"
+    NO_ACCELERATORS = "no-worker-with-accelerators"
+    BEHIND_OTHERS = "behind-others-in-queue"
+    RETRY_DELAYED = "delayed-after-failures"
+    ROOM_BEING_FREED = "room-being-freed"
+    FAILS_EVERYWHERE = "fails-everywhere"
+    DEADLINE_PASSED = "deadline-passed"
     PLACEMENT_UNKNOWN = "placement-unknown"
 
 
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/commitments.py
@@ -0,0 +1,191 @@
+"""A zone's task records, their queue, and the room that is kept for them."""
+
+import collections.abc
+import datetime
+import random
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import ledger as ledgers
+from turmerichook._internal.scheduling import placement
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import queues
+from turmerichook._internal.scheduling import quotas
+from turmerichook._internal.scheduling import tasks as records
+
+Phase = records.Phase
+
+# A stop whose message may have been lost is sent again after this time.
+STOP_INTERVAL = datetime.timedelta(seconds=2)
+
+
+def no_cost(work: plan.Workload, host: ids.HostId) -> float:
+    """Return the deduction of a site that measures no interference."""
+    return 0.0
+
+
+class Commitments:
+    """Records of a zone's tasks and every change of their commitments.
+
+    :param generator: source of the random numbers of all decisions.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: ids.ZoneId = ids.ZoneId(""),
+        generator: random.Random | None = None,
+    ):
+        self.zone = zone
+        self.generator = generator or random.Random(0)
+        self.tasks: dict[ids.TaskId, records.Task] = {}
+        self.groups: dict[str, queues.Group] = {}
+        self.queue = queues.Queue()
+        self.ledger = ledgers.Ledger()
+        self.teams = quotas.Teams()
+        self.replicas = placement.Replicas()
+        self.hosts: dict[ids.HostId, hosts.Host] = {}
+        # Hosts that answer and are not leaving.
+        self.usable = self.ledger.usable
+        # Capacities of the live hosts; what exceeds all of them never fits.
+        self.capacities: frozenset[resources.Resources] = frozenset()
+        self.weights = site.Weights()
+        self.open = False
+        # Deduction from the score of a host for a workload.
+        self.cost: collections.abc.Callable[
+            [plan.Workload, ids.HostId], float
+        ] = no_cost
+        # Amounts for which no host has room until something is released.
+        self.blocked: set[resources.Resources] = set()
+        self.releases = 0
+        self.sequence = 0
+        self.reserved: dict[ids.TaskId, None] = {}
+        self.stopping: dict[ids.TaskId, datetime.timedelta] = {}
+        self.delayed: list[tuple[datetime.timedelta, ids.TaskId]] = []
+        self.deadlines: list[tuple[datetime.timedelta, str]] = []
+        # Jobs whose tasks have all succeeded, and jobs that have failed for
+        # good, until they are withdrawn.
+        self.completed: dict[ids.JobId, None] = {}
+        self.failed: dict[ids.JobId, outcomes.Absent] = {}
+
+    def assign(
+        self,
+        group: queues.Group,
+        number: int,
+        host: ids.HostId,
+        now: datetime.timedelta,
+    ) -> records.StartCommand:
+        """Commit the room for the next attempt of a task."""
+        task = self.record(group, number, now)
+        name = task.spec.task
+        if task.phase is Phase.RESERVED:
+            if task.host != host:
+                self.ledger.drop_hold(task.host, name)
+            self.teams.give_back(task.spec.team, task.amount)
+            del self.reserved[name]
+        self.ledger.commit(host, name, group.amount)
+        self.teams.use(group.work.team, group.amount)
+        if group.work.kind is workers.TaskKind.SERVICE:
+            self.replicas.add(plan.service_of(name), host, 1)
+        task.phase = Phase.ASSIGNED
+        task.since = task.saved = now
+        task.host = host
+        task.amount = group.amount
+        task.address = ""
+        task.due = None
+        task.attempt = ids.Attempt(task.attempt + 1)
+        return records.StartCommand(
+            task=name, host=host, attempt=task.attempt, amount=task.amount
+        )
+
+    def reserve(
+        self,
+        group: queues.Group,
+        number: int,
+        host: ids.HostId,
+        now: datetime.timedelta,
+    ) -> None:
+        """Keep room on a host for a task as it becomes free."""
+        task = self.record(group, number, now)
+        task.phase = Phase.RESERVED
+        task.since = now
+        task.host = host
+        task.amount = group.amount
+        self.ledger.hold(host, task.spec.task, group.amount)
+        self.teams.use(group.work.team, group.amount)
+        self.reserved[task.spec.task] = None
+
+    def unreserve(self, task: records.Task, now: datetime.timedelta) -> None:
+        """Give up the room that is kept for a task."""
+        name = task.spec.task
+        self.ledger.drop_hold(task.host, name)
+        self.teams.give_back(task.spec.team, task.amount)
+        del self.reserved[name]
+        task.phase = Phase.WAITING
+        task.since = now
+        task.host = None
+
+    def stop(
+        self, task: records.Task, now: datetime.timedelta
+    ) -> records.StopCommand:
+        """Ask for the end of an attempt; batch tasks are checkpointed."""
+        task.phase = Phase.STOPPING
+        task.since = now
+        self.stopping[task.spec.task] = now
+        return self.stop_command(task)
+
+    def stop_command(self, task: records.Task) -> records.StopCommand:
+        """Return the message that stops a task's attempt."""
+        batch = task.spec.kind is workers.TaskKind.BATCH
+        stop = workers.Stop(
+            task=task.spec.task, attempt=task.attempt, checkpoint=batch
+        )
+        return records.StopCommand(host=task.host, stop=stop)
+
+    def overdue_stops(
+        self, now: datetime.timedelta
+    ) -> list[records.StopCommand]:
+        """Return the stops to send again."""
+        commands = []
+        for name, sent in self.stopping.items():
+            if now - sent >= STOP_INTERVAL:
+                self.stopping[name] = now
+                commands.append(self.stop_command(self.tasks[name]))
+        return commands
+
+    def record(
+        self, group: queues.Group, number: int, now: datetime.timedelta
+    ) -> records.Task:
+        """Return the record of a task; a new one if it never started."""
+        name = group.work.name(number)
+        task = self.tasks.get(name)
+        if task is None:
+            task = records.Task(
+                spec=group.work.task(number),
+                phase=Phase.WAITING,
+                since=now,
+                amount=group.amount,
+            )
+            self.tasks[name] = task
+            group.active.add(number)
+        return task
+
+    def leave_host(self, task: records.Task) -> None:
+        """Release what an attempt has committed."""
+        name = task.spec.task
+        self.ledger.release(task.host, name)
+        self.teams.give_back(task.spec.team, task.amount)
+        self.stopping.pop(name, None)
+        if task.spec.kind is workers.TaskKind.SERVICE:
+            self.replicas.add(plan.service_of(name), task.host, -1)
+        task.host = None
+        task.address = ""
+
+    def requeue(self, group: queues.Group, number: int) -> None:
+        """Let a task wait before those of its group that never started."""
+        group.again.append(number)
+        self.queue.put(group)
--- a/src/turmerichook/_internal/scheduling/events.py
+++ b/src/turmerichook/_internal/scheduling/events.py
@@ -11,10 +11,10 @@
         level=events.Level.INFO,
         summary="a task is assigned to a worker",
     )
-    TASK_WAITS = events.Event(
+    TASKS_WAIT = events.Event(
         number=5002,
         level=events.Level.INFO,
-        summary="a task cannot be placed now",
+        summary="tasks of a workload cannot be placed for a new reason",
     )
     TASK_RUNNING = events.Event(
         number=5003,
@@ -36,6 +36,11 @@
         level=events.Level.WARNING,
         summary="a start was not sent because the authority has lapsed",
     )
+    ROOM_RESERVED = events.Event(
+        number=5007,
+        level=events.Level.INFO,
+        summary="batch tasks are stopped to make room for an urgent task",
+    )
     OWNERSHIP_GAINED = events.Event(
         number=5010,
         level=events.Level.INFO,
@@ -76,6 +81,11 @@
         level=events.Level.INFO,
         summary="all tasks of a job have finished",
     )
+    JOB_FAILED = events.Event(
+        number=5033,
+        level=events.Level.WARNING,
+        summary="a job has failed for good",
+    )
     JOBS_UNREADABLE = events.Event(
         number=5031,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/scheduling/jobs.py
+++ b/src/turmerichook/_internal/scheduling/jobs.py
@@ -62,6 +62,8 @@
             "run_time": spec.run_time.total_seconds(),
             "zones": list(spec.zones),
             "urgency": spec.urgency.value,
+            "start_by": _seconds(spec.start_by),
+            "deadline": _seconds(spec.deadline),
             "home": record.home,
             "state": record.state.value,
             "operation": record.operation,
@@ -104,6 +106,9 @@
         run_time=datetime.timedelta(seconds=fields["run_time"]),
         zones=tuple(ids.ZoneId(zone) for zone in fields["zones"]),
         urgency=site.Urgency(fields["urgency"]),
+        # Records of earlier versions do not have the next two.
+        start_by=_interval(fields.get("start_by")),
+        deadline=_interval(fields.get("deadline")),
     )
     return JobRecord(
         spec=spec,
@@ -113,3 +118,11 @@
         accepted=fields["accepted"],
         detail=fields["detail"],
     )
+
+
+def _seconds(interval: datetime.timedelta | None) -> float | None:
+    return None if interval is None else interval.total_seconds()
+
+
+def _interval(seconds: float | None) -> datetime.timedelta | None:
+    return None if seconds is None else datetime.timedelta(seconds=seconds)
--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -10,12 +10,14 @@
 import collections.abc
 import dataclasses
 import datetime
+import random
 import uuid
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
 from turmerichook._internal.platform import hosts
 from turmerichook._internal.platform import store as stores
 from turmerichook._internal.platform import workers
@@ -27,6 +29,7 @@
 from turmerichook._internal.scheduling import messages
 from turmerichook._internal.scheduling import ownership
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import rounds
 from turmerichook._internal.scheduling import state as states
 from turmerichook import exceptions
 
@@ -98,7 +101,15 @@
         self.journal = journals.Journal(
             zone=self.zone, epoch=self.epoch, store=store
         )
-        self.state = states.ZoneTasks()
+        # Seeded by zone and epoch, so that the draws can be made again.
+        self.state = states.ZoneTasks(
+            zone=self.zone,
+            generator=random.Random(f"{self.zone}/{self.epoch}"),
+        )
+        self.planned: site.Configuration | None = None
+        self.services: set[str] = set()
+        # Jobs whose record has changed since the last round.
+        self.changed_jobs: dict[ids.JobId, None] = {}
         self.links: dict[ids.HostId, links.WorkerLink] = {}
         self.link_tasks: dict[ids.HostId, asyncio.Task] = {}
         self.jobs: dict[ids.JobId, JobEntry] = {}
@@ -200,7 +211,7 @@
         match event.state:
             case workers.TaskState.RUNNING:
                 if self.state.running(
-                    event.task, event.attempt, event.address
+                    event.task, event.attempt, event.address, now
                 ):
                     logs.emit(
                         events.SchedulingEvent.TASK_RUNNING,
@@ -216,7 +227,11 @@
             case workers.TaskState.FAILED:
                 self._journal(
                     self.state.returned(
-                        event.task, event.attempt, checkpoint=None, now=now
+                        event.task,
+                        event.attempt,
+                        checkpoint=None,
+                        now=now,
+                        failed=True,
                     )
                 )
             case workers.TaskState.STOPPED | workers.TaskState.REFUSED:
@@ -233,7 +248,7 @@
                 continue
             item = running.get(name)
             if item is not None and item.attempt == task.attempt:
-                self.state.running(name, item.attempt, item.address)
+                self.state.running(name, item.attempt, item.address, now)
             elif now - task.since > START_FATE_KNOWN:
                 self._return(name, task.attempt, None)
 
@@ -290,11 +305,13 @@
         self.jobs_known = True
         for record, version in message.records:
             job = record.spec.job
+            self.changed_jobs[job] = None
             if record.home == self.zone:
                 self.jobs[job] = JobEntry(record=record, version=version)
             else:
                 self.jobs.pop(job, None)
         for job in message.removed:
+            self.changed_jobs[job] = None
             self.jobs.pop(job, None)
 
     # Decisions
@@ -302,7 +319,6 @@
     def _plan(self) -> None:
         configuration = self.configuration()
         zone = configuration.zones.get(self.zone)
-        self.state.weights = configuration.weights
         self.state.open = (
             zone is not None
             and zone.state is site.ZoneState.IN
@@ -310,40 +326,58 @@
         )
         if not self.jobs_known or zone is None:
             return
-        specs = plan.service_tasks(self.zone, configuration)
-        for entry in self.jobs.values():
-            if entry.record.state is jobs.JobState.ACCEPTED:
-                specs += plan.job_tasks(entry.record.spec)
-        commands = self.state.want(
-            specs, self.journal.facts, self.clock.monotonic()
-        )
-        for command in commands:
-            if isinstance(command, states.StopCommand):
-                self._send(command.host, (command.stop,))
+        stops: list[states.StopCommand] = []
+        if configuration is not self.planned:
+            self.planned = configuration
+            self.state.configure(configuration)
+            stops += self._plan_services(configuration)
+        for job in self.changed_jobs:
+            stops += self._plan_job(job)
+        self.changed_jobs.clear()
+        for command in stops:
+            self._send(command.host, (command.stop,))
+
+    def _plan_services(
+        self, configuration: site.Configuration
+    ) -> list[states.StopCommand]:
+        now = self.clock.monotonic()
+        former = self.services
+        work = plan.service_work(self.zone, configuration)
+        self.services = {service.key for service in work}
+        stops: list[states.StopCommand] = []
+        for key in sorted(former - self.services):
+            stops += self.state.withdraw(key, now)
+        for service in work:
+            stops += self.state.submit(service, self.journal.facts, now)
+        return stops
+
+    def _plan_job(self, job: ids.JobId) -> list[states.StopCommand]:
+        now = self.clock.monotonic()
+        entry = self.jobs.get(job)
+        if entry is None or entry.record.state is not jobs.JobState.ACCEPTED:
+            return self.state.withdraw(f"job/{job}", now)
+        record = entry.record
+        accepted = datetime.datetime.fromisoformat(record.accepted)
+        work = plan.job_work(record.spec, now - (self.clock.now() - accepted))
+        return self.state.submit(work, self.journal.facts, now)
 
     def _decide(self) -> None:
         now = self.clock.monotonic()
         if not self.tenure.authority.remaining(now):
             return
-        entries, commands, refused = self.state.decide(
-            now, PLACEMENTS_PER_ROUND
-        )
-        self._journal(entries)
-        for command in commands:
-            if isinstance(command, states.StartCommand):
-                self.starts.append(command)
-                logs.emit(
-                    events.SchedulingEvent.TASK_PLACED,
-                    task=command.task,
-                    attempt=command.attempt,
-                    host=command.host,
-                )
-        for absent in refused:
+        done = rounds.decide(self.state, now, PLACEMENTS_PER_ROUND)
+        self._journal(done.entries)
+        self.starts += done.starts
+        for command in done.stops:
+            self._send(command.host, (command.stop,))
+        for placed in done.placements:
+            logs.emit(events.SchedulingEvent.TASK_PLACED, **placed.fields())
+        for preempted in done.preemptions:
             logs.emit(
-                events.SchedulingEvent.TASK_WAITS,
-                task=absent.detail,
-                reason=absent.reason.value,
+                events.SchedulingEvent.ROOM_RESERVED, **preempted.fields()
             )
+        for wait in done.waits:
+            logs.emit(events.SchedulingEvent.TASKS_WAIT, **wait.fields())
 
     def _journal(self, entries: list[journals.Entry]) -> None:
         for entry in entries:
@@ -424,7 +458,7 @@
             task=command.task,
             attempt=command.attempt,
             kind=spec.kind,
-            resources=spec.resources,
+            resources=command.amount,
             not_after=self.links[command.host].reading_after(left),
             run_time=spec.run_time,
             checkpoint=task.checkpoint,
@@ -440,16 +474,48 @@
             asyncio.create_task(link.sync(operations=operations))
 
     async def _complete_jobs(self) -> None:
-        for job, entry in list(self.jobs.items()):
-            if entry.record.state is not jobs.JobState.ACCEPTED:
+        facts = self.journal.facts
+        for job in list(self.state.completed):
+            entry = self.jobs.get(job)
+            if entry is None:
                 continue
-            names = [t.task for t in plan.job_tasks(entry.record.spec)]
-            facts = self.journal.facts
+            names = plan.task_names(entry.record.spec)
+            # The last results may not be durable yet.
             if all(
                 name in facts and facts[name].succeeded is not None
                 for name in names
             ):
                 await self._complete(job, entry, names)
+        for job, fault in list(self.state.failed.items()):
+            entry = self.jobs.get(job)
+            if entry is not None:
+                await self._fail(job, entry, fault)
+
+    async def _fail(
+        self, job: ids.JobId, entry: JobEntry, fault: outcomes.Absent
+    ) -> None:
+        record = dataclasses.replace(
+            entry.record,
+            state=jobs.JobState.FAILED,
+            operation=ids.OperationId(uuid.uuid4().hex),
+            detail=f"{fault.reason.value}: {fault.detail}",
+        )
+        try:
+            version = await self.store.put(
+                jobs.key_of(job), jobs.pack(record), expect=entry.version
+            )
+        except exceptions.StoreError:
+            # The job watch brings the newest record; then it is tried again.
+            return
+        self.jobs[job] = JobEntry(record=record, version=version)
+        self.changed_jobs[job] = None
+        self.state.failed.pop(job, None)
+        logs.emit(
+            events.SchedulingEvent.JOB_FAILED,
+            job=job,
+            reason=fault.reason.value,
+            detail=repr(fault.detail),
+        )
 
     async def _complete(
         self, job: ids.JobId, entry: JobEntry, names: list[ids.TaskId]
@@ -467,6 +533,8 @@
             # The job watch brings the newest record; then it is tried again.
             return
         self.jobs[job] = JobEntry(record=record, version=version)
+        self.changed_jobs[job] = None
+        self.state.completed.pop(job, None)
         for name in names:
             self.journal.append(journals.Forgotten(task=name))
         logs.emit(
--- a/src/turmerichook/_internal/scheduling/plan.py
+++ b/src/turmerichook/_internal/scheduling/plan.py
@@ -44,45 +44,110 @@
     return each + (1 if allowed.index(zone) < rest else 0)
 
 
-def service_tasks(
-    zone: ids.ZoneId, configuration: site.Configuration
-) -> list[TaskSpec]:
-    """Return the replicas that belong in a zone."""
-    return [
-        TaskSpec(
-            task=ids.TaskId(f"service/{service.service}/{zone}/{number}"),
-            kind=workers.TaskKind.SERVICE,
-            team=service.team,
-            resources=service.resources,
-            urgency=service.urgency,
-            slots=service.slots,
-            connections=service.connections,
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Workload:
+    """Equal tasks: a job, or the replicas of a service in a zone.
+
+    :param key: start of the tasks' ids.
+    :param count: number of tasks.
+    :param zones: allowed zones; empty for all.
+    :param start_by: monotonic time by which the tasks should start, None
+        where none is declared.
+    :param deadline: monotonic time after which the work is of no use.
+    """
+
+    key: str
+    kind: workers.TaskKind
+    team: ids.TeamId
+    resources: resources.Resources
+    urgency: site.Urgency
+    count: int
+    zones: tuple[ids.ZoneId, ...] = ()
+    run_time: datetime.timedelta = datetime.timedelta()
+    slots: int = 0
+    connections: int = 0
+    start_by: datetime.timedelta | None = None
+    deadline: datetime.timedelta | None = None
+
+    def name(self, number: int) -> ids.TaskId:
+        """Return the id of one task."""
+        return ids.TaskId(f"{self.key}/{number}")
+
+    def task(self, number: int) -> TaskSpec:
+        """Return one task."""
+        return TaskSpec(
+            task=self.name(number),
+            kind=self.kind,
+            team=self.team,
+            resources=self.resources,
+            urgency=self.urgency,
+            run_time=self.run_time,
+            slots=self.slots,
+            connections=self.connections,
         )
-        for service in configuration.services.values()
-        for number in range(replicas_in(service, zone, configuration))
-    ]
 
 
-def job_tasks(job: site.Job) -> list[TaskSpec]:
-    """Return the tasks of a job."""
+def service_work(
+    zone: ids.ZoneId, configuration: site.Configuration
+) -> list[Workload]:
+    """Return the services that have replicas in a zone."""
+    work = []
+    for service in configuration.services.values():
+        count = replicas_in(service, zone, configuration)
+        if count:
+            work.append(
+                Workload(
+                    key=f"service/{service.service}/{zone}",
+                    kind=workers.TaskKind.SERVICE,
+                    team=service.team,
+                    resources=service.resources,
+                    urgency=service.urgency,
+                    count=count,
+                    slots=service.slots,
+                    connections=service.connections,
+                )
+            )
+    return work
+
+
+def job_work(job: site.Job, accepted: datetime.timedelta) -> Workload:
+    """Return the work of a job.
+
+    :param accepted: monotonic time at which the job was accepted; negative
+        if that was before the clock began.
+    """
+    return Workload(
+        key=f"job/{job.job}",
+        kind=workers.TaskKind.BATCH,
+        team=job.team,
+        resources=job.resources,
+        urgency=job.urgency,
+        count=job.tasks,
+        zones=job.zones,
+        run_time=job.run_time,
+        start_by=None if job.start_by is None else accepted + job.start_by,
+        deadline=None if job.deadline is None else accepted + job.deadline,
+    )
+
+
+def task_names(job: site.Job) -> list[ids.TaskId]:
+    """Return the ids of a job's tasks."""
     return [
-        TaskSpec(
-            task=ids.TaskId(f"job/{job.job}/{number}"),
-            kind=workers.TaskKind.BATCH,
-            team=job.team,
-            resources=job.resources,
-            urgency=job.urgency,
-            run_time=job.run_time,
-        )
-        for number in range(job.tasks)
+        ids.TaskId(f"job/{job.job}/{number}") for number in range(job.tasks)
     ]
 
 
+def split(task: ids.TaskId) -> tuple[str, int]:
+    """Return the workload's key and the number of a task."""
+    key, _, number = task.rpartition("/")
+    return key, int(number)
+
+
 def job_of(task: ids.TaskId) -> ids.JobId:
-    """Return the job of a batch task."""
+    """Return the job of a batch task or its workload."""
     return ids.JobId(task.split("/")[1])
 
 
 def service_of(task: ids.TaskId) -> ids.ServiceId:
-    """Return the service of a service task."""
+    """Return the service of a service task or its workload."""
     return ids.ServiceId(task.split("/")[1])
--- a/src/turmerichook/_internal/scheduling/state.py
+++ b/src/turmerichook/_internal/scheduling/state.py
@@ -2,172 +2,65 @@
 
 The module does no I/O. Events come in, journal entries and commands go out;
 the owner makes the entries durable before it carries out the commands.
+Decisions about waiting tasks are in ``rounds``.
 """
 
-import dataclasses
 import datetime
-import enum
+import heapq
 
 from turmerichook._internal.models import ids
-from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import hosts
 from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import journal
-from turmerichook._internal.scheduling import ledger as ledgers
-from turmerichook._internal.scheduling import placement
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import queues
+from turmerichook._internal.scheduling import retries
+from turmerichook._internal.scheduling import tasks as records
+from turmerichook._internal.scheduling import workloads
 
+Phase = records.Phase
+Task = records.Task
+StartCommand = records.StartCommand
+StopCommand = records.StopCommand
 
-class Phase(enum.Enum):
-    """Phase of a task in its zone."""
+ON_HOST = (Phase.ASSIGNED, Phase.RUNNING, Phase.STOPPING)
 
-    WAITING = "waiting"
-    # Assigned in the journal; whether it runs is not yet known.
-    ASSIGNED = "assigned"
-    RUNNING = "running"
-    STOPPING = "stopping"
-    FINISHED = "finished"
-    FAILED = "failed"
 
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Task:
-    """A task that the zone should run or may be running.
-
-    :param wanted: whether the plan still holds the task.
-    :param since: monotonic time at which the task entered its phase.
-    """
-
-    spec: plan.TaskSpec
-    phase: Phase
-    since: datetime.timedelta
-    attempt: ids.Attempt = ids.Attempt(0)
-    host: ids.HostId | None = None
-    checkpoint: ids.CheckpointId | None = None
-    address: str = ""
-    wanted: bool = True
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StartCommand:
-    """Send a start once its assignment is durable."""
-
-    task: ids.TaskId
-    host: ids.HostId
-    attempt: ids.Attempt
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StopCommand:
-    """Ask a worker to stop an attempt."""
-
-    host: ids.HostId
-    stop: workers.Stop
-
-
-Command = StartCommand | StopCommand
-
-URGENCY_RANK = {
-    site.Urgency.URGENT: 0,
-    site.Urgency.NORMAL: 1,
-    site.Urgency.DEFERRABLE: 2,
-}
-
-
-class ZoneTasks:
+class ZoneTasks(workloads.Workloads):
     """All tasks of a zone with the ledger of their commitments."""
 
-    def __init__(self):
-        self.tasks: dict[ids.TaskId, Task] = {}
-        self.waiting: dict[ids.TaskId, None] = {}
-        self.ledger = ledgers.Ledger()
-        self.hosts: dict[ids.HostId, hosts.Host] = {}
-        # Hosts that answer and are not leaving.
-        self.usable: set[ids.HostId] = set()
-        self.weights = site.Weights()
-        self.open = False
-
-    def set_hosts(self, listing: tuple[hosts.Host, ...]) -> None:
-        """Take over the host list."""
-        self.hosts = {host.host: host for host in listing}
-        for host in listing:
-            self.ledger.set_capacity(host.host, host.capacity)
-
-    def want(
-        self,
-        specs: list[plan.TaskSpec],
-        facts: journal.Facts,
-        now: datetime.timedelta,
-    ) -> list[Command]:
-        """Make the plan's tasks the wanted ones.
-
-        :param facts: what the journal knows, for tasks seen first.
-        :returns: stops of tasks that are no longer wanted.
-        """
-        names = {spec.task for spec in specs}
-        for spec in specs:
-            task = self.tasks.get(spec.task)
-            if task is None:
-                self._adopt(spec, facts.get(spec.task), now)
-            else:
-                task.wanted = True
-        commands: list[Command] = []
-        for name, task in list(self.tasks.items()):
-            if name not in names:
-                commands += self._unwant(name, task, now)
-        return commands
-
-    def decide(
-        self, now: datetime.timedelta, limit: int
-    ) -> tuple[list[journal.Entry], list[Command], list[outcomes.Absent]]:
-        """Place waiting tasks, urgent ones first.
-
-        :param limit: most placements in one round.
-        """
-        entries: list[journal.Entry] = []
-        commands: list[Command] = []
-        refused: list[outcomes.Absent] = []
-        if not self.open:
-            return entries, commands, refused
-        usable = sorted(self.usable & self.hosts.keys())
-        for name in sorted(self.waiting, key=self._rank)[:limit]:
-            choice = placement.choose(
-                amount=self.tasks[name].spec.resources,
-                ledger=self.ledger,
-                usable=usable,
-                weights=self.weights,
-            )
-            match choice:
-                case outcomes.Absent():
-                    refused.append(
-                        dataclasses.replace(choice, detail=str(name))
-                    )
-                case placement.Placed():
-                    command = self._assign(name, choice.host, now)
-                    commands.append(command)
-                    entries.append(
-                        journal.Assigned(
-                            task=name,
-                            attempt=command.attempt,
-                            host=command.host,
-                        )
-                    )
-        return entries, commands, refused
-
     def running(
-        self, name: ids.TaskId, attempt: ids.Attempt, address: str
+        self,
+        name: ids.TaskId,
+        attempt: ids.Attempt,
+        address: str,
+        now: datetime.timedelta | None = None,
     ) -> bool:
         """Note that an attempt runs; False if it is not the current one."""
         task = self.tasks.get(name)
         if task is None or task.attempt != attempt:
             return False
         if task.phase in (Phase.ASSIGNED, Phase.RUNNING):
+            if task.phase is Phase.ASSIGNED:
+                task.saved = now if now is not None else task.since
             task.phase = Phase.RUNNING
             task.address = address
             return True
         return task.phase is Phase.STOPPING
 
+    def checkpointed(
+        self,
+        name: ids.TaskId,
+        attempt: ids.Attempt,
+        checkpoint: ids.CheckpointId,
+        now: datetime.timedelta,
+    ) -> None:
+        """Note a checkpoint of an attempt that goes on."""
+        task = self._current(name, attempt)
+        if task is not None:
+            task.checkpoint = checkpoint
+            task.saved = now
+
     def ended(
         self,
         name: ids.TaskId,
@@ -180,9 +73,20 @@
         task = self._current(name, attempt)
         if task is None:
             return []
-        self._leave_host(task)
-        task.phase = Phase.FINISHED if succeeded else Phase.FAILED
-        task.since = now
+        if task.spec.kind is workers.TaskKind.SERVICE:
+            # A replica is meant to run until it is stopped.
+            return self.returned(
+                name, attempt, checkpoint=None, now=now, failed=True
+            )
+        self.leave_host(task)
+        del self.tasks[name]
+        key, number = plan.split(name)
+        group = self.groups.get(key)
+        if group is not None:
+            group.active.discard(number)
+            group.finished += 1
+            group.succeeded = group.succeeded or succeeded
+            self.note_completion(group)
         return [
             journal.Finished(task=name, attempt=attempt, succeeded=succeeded)
         ]
@@ -194,19 +98,32 @@
         *,
         checkpoint: ids.CheckpointId | None,
         now: datetime.timedelta,
+        failed: bool = False,
     ) -> list[journal.Entry]:
-        """Note that an attempt has certainly ended without a result."""
+        """Note that an attempt has certainly ended without a result.
+
+        :param failed: whether the task itself failed; it is then tried again
+            after a growing delay.
+        """
         task = self._current(name, attempt)
         if task is None:
             return []
-        self._leave_host(task)
+        if failed or task.phase is Phase.ASSIGNED:
+            task.avoid |= {task.host}
+        host = task.host
+        self.leave_host(task)
         task.checkpoint = checkpoint or task.checkpoint
         task.since = now
-        if task.wanted:
-            task.phase = Phase.WAITING
-            self.waiting[name] = None
-        else:
+        task.phase = Phase.WAITING
+        key, number = plan.split(name)
+        group = self.groups.get(key)
+        if group is None:
             del self.tasks[name]
+        elif task.wanted:
+            if failed:
+                self._note_failure(group, task, host, now)
+            else:
+                self.requeue(group, number)
         return [
             journal.Returned(
                 task=name, attempt=attempt, checkpoint=task.checkpoint
@@ -218,68 +135,44 @@
         account = self.ledger.hosts.get(host)
         return list(account.tasks) if account else []
 
-    def _rank(self, name: ids.TaskId) -> tuple[int, int]:
-        spec = self.tasks[name].spec
-        batch = spec.kind is workers.TaskKind.BATCH
-        return (URGENCY_RANK[spec.urgency], int(batch))
+    # Steps
 
-    def _adopt(
+    def _note_failure(
         self,
-        spec: plan.TaskSpec,
-        fact: journal.TaskFacts | None,
+        group: queues.Group,
+        task: Task,
+        host: ids.HostId,
         now: datetime.timedelta,
     ) -> None:
-        task = Task(spec=spec, phase=Phase.WAITING, since=now)
-        self.tasks[spec.task] = task
-        if fact is not None:
-            task.attempt = fact.attempt
-            task.checkpoint = fact.checkpoint
-        if fact is not None and fact.succeeded is not None:
-            task.phase = Phase.FINISHED if fact.succeeded else Phase.FAILED
-        elif fact is not None and fact.host is not None:
-            task.phase = Phase.ASSIGNED
-            task.host = fact.host
-            self.ledger.record(fact.host, spec.task, spec.resources)
-        else:
-            self.waiting[spec.task] = None
-
-    def _unwant(
-        self, name: ids.TaskId, task: Task, now: datetime.timedelta
-    ) -> list[Command]:
-        task.wanted = False
-        if task.phase in (Phase.WAITING, Phase.FINISHED, Phase.FAILED):
-            self.waiting.pop(name, None)
-            del self.tasks[name]
-            return []
-        if task.phase is Phase.STOPPING or task.host is None:
-            return []
-        task.phase = Phase.STOPPING
-        task.since = now
-        batch = task.spec.kind is workers.TaskKind.BATCH
-        stop = workers.Stop(task=name, attempt=task.attempt, checkpoint=batch)
-        return [StopCommand(host=task.host, stop=stop)]
-
-    def _assign(
-        self, name: ids.TaskId, host: ids.HostId, now: datetime.timedelta
-    ) -> StartCommand:
-        task = self.tasks[name]
-        self.ledger.commit(host, name, task.spec.resources)
-        del self.waiting[name]
-        task.phase = Phase.ASSIGNED
-        task.since = now
-        task.host = host
-        task.address = ""
-        task.attempt = ids.Attempt(task.attempt + 1)
-        return StartCommand(task=name, host=host, attempt=task.attempt)
+        if task.spec.kind is workers.TaskKind.SERVICE:
+            if now - task.saved > retries.LONGEST_DELAY:
+                task.failures = retries.Failures()
+        task.failures.add(host)
+        group.failures.add(host)
+        task.due = now + retries.delay(task.failures.count)
+        heapq.heappush(self.delayed, (task.due, task.spec.task))
+        if task.spec.kind is not workers.TaskKind.BATCH:
+            return
+        job_failures = group.failures
+        if group.succeeded:
+            job_failures = retries.Failures()
+        fault = retries.fault(
+            name=task.spec.task,
+            task=task.failures,
+            job=job_failures,
+            hosts=len(self.usable),
+        )
+        if fault is not None:
+            self.fail(group, fault)
+
+    def fail(self, group: queues.Group, fault: outcomes.Absent) -> None:
+        """Start no more tasks of a job; the owner records the reason."""
+        if group.halted is None:
+            group.halted = fault
+            self.failed[plan.job_of(ids.TaskId(group.work.key))] = fault
 
     def _current(self, name: ids.TaskId, attempt: ids.Attempt) -> Task | None:
         task = self.tasks.get(name)
-        if task is None or task.attempt != attempt or task.host is None:
+        if task is None or task.attempt != attempt:
             return None
-        return task
-
-    def _leave_host(self, task: Task) -> None:
-        if task.host is not None:
-            self.ledger.release(task.host, task.spec.task)
-        task.host = None
-        task.address = ""
+        return task if task.phase in ON_HOST else None
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/workloads.py
@@ -0,0 +1,192 @@
+"""What a zone should run: workloads that come, change and go."""
+
+import datetime
+import heapq
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import commitments
+from turmerichook._internal.scheduling import journal
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import queues
+from turmerichook._internal.scheduling import tasks as records
+
+Phase = records.Phase
+Task = records.Task
+StopCommand = records.StopCommand
+
+
+class Workloads(commitments.Commitments):
+    """Changes of the wanted work and of the hosts."""
+
+    def configure(self, configuration: site.Configuration) -> None:
+        """Take over weights, teams and quotas."""
+        self.weights = configuration.weights
+        self.teams.configure(self.zone, configuration)
+        self.queue.changed = True
+
+    def set_hosts(self, listing: tuple[hosts.Host, ...]) -> None:
+        """Take over the host list."""
+        former = self.hosts
+        self.hosts = {host.host: host for host in listing}
+        for name in former.keys() - self.hosts.keys():
+            self.ledger.unlist(name)
+        total = resources.NOTHING
+        for host in listing:
+            self.ledger.set_capacity(host.host, host.capacity)
+            self.replicas.move(host.host, host.rack)
+            total = total.plus(host.capacity)
+        self.teams.total = total
+        live = hosts.HostState.LIVE
+        self.capacities = frozenset(
+            host.capacity for host in listing if host.state is live
+        )
+
+    def submit(
+        self,
+        work: plan.Workload,
+        facts: journal.Facts,
+        now: datetime.timedelta,
+    ) -> list[StopCommand]:
+        """Want a workload, or change the wanted number of its tasks.
+
+        :param facts: what the journal knows, for tasks seen first.
+        :returns: stops of tasks that are no longer wanted.
+        """
+        group = self.groups.get(work.key)
+        if group is not None:
+            return self._change(group, work, now)
+        self.sequence += 1
+        group = queues.Group(
+            work=work, sequence=self.sequence, amount=work.resources
+        )
+        self.groups[work.key] = group
+        if work.zones and self.zone not in work.zones:
+            group.halted = outcomes.Absent(
+                reason=outcomes.Reason.NO_ZONE_OPEN,
+                detail="allowed zones: " + ", ".join(work.zones),
+            )
+        if work.deadline is not None:
+            heapq.heappush(self.deadlines, (work.deadline, work.key))
+        for number in range(work.count):
+            name = work.name(number)
+            fact = facts.get(name)
+            if fact is not None or name in self.tasks:
+                self._adopt(group, number, fact, now)
+        self.note_completion(group)
+        self.queue.put(group)
+        return []
+
+    def withdraw(self, key: str, now: datetime.timedelta) -> list[StopCommand]:
+        """Stop wanting a workload.
+
+        The cost grows with its started tasks only, not with its waiting ones.
+        """
+        group = self.groups.pop(key, None)
+        if group is None:
+            return []
+        group.halted = outcomes.Absent(reason=outcomes.Reason.NO_SUCH_KEY)
+        job = plan.job_of(ids.TaskId(key))
+        self.completed.pop(job, None)
+        self.failed.pop(job, None)
+        commands = []
+        for number in sorted(group.active):
+            commands += self._unwant(group, number, now)
+        return commands
+
+    def note_completion(self, group: queues.Group) -> None:
+        """Note a job whose tasks have all finished."""
+        if group.work.kind is workers.TaskKind.BATCH:
+            if group.finished >= group.work.count:
+                job = plan.job_of(ids.TaskId(group.work.key))
+                self.completed[job] = None
+
+    def _change(
+        self, group: queues.Group, work: plan.Workload, now: datetime.timedelta
+    ) -> list[StopCommand]:
+        former = group.work
+        if work == former:
+            return []
+        group.work = work
+        if work.resources != former.resources:
+            # Running attempts keep what they have committed.
+            group.amount = work.resources
+        commands: list[StopCommand] = []
+        for number in sorted(group.active):
+            if number >= work.count:
+                commands += self._unwant(group, number, now)
+            else:
+                self._want_again(group, number)
+        group.fresh = min(group.fresh, work.count)
+        group.again = type(group.again)(
+            number for number in group.again if number < work.count
+        )
+        self.note_completion(group)
+        self.queue.put(group)
+        return commands
+
+    def _want_again(self, group: queues.Group, number: int) -> None:
+        task = self.tasks[group.work.name(number)]
+        if task.wanted:
+            return
+        task.wanted = True
+        group.taken.add(number)
+        if task.phase is Phase.WAITING:
+            self.requeue(group, number)
+
+    def _adopt(
+        self,
+        group: queues.Group,
+        number: int,
+        fact: journal.TaskFacts | None,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take over a task that the journal or a record knows."""
+        group.taken.add(number)
+        if fact is not None and fact.succeeded is not None:
+            group.finished += 1
+            group.succeeded = group.succeeded or fact.succeeded
+            return
+        name = group.work.name(number)
+        known = self.tasks.get(name)
+        if known is not None:
+            # Withdrawn before, and its last attempt has not yet ended.
+            known.wanted = True
+            group.active.add(number)
+            return
+        task = self.record(group, number, now)
+        task.attempt = fact.attempt
+        task.checkpoint = fact.checkpoint
+        if fact.host is None:
+            group.again.append(number)
+            return
+        task.phase = Phase.ASSIGNED
+        task.host = fact.host
+        task.saved = now
+        self.ledger.record(fact.host, name, task.amount)
+        self.teams.use(group.work.team, task.amount)
+        if group.work.kind is workers.TaskKind.SERVICE:
+            self.replicas.add(plan.service_of(name), fact.host, 1)
+
+    def _unwant(
+        self, group: queues.Group, number: int, now: datetime.timedelta
+    ) -> list[StopCommand]:
+        name = group.work.name(number)
+        task = self.tasks[name]
+        task.wanted = False
+        task.due = None
+        if task.phase is Phase.RESERVED:
+            self.unreserve(task, now)
+        match task.phase:
+            case Phase.WAITING:
+                if group.work.key not in self.groups:
+                    del self.tasks[name]
+                return []
+            case Phase.STOPPING:
+                return []
+            case _:
+                return [self.stop(task, now)]
