Check decisions by random interleavings and an independent account

Nothing drove the zone's tasks through mixed orders of events, so a double start or a commitment beyond capacity would have gone unnoticed. It showed a reservation on a host that had shrunk below its commitments; such hosts now get nothing new.

--- a/src/turmerichook/_internal/scheduling/preemption.py
+++ b/src/turmerichook/_internal/scheduling/preemption.py
@@ -75,9 +75,11 @@
     used before anything more is stopped.
     """
     account = zone.ledger.hosts[host]
-    if not need.fits(account.capacity):
+    free = account.free
+    if not need.fits(account.capacity) or not resources.NOTHING.fits(free):
+        # A host that has shrunk below its commitments gets nothing new.
         return None
-    room = account.free.plus(_pending(zone, host))
+    room = free.plus(_pending(zone, host))
     costs = []
     for name, amount in account.tasks.items():
         task = zone.tasks[name]
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -169,6 +169,9 @@
     while lanes:
         lane = lanes[0][1]
         group = lane.head()
+        if _known_refused(zone, group):
+            heapq.heappop(lanes)
+            continue
         refusal = _try(zone, group, now, done)
         if refusal is not None:
             _tell(group, refusal, done)
@@ -183,6 +186,15 @@
     return False
 
 
+def _known_refused(zone: states.ZoneTasks, group: queues.Group) -> bool:
+    """Tell whether nothing can start and the reason is logged already."""
+    return (
+        group.told is outcomes.Reason.NO_FIT
+        and group.work.urgency is not site.Urgency.URGENT
+        and group.amount in zone.blocked
+    )
+
+
 def _try(
     zone: states.ZoneTasks,
     group: queues.Group,
--- a/tests/configuration/test_folder.py
+++ b/tests/configuration/test_folder.py
@@ -83,3 +83,19 @@
         with pytest.raises(exceptions.ConfigurationError) as caught:
             folder.read(tmp_path / "absent")
         assert caught.value.problems[0].code == "folder-unreadable"
+
+
+class TestJobTimes:
+    """Jobs may declare when they must start and end."""
+
+    def test_times_are_read_and_checked(self):
+        # Guards against a deadline that is dropped, zero or negative.
+        job = b"[jobs.j]\nteam = 't'\nstart_by_s = 5\ndeadline_s = 60\n"
+        found = schema.parse(folder.merge({"a.toml": VALID + job})).jobs["j"]
+        assert found.start_by.total_seconds() == 5
+        assert found.deadline.total_seconds() == 60
+        bad = b"[jobs.j]\nteam = 't'\nstart_by_s = 0\ndeadline_s = -1\n"
+        assert [p[0] for p in problems_of({"a.toml": VALID + bad})] == [
+            "out-of-range",
+            "out-of-range",
+        ]
--- /dev/null
+++ b/tests/scheduling/driver.py
@@ -0,0 +1,154 @@
+"""What the random interleavings share: a zone and its surroundings."""
+
+import datetime
+import random
+
+from hypothesis import stateful
+
+from tests.scheduling import checker as checkers
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import decisions
+from turmerichook._internal.scheduling import journal
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import rounds
+from turmerichook._internal.scheduling import state as states
+
+ZONE = ids.ZoneId("a")
+LIMITED = ids.TeamId("limited")
+LIMIT = resources.Resources(millicores=5_000, memory_mib=9_000)
+CONFIGURATION = site.Configuration(
+    zones={ZONE: site.Zone(zone=ZONE, region=ids.RegionId("r"))},
+    teams={
+        LIMITED: site.Team(team=LIMITED, quota=LIMIT),
+        "free": site.Team(team=ids.TeamId("free"), weight=2.0),
+    },
+)
+SECOND = datetime.timedelta(seconds=1)
+
+
+class Driver(stateful.RuleBasedStateMachine):
+    """A zone, the journal, and the attempts that workers were sent."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = datetime.timedelta()
+        self.number = 0
+        self.listing: dict[str, hosts.Host] = {}
+        self.checker = checkers.Checker()
+        self.checker.limits[LIMITED] = LIMIT
+        self.facts: journal.Facts = {}
+        # Attempts that a worker may still report on, current or not.
+        self.sent: list[states.StartCommand] = []
+        self.zone = self.new_zone()
+        for name in ("h0", "h1"):
+            capacity = resources.Resources(millicores=4_000, memory_mib=8_000)
+            self.set_host(name, capacity, hosts.HostState.LIVE)
+
+    def new_zone(self) -> states.ZoneTasks:
+        """Return a zone that knows nothing yet."""
+        zone = states.ZoneTasks(zone=ZONE, generator=random.Random(7))
+        zone.configure(CONFIGURATION)
+        zone.open = True
+        return zone
+
+    def set_host(self, name, capacity, state) -> None:
+        """Change one host in the list."""
+        host = ids.HostId(name)
+        self.listing[host] = hosts.Host(
+            host=host,
+            address="",
+            zone=ZONE,
+            rack=ids.RackId("r" + name[-1]),
+            capacity=capacity,
+            state=state,
+        )
+        self.checker.capacity[host] = capacity
+        self.zone.set_hosts(tuple(self.listing.values()))
+        if state is hosts.HostState.LIVE:
+            self.zone.usable.add(host)
+        else:
+            self.zone.usable.discard(host)
+
+    def record(self, entries) -> None:
+        """Fold entries into the journal and the checker."""
+        for entry in entries:
+            journal.fold(self.facts, entry)
+        self.checker.on_entries(
+            [e for e in entries if not isinstance(e, journal.Assigned)]
+        )
+
+    def pick(self, pick: int) -> states.StartCommand | None:
+        """Return one of the sent attempts, often an old one."""
+        return self.sent[pick % len(self.sent)] if self.sent else None
+
+    def next_round(self, limit, seconds) -> None:
+        """Let time pass, decide, and check what was decided."""
+        self.now += seconds * SECOND
+        done = rounds.decide(self.zone, self.now, limit)
+        self.checker.on_round(done, self.zone, self.now)
+        self.record(done.entries)
+        self.sent += done.starts
+        assert len(done.placements) == len(done.starts)
+        for placed in done.placements:
+            assert decisions.replay(placed.fields()) == placed.command.host
+
+    def forget_failures(self, key: str) -> None:
+        """Expect no delay for tasks whose failures nothing remembers."""
+        for name, life in self.checker.lives.items():
+            if plan.split(name)[0] == key:
+                life.failures = 0
+                life.not_before = datetime.timedelta()
+
+    def teardown(self) -> None:
+        """Give room to everything and expect that everything wanted runs."""
+        spare = resources.Resources(
+            millicores=10**6, memory_mib=10**7, accelerators=1000
+        )
+        self.set_host("spare", spare, hosts.HostState.LIVE)
+        # Services of the limited team may use its quota up for good.
+        for key, work in self.checker.work.items():
+            if work.team == LIMITED and key.startswith("service/"):
+                self.zone.withdraw(key, self.now)
+        for _ in range(4 * (1 + len(self.checker.lives) + self.number * 4)):
+            self.next_round(limit=100, seconds=4)
+            self.now += 400 * SECOND
+            if not self._finish_batch() and not self.zone.delayed:
+                break
+        for key, group in self.zone.groups.items():
+            self._check_done(key, group)
+
+    def _finish_batch(self) -> bool:
+        progress = False
+        for name in list(self.zone.tasks):
+            task = self.zone.tasks[name]
+            if task.phase is states.Phase.STOPPING:
+                entries = self.zone.returned(
+                    name, task.attempt, checkpoint=None, now=self.now
+                )
+            elif task.spec.kind is workers.TaskKind.BATCH:
+                entries = self.zone.ended(
+                    name, task.attempt, succeeded=True, now=self.now
+                )
+            else:
+                entries = []
+            self.record(entries)
+            progress = progress or bool(entries)
+        return progress
+
+    def _check_done(self, key, group) -> None:
+        work = self.checker.work[key]
+        if group.halted is not None:
+            return
+        if work.team == LIMITED and not work.resources.fits(LIMIT):
+            return
+        for number in range(work.count):
+            life = self.checker.lives.get(work.name(number))
+            assert life is not None, f"{key}/{number} never started"
+            if work.kind is workers.TaskKind.BATCH:
+                assert life.finished, f"{key}/{number} was lost"
+            else:
+                assert life.host is not None, f"{key}/{number} was lost"
--- /dev/null
+++ b/tests/scheduling/test_interleavings.py
@@ -0,0 +1,191 @@
+"""Random interleavings of events, checked by an independent account."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.scheduling import driver
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import plan
+
+HOSTS = ("h0", "h1", "h2", "h3")
+PICK = strategies.integers(0, 1 << 16)
+
+
+def amounts(cores: int) -> strategies.SearchStrategy:
+    """Return amounts up to a number of cores."""
+    return strategies.builds(
+        resources.Resources,
+        millicores=strategies.integers(1, cores).map(lambda n: n * 1000),
+        memory_mib=strategies.integers(0, 8).map(lambda n: n * 500),
+        accelerators=strategies.sampled_from((0,) * 9 + (1,)),
+    )
+
+
+class Interleavings(driver.Driver):
+    """Does in any order what an owner, workers and operators may do."""
+
+    @stateful.initialize(count=strategies.integers(0, 9))
+    def fill(self, count) -> None:
+        # Hosts that are full of batch tasks make preemption likely.
+        amount = resources.Resources(millicores=1_000, memory_mib=500)
+        self.submit(
+            amount,
+            count,
+            site.Urgency.NORMAL,
+            workers.TaskKind.BATCH,
+            "free",
+        )
+        self.decide(limit=10, seconds=1)
+        self.run_all()
+
+    @stateful.rule(
+        amount=amounts(5),
+        count=strategies.integers(1, 4),
+        urgency=strategies.sampled_from(site.Urgency),
+        kind=strategies.sampled_from(workers.TaskKind),
+        team=strategies.sampled_from(("limited", "free", "free")),
+    )
+    def submit(self, amount, count, urgency, kind, team) -> None:
+        self.number += 1
+        prefix = "job" if kind is workers.TaskKind.BATCH else "service"
+        work = plan.Workload(
+            key=f"{prefix}/{self.number}",
+            kind=kind,
+            team=ids.TeamId(team),
+            resources=amount,
+            urgency=urgency,
+            count=count,
+        )
+        self.checker.work[work.key] = work
+        self.zone.submit(work, self.facts, self.now)
+
+    @stateful.rule(pick=PICK)
+    def withdraw(self, pick) -> None:
+        keys = list(self.zone.groups)
+        if keys:
+            self.zone.withdraw(keys[pick % len(keys)], self.now)
+
+    @stateful.rule(pick=PICK)
+    def submit_again(self, pick) -> None:
+        # A job that was withdrawn while its tasks were still stopping.
+        keys = list(self.checker.work)
+        if keys:
+            work = self.checker.work[keys[pick % len(keys)]]
+            if work.key not in self.zone.groups:
+                self.forget_failures(work.key)
+            self.zone.submit(work, self.facts, self.now)
+
+    @stateful.rule(
+        name=strategies.sampled_from(HOSTS),
+        capacity=amounts(8),
+        state=strategies.sampled_from(hosts.HostState),
+    )
+    def change_host(self, name, capacity, state) -> None:
+        self.set_host(name, capacity, state)
+
+    @stateful.rule(
+        limit=strategies.integers(1, 10), seconds=strategies.integers(0, 4)
+    )
+    def decide(self, limit, seconds) -> None:
+        self.next_round(limit, seconds)
+
+    @stateful.rule(pick=PICK)
+    def run(self, pick) -> None:
+        sent = self.pick(pick)
+        if sent is not None:
+            self.zone.running(sent.task, sent.attempt, "", self.now)
+
+    @stateful.rule()
+    def run_all(self) -> None:
+        for sent in self.sent:
+            self.zone.running(sent.task, sent.attempt, "", self.now)
+
+    @stateful.rule(pick=PICK)
+    def finish(self, pick) -> None:
+        sent = self.pick(pick)
+        if sent is not None:
+            entries = self.zone.ended(
+                sent.task, sent.attempt, succeeded=True, now=self.now
+            )
+            self.record(entries)
+            if entries and sent.task.startswith("service/"):
+                self.checker.on_failure(sent.task, self.now)
+
+    @stateful.rule(pick=PICK, checkpoint=strategies.booleans())
+    def stopped(self, pick, checkpoint) -> None:
+        asked = list(self.zone.stopping)
+        sent = self.pick(pick)
+        if asked and pick % 2:
+            # Most stops are answered soon; others come without a request.
+            name = asked[pick % len(asked)]
+            attempt = self.zone.tasks[name].attempt
+            [sent] = [
+                s for s in self.sent if (s.task, s.attempt) == (name, attempt)
+            ]
+        if sent is not None:
+            saved = f"{sent.task}@{sent.attempt}" if checkpoint else None
+            self.record(
+                self.zone.returned(
+                    sent.task, sent.attempt, checkpoint=saved, now=self.now
+                )
+            )
+
+    @stateful.rule(pick=PICK)
+    def fail(self, pick) -> None:
+        sent = self.pick(pick)
+        if sent is not None:
+            entries = self.zone.returned(
+                sent.task,
+                sent.attempt,
+                checkpoint=None,
+                now=self.now,
+                failed=True,
+            )
+            self.record(entries)
+            if entries:
+                self.checker.on_failure(sent.task, self.now)
+
+    @stateful.rule(name=strategies.sampled_from(HOSTS))
+    def lose_host(self, name) -> None:
+        host = ids.HostId(name)
+        self.zone.usable.discard(host)
+        for task in self.zone.on_host(host):
+            attempt = self.zone.tasks[task].attempt
+            self.record(
+                self.zone.returned(
+                    task, attempt, checkpoint=None, now=self.now
+                )
+            )
+
+    @stateful.rule()
+    def take_over(self) -> None:
+        # The journal does not hold the amounts of tasks that are no longer
+        # wanted, so such tasks are left out here.
+        live = [t for t, life in self.checker.lives.items() if life.host]
+        if any(plan.split(t)[0] not in self.zone.groups for t in live):
+            return
+        former = self.zone
+        self.zone = self.new_zone()
+        self.zone.set_hosts(tuple(self.listing.values()))
+        for host in sorted(former.usable):
+            self.zone.usable.add(host)
+        for group in former.groups.values():
+            self.zone.submit(group.work, self.facts, self.now)
+        for key in self.checker.work:
+            self.forget_failures(key)
+
+
+Interleavings.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=300,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestInterleavings = Interleavings.TestCase
--- /dev/null
+++ b/tests/scheduling/test_rounds.py
@@ -0,0 +1,237 @@
+"""Tests of queue order, quotas, waiting, failures and preemption."""
+
+from tests.scheduling import zones
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.scheduling import explanations
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import quotas
+from turmerichook._internal.scheduling import state as states
+
+
+class TestOrder:
+    """Tiers, fair shares, start-by times and quotas."""
+
+    def test_tiers(self):
+        # Guards against batch work that starts before services.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "job/j", zones.cores(1))
+        zones.submit(zone, "service/normal/a", zones.cores(1))
+        zones.submit(
+            zone,
+            "service/urgent/a",
+            zones.cores(1),
+            urgency=site.Urgency.URGENT,
+        )
+        order = [c.task.split("/")[1] for c in zones.run(zone).starts]
+        assert order == ["urgent", "normal", "j"]
+
+    def test_weighted_shares(self):
+        # Guards against a team that floods the queue and gets all room.
+        zone = zones.make_zone(
+            6,
+            big=site.Team(team="big", weight=2.0),
+            small=site.Team(team="small", weight=1.0),
+        )
+        zones.submit(zone, "job/flood", count=1000, team="small")
+        zones.submit(zone, "job/late", count=1000, team="big")
+        started = [plan.job_of(c.task) for c in zones.run(zone).starts]
+        assert (started.count("late"), started.count("flood")) == (16, 8)
+
+    def test_start_by_orders_a_team(self):
+        # Guards against a declared start-by time without effect.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "job/first")
+        zones.submit(zone, "job/soon", start_by=9 * zones.SECOND)
+        zones.submit(zone, "job/sooner", start_by=5 * zones.SECOND)
+        order = [plan.job_of(c.task) for c in zones.run(zone).starts]
+        assert order == ["sooner", "soon", "first"]
+
+    def test_quota(self):
+        # Guards against a team beyond its quota, and one that blocks others.
+        team = site.Team(team="t", quota=zones.cores(2))
+        zone = zones.make_zone(1, t=team)
+        zones.submit(
+            zone, "job/j", resources.Resources(millicores=1000), count=3
+        )
+        zones.submit(zone, "job/k", resources.Resources(millicores=3000))
+        zones.submit(zone, "job/other", team="other")
+        started = [plan.job_of(c.task) for c in zones.run(zone).starts]
+        assert sorted(started) == ["j", "j", "other"]
+        assert (
+            zones.reason_of(zone, "job/j/2") is outcomes.Reason.QUOTA_REACHED
+        )
+        assert (
+            zones.reason_of(zone, "job/k/0") is outcomes.Reason.QUOTA_TOO_SMALL
+        )
+
+    def test_zone_shares_add_up(self):
+        # Guards against zones that together allow more than the quota.
+        names = [ids.ZoneId(f"z{n}") for n in range(7)]
+        listed = {
+            n: site.Zone(zone=n, region=ids.RegionId("r")) for n in names
+        }
+        configuration = site.Configuration(zones=listed)
+        quota = resources.Resources(
+            millicores=9_999, memory_mib=5, accelerators=2
+        )
+        total = resources.NOTHING
+        for name in names:
+            part = quotas.zone_share(quota, "t", name, configuration)
+            total = total.plus(part)
+        assert total == quota
+
+
+class TestWaiting:
+    """What cannot run now blocks nobody and says why, once."""
+
+    def test_impossible_work_is_parked(self):
+        # Guards against a task that can never run and holds up the queue.
+        zone = zones.make_zone(1)
+        accelerated = resources.Resources(millicores=1, accelerators=1)
+        zones.submit(zone, "job/large", zones.cores(5))
+        zones.submit(zone, "job/accelerated", accelerated)
+        zones.submit(zone, "job/elsewhere", zones=(ids.ZoneId("b"),))
+        zones.submit(zone, "job/fine")
+        done = zones.run(zone)
+        assert [c.task for c in done.starts] == ["job/fine/0"]
+        assert (
+            zones.reason_of(zone, "job/large/0") is outcomes.Reason.NEVER_FITS
+        )
+        assert (
+            zones.reason_of(zone, "job/accelerated/0")
+            is outcomes.Reason.NO_ACCELERATORS
+        )
+        assert (
+            zones.reason_of(zone, "job/elsewhere/0")
+            is outcomes.Reason.NO_ZONE_OPEN
+        )
+
+    def test_reason_is_logged_when_it_changes(self):
+        # Guards against a log line for each waiting task in each round.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "job/full", zones.cores(4))
+        zones.run(zone)
+        zones.submit(zone, "job/j", zones.cores(4), count=50)
+        waits = [len(zones.run(zone, second).waits) for second in range(5)]
+        assert waits == [1, 0, 0, 0, 0]
+
+    def test_rank_and_missing_room(self):
+        # Guards against an explanation that counts only the own team.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "job/full", zones.cores(3))
+        zones.run(zone)
+        zones.submit(
+            zone, "job/a", zones.cores(2), urgency=site.Urgency.URGENT
+        )
+        zone.tasks[ids.TaskId("job/full/0")].phase = states.Phase.ASSIGNED
+        zones.submit(zone, "job/b", zones.cores(2), team="other")
+        zones.submit(zone, "job/c", zones.cores(2))
+        zones.run(zone)
+        told = explanations.explain(zone, ids.TaskId("job/c/0"), zones.SECOND)
+        assert (told.rank, told.change) == (2, explanations.Change.ROOM)
+        assert told.missing == resources.Resources(millicores=1_000)
+
+    def test_deadline(self):
+        # Guards against a job that is started after it is of no use.
+        zone = zones.make_zone(1)
+        zones.submit(
+            zone, "job/j", zones.cores(4), count=2, deadline=5 * zones.SECOND
+        )
+        zones.run(zone)
+        zones.run(zone, 5)
+        fault = zone.failed[ids.JobId("j")]
+        assert fault.reason is outcomes.Reason.DEADLINE_PASSED
+
+
+class TestFailures:
+    """Delays grow, and a job that fails everywhere ends."""
+
+    def test_delays_and_end(self):
+        # Guards against a broken task that is started five times a second
+        # for ever.
+        zone = zones.make_zone(4)
+        zones.submit(zone, "job/j")
+        starts = []
+        for second in range(1_000):
+            for command in zones.run(zone, second).starts:
+                starts.append((second, command.host))
+                zone.returned(
+                    command.task,
+                    command.attempt,
+                    checkpoint=None,
+                    now=second * zones.SECOND,
+                    failed=True,
+                )
+        times = [second for second, _ in starts]
+        delays = [b - a for a, b in zip(times, times[1:])]
+        assert delays == [1, 2, 4, 8, 16, 32, 64, 128, 256]
+        assert len({host for _, host in starts[:4]}) == 4
+        fault = zone.failed[ids.JobId("j")]
+        assert fault.reason is outcomes.Reason.FAILS_EVERYWHERE
+
+
+class TestPreemption:
+    """Urgent work takes the cheapest room, and no more than needed."""
+
+    def zone_of_batch(self) -> states.ZoneTasks:
+        """Return a full host; tasks started at 0, 2, 4 and 6 seconds."""
+        zone = zones.make_zone(1)
+        for number in range(4):
+            zones.submit(zone, f"job/{number}")
+            zones.run(zone, 2 * number)
+        return zone
+
+    def test_cheapest_and_only_as_many_as_needed(self):
+        # Guards against stopping old work or more work than is needed.
+        zone = self.zone_of_batch()
+        zones.submit(
+            zone, "job/u", zones.cores(2), urgency=site.Urgency.URGENT
+        )
+        done = zones.run(zone, 8)
+        assert [c.stop.task for c in done.stops] == ["job/3/0", "job/2/0"]
+        assert all(c.stop.checkpoint for c in done.stops)
+
+    def test_large_victim_makes_small_ones_superfluous(self):
+        # Guards against a greedy choice that stops a task in vain.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "job/large", zones.cores(3))
+        zones.run(zone, 7)
+        zones.submit(zone, "job/small", zones.cores(1))
+        zones.run(zone, 8)
+        zones.submit(
+            zone, "job/u", zones.cores(3), urgency=site.Urgency.URGENT
+        )
+        done = zones.run(zone, 9)
+        assert [c.stop.task for c in done.stops] == ["job/large/0"]
+
+    def test_room_is_kept(self):
+        # Guards against a batch task that takes the room as it is freed.
+        zone = self.zone_of_batch()
+        zones.submit(
+            zone, "job/u", zones.cores(2), urgency=site.Urgency.URGENT
+        )
+        stops = zones.run(zone, 8).stops
+        zones.submit(zone, "job/greedy", count=9)
+        started = []
+        for command in stops:
+            stop = command.stop
+            zone.returned(
+                stop.task, stop.attempt, checkpoint="c", now=9 * zones.SECOND
+            )
+            started += [c.task for c in zones.run(zone, 9).starts]
+        assert started == ["job/u/0"]
+
+    def test_urgent_work_is_never_a_victim(self):
+        # Guards against urgent tasks that stop each other in turn.
+        zone = zones.make_zone(1)
+        zones.submit(
+            zone, "job/a", zones.cores(4), urgency=site.Urgency.URGENT
+        )
+        zones.run(zone)
+        zones.submit(
+            zone, "job/b", zones.cores(4), urgency=site.Urgency.URGENT
+        )
+        assert not zones.run(zone, 1).stops
--- /dev/null
+++ b/tests/scheduling/zones.py
@@ -0,0 +1,94 @@
+"""Small zones for the tests of decisions."""
+
+import datetime
+import random
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import explanations
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import rounds
+from turmerichook._internal.scheduling import state as states
+
+ZONE = ids.ZoneId("a")
+SECOND = datetime.timedelta(seconds=1)
+CORE = resources.Resources(millicores=1_000, memory_mib=100)
+
+
+def cores(count: int) -> resources.Resources:
+    """Return an amount that is bound by its cores."""
+    return resources.Resources(millicores=count * 1_000, memory_mib=100)
+
+
+def make_zone(
+    count: int = 2, *, weights: site.Weights = site.Weights(), **teams
+) -> states.ZoneTasks:
+    """Return a zone of hosts with four cores, two hosts to a rack."""
+    zone = states.ZoneTasks(zone=ZONE, generator=random.Random(1))
+    zone.configure(
+        site.Configuration(
+            weights=weights,
+            zones={ZONE: site.Zone(zone=ZONE, region=ids.RegionId("r"))},
+            teams=teams,
+        )
+    )
+    listing = tuple(
+        hosts.Host(
+            host=ids.HostId(f"h{number}"),
+            address="",
+            zone=ZONE,
+            rack=ids.RackId(f"r{number // 2}"),
+            capacity=resources.Resources(millicores=4_000, memory_mib=8_000),
+            state=hosts.HostState.LIVE,
+        )
+        for number in range(count)
+    )
+    zone.set_hosts(listing)
+    for host in listing:
+        zone.usable.add(host.host)
+    zone.open = True
+    return zone
+
+
+def submit(
+    zone: states.ZoneTasks,
+    key: str,
+    amount: resources.Resources = CORE,
+    count: int = 1,
+    urgency: site.Urgency = site.Urgency.NORMAL,
+    **fields,
+) -> None:
+    """Submit a workload; ``key`` begins with ``job/`` or ``service/``."""
+    kind = workers.TaskKind.BATCH
+    if key.startswith("service/"):
+        kind = workers.TaskKind.SERVICE
+    fields.setdefault("team", "t")
+    work = plan.Workload(
+        key=key,
+        kind=kind,
+        resources=amount,
+        urgency=urgency,
+        count=count,
+        **fields,
+    )
+    zone.submit(work, {}, datetime.timedelta())
+
+
+def run(
+    zone: states.ZoneTasks, second: int = 0, limit: int = 100
+) -> rounds.Round:
+    """Run a round whose starts run at once."""
+    now = second * SECOND
+    done = rounds.decide(zone, now, limit)
+    for command in done.starts:
+        zone.running(command.task, command.attempt, "", now)
+    return done
+
+
+def reason_of(zone: states.ZoneTasks, task: str) -> outcomes.Reason | None:
+    """Return why a task waits."""
+    return explanations.explain(zone, ids.TaskId(task), SECOND).reason
