--- a/src/turmerichook/_internal/configuration/fields.py
+++ b/src/turmerichook/_internal/configuration/fields.py
@@ -46,6 +46,8 @@
 # Far above any host or team, and low enough that sums of thousandths stay
 # exact in whole numbers.
 AMOUNT_MAX = 1_000_000
+# A year in seconds; longer run times and deadlines are mistakes.
+LONGEST_S = 365 * 24 * 3600
 
 AMOUNTS = (
     Field(
@@ -211,11 +213,27 @@
             kind=Kind.NUMBER,
             unit="s",
             default=60.0,
-            high=31_536_000,
+            high=LONGEST_S,
             meaning="declared run time of one task",
         ),
         ALLOWED_ZONES,
         _urgency("normal"),
+        Field(
+            name="start_by_s",
+            kind=Kind.NUMBER,
+            unit="s",
+            low=1,
+            high=LONGEST_S,
+            meaning="time after acceptance by which its tasks should start",
+        ),
+        Field(
+            name="deadline_s",
+            kind=Kind.NUMBER,
+            unit="s",
+            low=1,
+            high=LONGEST_S,
+            meaning="time after acceptance at which it fails if unfinished",
+        ),
     ),
 }
 
--- a/src/turmerichook/_internal/configuration/schema.py
+++ b/src/turmerichook/_internal/configuration/schema.py
@@ -147,9 +147,15 @@
         run_time=datetime.timedelta(seconds=values["run_time_s"]),
         zones=tuple(ids.ZoneId(zone) for zone in values["zones"]),
         urgency=site.Urgency(values["urgency"]),
+        start_by=_interval(values["start_by_s"]),
+        deadline=_interval(values["deadline_s"]),
     )
 
 
+def _interval(seconds: float | None) -> datetime.timedelta | None:
+    return None if seconds is None else datetime.timedelta(seconds=seconds)
+
+
 def _amount(values: checkers.Table) -> resources.Resources:
     return resources.Resources(
         millicores=round(values["cores"] * MILLICORES_PER_CORE),
--- a/src/turmerichook/_internal/scheduling/jobs.py
+++ b/src/turmerichook/_internal/scheduling/jobs.py
@@ -83,6 +83,8 @@
             "run_time": spec.run_time.total_seconds(),
             "zones": list(spec.zones),
             "urgency": spec.urgency.value,
+            "start_by": _seconds(spec.start_by),
+            "deadline": _seconds(spec.deadline),
             "home": record.home,
             "state": record.state.value,
             "operation": record.operation,
@@ -145,6 +147,14 @@
         return False
 
 
+def age(stamp: str, now: datetime.datetime) -> datetime.timedelta:
+    """Return the time since an ISO 8601 time; zero where it is malformed."""
+    try:
+        return now - datetime.datetime.fromisoformat(stamp)
+    except (TypeError, ValueError):
+        return datetime.timedelta()
+
+
 def _unpacked(value: bytes) -> object:
     try:
         return msgpack.unpackb(value)
@@ -168,6 +178,9 @@
         run_time=datetime.timedelta(seconds=fields["run_time"]),
         zones=tuple(ids.ZoneId(zone) for zone in fields["zones"]),
         urgency=site.Urgency(fields["urgency"]),
+        # Records of earlier versions do not have the next two.
+        start_by=_interval(fields.get("start_by")),
+        deadline=_interval(fields.get("deadline")),
     )
     return JobRecord(
         spec=spec,
@@ -180,3 +193,11 @@
         finished=fields.get("finished", 0),
         progress=fields.get("progress"),
     )
+
+
+def _seconds(interval: datetime.timedelta | None) -> float | None:
+    return None if interval is None else interval.total_seconds()
+
+
+def _interval(seconds: float | None) -> datetime.timedelta | None:
+    return None if seconds is None else datetime.timedelta(seconds=seconds)
--- a/src/turmerichook/_internal/scheduling/journal.py
+++ b/src/turmerichook/_internal/scheduling/journal.py
@@ -87,6 +87,9 @@
 )
 
 
+# Entries about one task.
+TASK_ENTRIES = (Assigned, Returned, Finished, Forgotten)
+
 TaskFacts = progress.TaskFacts
 
 
@@ -126,12 +129,15 @@
             for number, fact in found.live.items():
                 yield ids.TaskId(f"job/{job}/{number}"), fact
 
-    def admits(self, task: ids.TaskId) -> bool:
-        """Tell whether a task may begin within the bounds of the base."""
+    def admits(self, task: ids.TaskId, begun: int = 0) -> bool:
+        """Tell whether a task may begin within the bounds of the base.
+
+        :param begun: tasks that begin before it and have no row yet.
+        """
         place = _place(task)
         if self.get(task) is not None:
             return True
-        if self.live >= LIVE_TASKS:
+        if self.live + begun >= LIVE_TASKS:
             return False
         known = place is not None and place[0] in self.jobs
         return known or self.finished_bytes < FINISHED_BYTES
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -6,12 +6,13 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
-from turmerichook._internal import outcomes
 from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import decision_round
 from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal as journals
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import planner
 from turmerichook._internal.scheduling import records
 from turmerichook._internal.scheduling import state as states
 from turmerichook._internal.scheduling import zone_drain
@@ -40,11 +41,19 @@
         # Whether the wanted tasks are known and were compared with the
         # journal. Reports of workers mean nothing before.
         self.ready = False
-        self.planned: tuple | None = None
+        self.planner = planner.Planner(
+            zone=owner.zone,
+            state=owner.state,
+            journal=owner.journal,
+            board=owner.board,
+            clock=owner.clock,
+        )
+        # Assignments that the journal does not hold yet.
+        self.unwritten = 0
+        self.state.admits = self._admits
         self.status_due = datetime.timedelta()
         self.records_due = datetime.timedelta()
         self.configuration = site.EMPTY
-        self.refused: dict[str, outcomes.Reason] = {}
 
     def prepare(self) -> bool:
         """Bring the wanted tasks up to date; False if they are unknown."""
@@ -62,9 +71,14 @@
                 else events.SchedulingEvent.ZONE_OPENED
             )
             logs.emit(event, zone=self.zone)
-        self.state.weights = configuration.weights
         self.state.open = not self.drain.closed
-        self._plan(configuration, now)
+        kept = self.drain.kept_services(
+            self.state, configuration, self.peers.tables, now
+        )
+        stops = self.planner.plan_services(configuration, kept, now)
+        stops += self.planner.plan_jobs(now)
+        for command in stops:
+            self.owner.stops.add(command, now)
         if not self.ready:
             self._begin()
         return True
@@ -75,12 +89,12 @@
         self.announce(now)
         for command in self.drain.evictions(self.state, now):
             self.owner.stops.add(command, now)
+        if self.owner.tenure.authority.remaining(now):
+            self._place(now)
         for due in self.owner.stops.take_due(now):
             boot = self.reports.seen.get(due.host)
             if boot is not None:
                 self.owner.links.send(due.host, (due.stop,), boot=boot[0])
-        if self.owner.tenure.authority.remaining(now):
-            self._place(now)
 
     def announce(self, now: datetime.timedelta) -> None:
         """Publish the endpoints, and the status when it is due."""
@@ -141,6 +155,7 @@
             configuration=self.configuration,
             statuses=self.peers.statuses,
             now=self.clock.now(),
+            failed=self.state.failed,
         )
         progress = self.board.progress_write(now)
         if progress is not None:
@@ -166,36 +181,15 @@
             )
         elif record.state is jobs.JobState.CANCELLED:
             logs.emit(events.SchedulingEvent.JOB_CANCELLED, job=job)
+        elif record.state is jobs.JobState.FAILED:
+            logs.emit(
+                events.SchedulingEvent.JOB_FAILED,
+                job=job,
+                reason=record.detail,
+            )
 
-    def _plan(
-        self, configuration: site.Configuration, now: datetime.timedelta
-    ) -> None:
-        kept = self.drain.kept_replicas(
-            self.state, configuration, self.peers.tables, now
-        )
-        moving = frozenset(self.journal.facts.moving)
-        key = (
-            configuration,
-            self.board.changes,
-            moving,
-            tuple(spec.task for spec in kept),
-        )
-        if self._planned_already(key):
-            return
-        self.planned = key
-        specs = plan.service_tasks(self.zone, configuration)
-        specs += kept
-        specs += self.board.specs()
-        for command in self.state.want(specs, self.journal.facts, now):
-            if isinstance(command, states.StopCommand):
-                self.owner.stops.add(command, now)
-        self.owner.announcer.note_tasks()
-
-    def _planned_already(self, key: tuple) -> bool:
-        if self.planned is None:
-            return False
-        # A configuration is compared by identity, since it may be large.
-        return key[0] is self.planned[0] and key[1:] == self.planned[1:]
+    def _admits(self, task: ids.TaskId, begun: int) -> bool:
+        return self.journal.facts.admits(task, begun + self.unwritten)
 
     def _begin(self) -> None:
         self.ready = True
@@ -208,56 +202,25 @@
         limit = self.drain.start_limit(
             PLACEMENTS_PER_ROUND, len(self.state.usable), now
         )
-        entries, commands, refused = self.state.decide(now, limit)
-        for entry in entries:
-            if isinstance(entry, journals.Assigned):
-                if not self.journal.facts.admits(entry.task):
-                    self._take_back(entry, now)
-                    continue
-            self.journal.append(entry)
-        for command in commands:
-            match command:
-                case states.StopCommand():
-                    self.owner.stops.add(command, now)
-                case states.StartCommand():
-                    self._note_start(command)
-        self._log_refusals(refused)
-
-    def _log_refusals(self, refused: list[outcomes.Absent]) -> None:
-        """Log why tasks wait, once for each reason."""
-        reasons = {absent.detail: absent.reason for absent in refused}
-        for task, reason in reasons.items():
-            if self.refused.get(task) is not reason:
-                logs.emit(
-                    events.SchedulingEvent.TASK_WAITS,
-                    task=task,
-                    reason=reason.value,
-                )
-        self.refused = reasons
-
-    def _take_back(
-        self, entry: journals.Assigned, now: datetime.timedelta
-    ) -> None:
-        """Undo a placement that the journal has no room for."""
-        self.state.returned(
-            entry.task, entry.attempt, checkpoint=None, now=now
-        )
-        logs.emit(
-            events.SchedulingEvent.TASK_WAITS,
-            task=entry.task,
-            reason="journal-is-full",
-        )
-
-    def _note_start(self, command: states.StartCommand) -> None:
-        if not self._current(command):
-            return
-        self.reports.starts[command.task] = command
-        logs.emit(
-            events.SchedulingEvent.TASK_PLACED,
-            task=command.task,
-            attempt=command.attempt,
-            host=command.host,
+        self.unwritten = sum(
+            isinstance(entry, journals.Assigned)
+            for entry in self.journal.pending
         )
+        done = decision_round.decide(self.state, now, limit)
+        for entry in done.entries:
+            self.journal.append(entry)
+        for stop in done.stops:
+            self.owner.stops.add(stop, now)
+        for start in done.starts:
+            self.reports.starts[start.task] = start
+        for placed in done.placements:
+            logs.emit(events.SchedulingEvent.TASK_PLACED, **placed.fields())
+        for preempted in done.preemptions:
+            logs.emit(
+                events.SchedulingEvent.ROOM_RESERVED, **preempted.fields()
+            )
+        for wait in done.waits:
+            logs.emit(events.SchedulingEvent.TASKS_WAIT, **wait.fields())
 
     def _current(self, command: states.StartCommand) -> bool:
         """Tell whether a start still stands for the task's present attempt."""
@@ -276,7 +239,7 @@
             task=command.task,
             attempt=command.attempt,
             kind=spec.kind,
-            resources=spec.resources,
+            resources=command.amount,
             # The link sets it from the authority that is left when it sends.
             not_after=datetime.timedelta(),
             run_time=spec.run_time,
--- a/src/turmerichook/_internal/scheduling/stops.py
+++ b/src/turmerichook/_internal/scheduling/stops.py
@@ -48,7 +48,11 @@
     def add(
         self, command: states.StopCommand, now: datetime.timedelta
     ) -> None:
-        """Add the stop of a task that is in its stopping phase."""
+        """Add the stop of a task that is in its stopping phase.
+
+        One that is known already keeps its own times, so that a stop that a
+        round repeats does not cut the drain of an endpoint short.
+        """
         task = self.state.tasks[command.stop.task]
         delay = datetime.timedelta()
         if task.spec.kind is workers.TaskKind.SERVICE and task.address:
--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -84,8 +84,13 @@
         name: ids.TaskId,
         attempt: ids.Attempt,
         checkpoint: ids.CheckpointId | None,
+        *,
+        failed: bool = False,
     ) -> None:
-        """Note that an attempt has certainly ended without a result."""
+        """Note that an attempt has certainly ended without a result.
+
+        :param failed: whether the task itself failed.
+        """
         if checkpoint and len(checkpoint) > journals.CHECKPOINT_BYTES:
             logs.emit(
                 events.SchedulingEvent.CHECKPOINT_TOO_LONG,
@@ -94,7 +99,11 @@
             )
             checkpoint = None
         entries = self.state.returned(
-            name, attempt, checkpoint=checkpoint, now=self.clock.monotonic()
+            name,
+            attempt,
+            checkpoint=checkpoint,
+            now=self.clock.monotonic(),
+            failed=failed,
         )
         self._append(entries)
         if entries:
@@ -134,7 +143,10 @@
         match event.state:
             case workers.TaskState.RUNNING:
                 if self.state.running(
-                    event.task, event.attempt, event.address
+                    event.task,
+                    event.attempt,
+                    event.address,
+                    self.clock.monotonic(),
                 ):
                     logs.emit(
                         events.SchedulingEvent.TASK_RUNNING,
@@ -157,7 +169,12 @@
         self.strays.ended(host, event.task, event.attempt, None, finished=True)
 
     def _returned(self, host: ids.HostId, event: workers.TaskEvent) -> None:
-        self.return_task(event.task, event.attempt, event.checkpoint)
+        self.return_task(
+            event.task,
+            event.attempt,
+            event.checkpoint,
+            failed=event.state is workers.TaskState.FAILED,
+        )
         self.strays.ended(host, event.task, event.attempt, event.checkpoint)
 
     def _inventory(self, report: links.Answered) -> None:
@@ -171,7 +188,9 @@
                 continue
             item = running.pop((name, task.attempt), None)
             if item is not None:
-                self.state.running(name, item.attempt, item.address)
+                self.state.running(
+                    name, item.attempt, item.address, self.clock.monotonic()
+                )
             elif self._never_ran(name, task, report.sent):
                 self.return_task(name, task.attempt, None)
         self.strays.listed(host, set(running))
