--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -57,7 +57,6 @@
             greeting=self._greeting,
         )
         self.server = server.Server(handler=self._handle)
-        self.candidates: dict[ids.ZoneId, asyncio.Task] = {}
         self.tenures: dict[ids.ZoneId, tenures.Tenures] = {}
         self.environment = environments.Environment(
             node=settings.node,
@@ -81,11 +80,7 @@
                 group.create_task(self.subscription.run())
                 group.create_task(self._receive())
         finally:
-            for task in self.candidates.values():
-                task.cancel()
-            await asyncio.gather(
-                *self.candidates.values(), return_exceptions=True
-            )
+            await asyncio.gather(*(t.stop() for t in self.tenures.values()))
             # Lets the links send what the candidates published last.
             await self.clock.sleep(FLUSH_TIME)
             self.hub.stop()
@@ -109,7 +104,7 @@
         self.tenures[zone] = tenures.Tenures(
             candidate=candidate, environment=self.environment
         )
-        self.candidates[zone] = asyncio.create_task(self.tenures[zone].run())
+        self.tenures[zone].start()
 
     def _publish(self, message: object) -> None:
         if isinstance(message, messages.EndpointTable):
--- a/src/turmerichook/_internal/scheduling/journal.py
+++ b/src/turmerichook/_internal/scheduling/journal.py
@@ -111,12 +111,6 @@
         found = self.jobs.get(place[0])
         return None if found is None else found.get(place[1])
 
-    def assigned(self) -> collections.abc.Iterator[tuple[ids.TaskId, str]]:
-        """Yield the tasks that may run, with their hosts."""
-        for task, fact in self.rows():
-            if fact.host is not None:
-                yield task, fact.host
-
     def rows(
         self,
     ) -> collections.abc.Iterator[tuple[ids.TaskId, TaskFacts]]:
--- a/src/turmerichook/_internal/scheduling/plan.py
+++ b/src/turmerichook/_internal/scheduling/plan.py
@@ -83,6 +83,11 @@
     return ids.JobId(task.split("/")[1])
 
 
+def is_batch(task: ids.TaskId) -> bool:
+    """Tell whether a task belongs to a job."""
+    return task.startswith("job/")
+
+
 def service_of(task: ids.TaskId) -> ids.ServiceId:
     """Return the service of a service task."""
     return ids.ServiceId(task.split("/")[1])
--- a/src/turmerichook/_internal/scheduling/strays.py
+++ b/src/turmerichook/_internal/scheduling/strays.py
@@ -38,10 +38,13 @@
 
     def find_orphans(self) -> None:
         """Compare the journal with the wanted tasks after a takeover."""
-        for task, host in self.journal.facts.assigned():
-            if task not in self.state.tasks:
-                fact = self.journal.facts.get(task)
-                self.orphans.setdefault(host, {})[task] = fact.attempt
+        for task, fact in list(self.journal.facts.rows()):
+            if task in self.state.tasks:
+                continue
+            if fact.host is not None:
+                self.orphans.setdefault(fact.host, {})[task] = fact.attempt
+            elif not plan.is_batch(task):
+                self.journal.append(journals.Forgotten(task=task))
 
     def running(
         self,
@@ -101,6 +104,9 @@
         if orphans.get(task) != attempt:
             return
         del orphans[task]
+        if not plan.is_batch(task):
+            self.journal.append(journals.Forgotten(task=task))
+            return
         if finished:
             self.journal.append(
                 journals.Finished(task=task, attempt=attempt, succeeded=True)
--- a/src/turmerichook/_internal/scheduling/tenures.py
+++ b/src/turmerichook/_internal/scheduling/tenures.py
@@ -47,9 +47,21 @@
         # The owner of an earlier tenure whose links still renew the tasks.
         self.former: owners.Owner | None = None
         self.releases: dict[int, Heard] = {}
+        self.task: asyncio.Task | None = None
+        self.stopping = False
 
-    async def run(self) -> None:
-        """Run until cancelled, then hand the zone over."""
+    def start(self) -> None:
+        """Begin to claim the zone."""
+        self.task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Hand the zone over, and end."""
+        self.stopping = True
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    async def _run(self) -> None:
         try:
             while True:
                 tenure = await self._gain()
@@ -101,6 +113,10 @@
             if self.former is not owner:
                 self._released(owner)
             await self._give_up(tenure)
+        if self.stopping:
+            # A task group that ends by an error drops a cancellation that
+            # came at the same time.
+            raise asyncio.CancelledError
         if failed:
             await self.clock.sleep(FAILURE_DELAY)
 
--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -12,6 +12,7 @@
 from turmerichook._internal.scheduling import journal as journals
 from turmerichook._internal.scheduling import journal_store
 from turmerichook._internal.scheduling import links
+from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import state as states
 from turmerichook._internal.scheduling import strays as stray_module
 
@@ -97,6 +98,10 @@
             name, attempt, checkpoint=checkpoint, now=self.clock.monotonic()
         )
         self._append(entries)
+        if entries and name not in self.state.tasks:
+            if not plan.is_batch(name):
+                # A replica that is no longer wanted leaves nothing behind.
+                self.journal.append(journals.Forgotten(task=name))
         if entries:
             self._forget_start(name, attempt)
             logs.emit(
@@ -147,6 +152,10 @@
                 self._returned(host, event)
 
     def _finished(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        if not plan.is_batch(event.task):
+            # A replica that ended by itself is started again.
+            self._returned(host, event)
+            return
         entries = self.state.ended(
             event.task,
             event.attempt,
--- a/src/turmerichook/_internal/scheduling/zone_drain.py
+++ b/src/turmerichook/_internal/scheduling/zone_drain.py
@@ -3,7 +3,6 @@
 import collections
 import collections.abc
 import datetime
-import math
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
@@ -72,7 +71,7 @@
         if self.opened_at is None or now - self.opened_at >= RAMP:
             return limit
         share = RAMP_SHARE + (1 - RAMP_SHARE) * (now - self.opened_at) / RAMP
-        return min(limit, max(1, math.ceil(share * hosts)))
+        return min(limit, max(1, int(share * hosts)))
 
     def evictions(
         self, tasks: states.ZoneTasks, now: datetime.timedelta
--- /dev/null
+++ b/tests/scheduling/test_recovery.py
@@ -0,0 +1,556 @@
+"""Tests of takeovers, outages, workers' faults and zones."""
+
+import asyncio
+
+import pytest
+
+from tests.scheduling import world as worlds
+from turmerichook._internal.models import site
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.scheduling import jobs
+
+
+async def running(world, tasks: int, **spec) -> None:
+    """Submit job ``j`` and wait until all its tasks run."""
+    await world.submit("j", tasks=tasks, **spec)
+    await world.until(lambda: len(world.running("job/j/")) == tasks)
+    await world.advance(1)
+
+
+def starts(world, task: str = "job/j/") -> int:
+    return len(world.events("start", task))
+
+
+class TestOwnership:
+    """A zone has one owner, and work goes on across changes."""
+
+    def test_paused_owner(self):
+        # Guards against an owner that goes on starting after a pause.
+        async def scenario(world):
+            await running(world, 4, run_time=30)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            first.gate.clear()
+            await world.advance(8)
+            assert world.owner().epoch == 2
+            await world.submit("k", tasks=2, run_time=2)
+            first.gate.set()
+            await world.until_completed("k")
+            await world.until_completed("j")
+            assert first.owner("a") is None
+
+        world = worlds.run(scenario, schedulers=2)
+        assert starts(world) == 4
+        assert starts(world, "job/k/") == 2
+
+    def test_two_candidates(self):
+        # Guards against two owners with authority at one time.
+        async def scenario(world):
+            await world.advance(5)
+            owners = [s for s in world.schedulers if s.owner("a")]
+            assert len(owners) == 1
+
+        worlds.run(scenario, schedulers=3)
+
+    def test_planned_stop(self):
+        # Guards against waiting for the lease to lapse on a planned stop,
+        # and against tasks that are started again by the standby.
+        async def scenario(world):
+            await running(world, 4, run_time=10)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            await first.stop()
+            await world.advance(1.5)
+            assert world.owner().epoch == 2
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario, schedulers=2)) == 4
+
+    @pytest.mark.parametrize("after", range(12))
+    def test_answer_lost_at_each_write(self, after):
+        # Guards against a write that is repeated, or taken for failed,
+        # because its answer was lost: claim, epoch, journal and completion.
+        async def scenario(world):
+            store = world.schedulers[0].faults
+            await world.submit("j", tasks=2, run_time=1)
+            await world.advance(0.1 * after)
+            store.lose_answers = 3
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario)) == 2
+
+    @pytest.mark.parametrize("after", range(12))
+    def test_write_arrives_late(self, after):
+        # Guards against a retry that conflicts with the first try, which
+        # arrives only after its caller gave up.
+        async def scenario(world):
+            store = world.schedulers[0].faults
+            await world.submit("j", tasks=2, run_time=1)
+            await world.advance(0.1 * after)
+            store.late_by = worlds.seconds(2.1)
+            store.late_writes = 2
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario)) == 2
+
+    def test_outage_keeps_tasks_running(self):
+        # Guards against an outage, or the lapse of the owner's lease at its
+        # end, that ends running tasks.
+        async def scenario(world):
+            await running(world, 4, run_time=120)
+            store = world.schedulers[0].faults
+            for _ in range(2):
+                store.down = True
+                await world.advance(40)
+                store.down = False
+                await world.advance(0.7)
+            await world.until_completed("j", limit=120)
+
+        assert starts(worlds.run(scenario)) == 4
+
+    def test_no_start_without_store(self):
+        # Guards against starts later than 2.5 s after the last confirmation.
+        async def scenario(world):
+            await world.advance(3)
+            await world.submit("j", tasks=1)
+            world.schedulers[0].faults.down = True
+            await world.advance(20)
+            assert starts(world) == 0
+            world.schedulers[0].faults.down = False
+            await world.until_completed("j")
+
+        worlds.run(scenario)
+
+    def test_renewals_end(self):
+        # Guards against leases that are renewed for ever without the store.
+        async def scenario(world):
+            await running(world, 1, run_time=20000)
+            store = world.schedulers[0].faults
+            store.down = True
+            owner = world.owner()
+            owner.tenure.authority.confirmed_sent -= worlds.seconds(7190)
+            await world.advance(30)
+            assert world.running() == []
+            owner.tenure.authority.confirmed_sent += worlds.seconds(7190)
+
+        worlds.run(scenario)
+
+    def test_peer_tells_of_later_owner(self):
+        # Guards against a former owner that renews until it asks the store.
+        async def scenario(world):
+            await running(world, 2, run_time=30)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            other = next(s for s in world.schedulers if s is not first)
+            first.faults.down = True
+            await world.until(lambda: other.owner("a"))
+            await world.advance(1)
+            assert first.owner("a") is None
+            assert 1 in other.zones["a"].releases
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario, schedulers=2)) == 2
+
+
+class TestTakeover:
+    """A new owner starts what it may, and waits for what it cannot know."""
+
+    def test_unreachable_worker(self):
+        # Guards against starting a task elsewhere that may still run, and
+        # against waiting with tasks that cannot.
+        async def scenario(world):
+            await running(world, 8, run_time=60)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            other = next(s for s in world.schedulers if s is not first)
+            world.cut("a0", other)
+            await world.submit("k", tasks=1, run_time=1)
+            world.peers_cut = True
+            first.faults.down = True
+            await world.until(lambda: other.owner("a"))
+            await world.advance(100)
+            assert starts(world) == 8
+            world.heal("a0")
+            await world.until_completed("j")
+            await world.until_completed("k")
+
+        worlds.run(scenario, schedulers=2, workers=2)
+
+    def test_release_shortens_the_wait(self):
+        # Guards against waiting 2 h for a worker that the former owner has
+        # certainly ceased to renew.
+        async def scenario(world):
+            await running(world, 8, run_time=60)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            other = next(s for s in world.schedulers if s is not first)
+            world.cut("a0", other)
+            first.faults.down = True
+            await world.until(lambda: other.owner("a"))
+            await world.advance(19)
+            unknown = other.owner("a").unknown
+            assert unknown.settled("a0", world.clock.monotonic())
+            assert len(world.running("job/j/")) == 4
+            world.add_worker("a", "a2")
+            await world.until_completed("j", limit=200)
+
+        world = worlds.run(scenario, schedulers=2, workers=2)
+        assert starts(world) == 12
+
+    def test_start_never_sent(self):
+        # Guards against a task that the journal assigns and nobody started.
+        async def scenario(world):
+            await world.advance(2)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            first.pool.cut.update(world.network)
+            await world.submit("j", tasks=2, run_time=1)
+            await world.advance(0.5)
+            first.gate.clear()
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario, schedulers=2)) == 2
+
+    def test_removed_service_is_stopped(self):
+        # Guards against tasks that run for ever because the service was
+        # removed while the zone had no owner.
+        async def scenario(world):
+            world.set_service("s", 2)
+            await world.until(lambda: len(world.running()) == 2)
+            await world.schedulers[0].stop()
+            world.set_service("other", 1)
+            world.schedulers.append(worlds.Scheduler(world, "s9"))
+            await world.advance(8)
+            assert len(world.running("service/s/")) == 0
+            assert len(world.running("service/other/")) == 1
+            assert len(world.owner().journal.facts) == 1
+
+        worlds.run(scenario)
+
+    def test_endpoints_of_unreachable_worker_stay(self):
+        # Guards against endpoints that vanish because only the new owner
+        # cannot reach their worker.
+        async def scenario(world):
+            world.set_service("s", 4)
+            await world.until(lambda: len(world.running()) == 4)
+            await world.advance(1)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            other = next(s for s in world.schedulers if s is not first)
+            world.cut("a0", other)
+            first.gate.clear()
+            await world.until(lambda: other.owner("a"))
+            await world.advance(5)
+            table = other.environment.peers.tables["a"]
+            assert (table.epoch, len(table.endpoints)) == (2, 4)
+
+        worlds.run(scenario, schedulers=2)
+
+
+class TestWorkers:
+    """Workers' faults neither lose nor duplicate work."""
+
+    def test_restart_under_the_same_name(self):
+        # Guards against waiting for leases that a restart has ended.
+        async def scenario(world):
+            await running(world, 2, run_time=10)
+            world.restart("a0")
+            world.restart("a1")
+            await world.advance(7)
+            assert len(world.running("job/j/")) == 2
+            await world.until_completed("j")
+
+        worlds.run(scenario)
+
+    def test_late_answer_of_an_earlier_boot(self):
+        # Guards against a late answer that is taken for a second restart,
+        # so that tasks of the present boot are started again.
+        async def scenario(world):
+            await running(world, 1, run_time=30)
+            host = world.running()[0]
+            world.schedulers[0].pool.late_answers[host] = worlds.seconds(6.5)
+            await world.advance(5.5)
+            world.restart(host)
+            world.owner().links.ask_inventory(host)
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario)) == 2
+
+    def test_lost_start(self):
+        # Guards against a task that stays assigned for ever because the
+        # message that starts it was lost.
+        async def scenario(world):
+            await world.advance(3)
+            world.schedulers[0].pool.cut.update(world.network)
+            await world.submit("j", tasks=1, run_time=1)
+            await world.advance(0.5)
+            world.schedulers[0].pool.cut.clear()
+            await world.until_completed("j", limit=15)
+
+        assert starts(worlds.run(scenario)) == 1
+
+    def test_answer_to_start_lost(self):
+        # Guards against starting again what has started.
+        async def scenario(world):
+            await world.advance(3)
+            world.schedulers[0].pool.lose_answers.update(world.network)
+            await world.submit("j", tasks=4, run_time=10)
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario)) == 4
+
+    def test_lapsed_lease_resumes_once(self):
+        # Guards against a second start beside the first, and against work
+        # that begins anew although a checkpoint exists.
+        async def scenario(world):
+            await running(world, 1, run_time=60)
+            host = world.running()[0]
+            world.cut(host)
+            await world.advance(18)
+            world.heal(host)
+            await world.until_completed("j", limit=120)
+
+        assert starts(worlds.run(scenario)) == 2
+
+    def test_slow_rounds_do_not_give_workers_up(self):
+        # Guards against old reports of an unreachable worker that are
+        # believed although its leases have been renewed since.
+        async def scenario(world):
+            await running(world, 4, run_time=60)
+            owner = world.owner()
+            store = world.schedulers[0].faults
+            world.cut("a0")
+            await world.advance(8)
+            store.delays = (worlds.seconds(3), worlds.seconds(4))
+            world.heal("a0")
+            await world.advance(14)
+            store.delays = (worlds.seconds(0), worlds.seconds(0))
+            assert owner is not None
+            await world.until_completed("j", limit=120)
+
+        assert starts(worlds.run(scenario)) == 4
+
+    def test_gone_host(self):
+        # Guards against waiting for a host that the platform has stopped.
+        async def scenario(world):
+            await running(world, 8, run_time=20)
+            other = worlds.Scheduler(world, "s9")
+            world.schedulers.append(other)
+            other.pool.cut.add("a0")
+            await world.schedulers[0].stop()
+            world.network.pop("a0").restart()
+            world.set_host("a0", hosts.HostState.GONE)
+            await world.advance(19)
+            await world.until_completed("j", limit=60)
+
+        assert starts(worlds.run(scenario)) == 12
+
+    def test_host_list_down(self):
+        # Guards against an owner that forgets its workers with the list.
+        async def scenario(world):
+            await running(world, 4, run_time=20)
+            world.hosts.down = True
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario)) == 4
+
+    def test_results_are_kept_until_durable(self):
+        # Guards against a result that is lost because the worker dropped it
+        # before the journal held it.
+        async def scenario(world):
+            await running(world, 4, run_time=5)
+            world.schedulers[0].faults.down = True
+            await world.advance(10)
+            await world.schedulers[0].stop()
+            world.schedulers.append(worlds.Scheduler(world, "s9"))
+            await world.until_completed("j")
+
+        assert starts(worlds.run(scenario)) == 4
+
+    def test_failure_keeps_the_checkpoint(self):
+        # Guards against a retry after a failure that begins anew.
+        async def scenario(world):
+            await running(world, 1, run_time=60)
+            host = world.running()[0]
+            other = {"a0": "a1", "a1": "a0"}[host]
+            world.set_zone("a", site.ZoneState.OUT)
+            await world.until(lambda: not world.running())
+            world.network[other].fails = True
+            world.network[host].fails = True
+            world.set_zone("a", site.ZoneState.IN)
+            await world.advance(3)
+            world.network[other].fails = False
+            world.network[host].fails = False
+            await world.until_completed("j", limit=90)
+
+        world = worlds.run(scenario)
+        marks = {entry["checkpoint"] for entry in world.events("start")}
+        assert len(marks) == 2
+
+
+class TestZones:
+    """A zone is emptied in order and comes back slowly."""
+
+    def test_jobs_move_with_their_progress(self):
+        # Guards against tasks that run again, or in two zones, when the
+        # zone of their job is taken out.
+        async def scenario(world):
+            await world.submit("j", tasks=12, run_time=10)
+            await world.advance(15)
+            finished = len(world.events("end", "job/j/"))
+            assert 0 < finished < 12
+            world.set_zone("a", site.ZoneState.OUT)
+            await world.advance(5)
+            assert (await world.record("j")).home == "b"
+            await world.until_completed("j", limit=60)
+
+        world = worlds.run(scenario, zones=("a", "b"))
+        finished = [e for e in world.events("end") if e["why"] == "finished"]
+        assert len(finished) == 12
+
+    def test_move_that_arrives_late(self):
+        # Guards against a move whose write arrives after a new owner has
+        # started the job's tasks in the zone that came back.
+        async def scenario(world):
+            await running(world, 4, run_time=20)
+            first = next(s for s in world.schedulers if s.owner("a"))
+            world.set_zone("a", site.ZoneState.OUT)
+            await world.until(lambda: world.owner().journal.facts.moving)
+            first.faults.late_by = worlds.seconds(30)
+            first.faults.late_writes = 1
+            await world.advance(1.5)
+            first.gate.clear()
+            first.faults.down = True
+            world.set_zone("a", site.ZoneState.IN)
+            await world.until_completed("j", limit=120)
+
+        worlds.run(scenario, zones=("a", "b"), schedulers=2)
+
+    def test_services_wait_for_replicas_elsewhere(self):
+        # Guards against replicas that stop before others have started.
+        async def scenario(world):
+            world.set_service("s", 4)
+            await world.until(lambda: len(world.running()) == 4)
+            await world.advance(3)
+            for host in ("b0", "b1"):
+                world.network[host].fails = True
+            world.set_zone("a", site.ZoneState.OUT)
+            await world.advance(20)
+            assert len(world.running("service/s/a/")) == 2
+            for host in ("b0", "b1"):
+                world.network[host].fails = False
+            await world.advance(8)
+            tables = world.schedulers[0].environment.peers.tables
+            assert [row[5] for row in tables["a"].endpoints] == [True, True]
+            assert len(world.running("service/s/a/")) == 2
+            await world.advance(8)
+            assert world.running("service/s/a/") == []
+            assert len(world.running("service/s/b/")) == 4
+
+        worlds.run(scenario, zones=("a", "b"))
+
+    def test_slow_start(self):
+        # Guards against a zone that takes its full load at once.
+        async def scenario(world):
+            world.set_zone("a", site.ZoneState.OUT)
+            await world.advance(4)
+            await world.submit("j", tasks=40, run_time=100)
+            world.set_zone("a", site.ZoneState.IN)
+            await world.advance(2.5)
+            assert 0 < starts(world) < 15
+            await world.until(lambda: starts(world) == 40)
+
+        worlds.run(scenario, workers=10)
+
+
+class TestJobs:
+    """Records follow the work, and cancellations are cheap."""
+
+    def test_wave_of_cancellations(self):
+        # Guards against cancelled tasks that go on, and against one write
+        # to the journal for each of their tasks.
+        async def scenario(world):
+            names = [f"j{number}" for number in range(30)]
+            for name in names:
+                await world.submit(name, tasks=2, run_time=100)
+            await world.until(lambda: len(world.running()) == 8)
+            await world.cancel(*names)
+            await world.advance(8)
+            assert world.running() == []
+            for name in names:
+                state = (await world.record(name)).state
+                assert state is jobs.JobState.CANCELLED
+            assert len(world.owner().journal.facts.jobs) == 0
+
+        worlds.run(scenario)
+
+    def test_stale_record_does_not_revive_a_job(self):
+        # Guards against a completed job that runs again because the watch
+        # brings an older version of its record.
+        async def scenario(world):
+            await running(world, 1, run_time=2)
+            entry = await world.store.get("jobs/j")
+            await world.until_completed("j")
+            owner = world.owner()
+            found = ((jobs.unpack(entry.value), entry.version),)
+            owner.board.read(found)
+            await world.advance(3)
+
+        assert starts(worlds.run(scenario)) == 1
+
+    def test_records_of_the_folder_and_retention(self):
+        # Guards against a job of the folder that runs again when its final
+        # record is removed, and against records that stay for ever.
+        async def scenario(world):
+            await world.submit("j", tasks=1, run_time=1)
+            spec = (await world.record("j")).spec
+            folder = dict(world.configuration.jobs)
+            folder["f"] = worlds.dataclasses.replace(spec, job="f")
+            world.configuration = worlds.dataclasses.replace(
+                world.configuration, jobs=folder
+            )
+            await world.advance(5)
+            await world.until_completed("f")
+            await world.until_completed("j")
+            world.clock.start += worlds.seconds(25 * 3600)
+            await world.advance(5)
+            assert "jobs/j" not in world.store.entries
+            assert "jobs/f" in world.store.entries
+
+        assert len(worlds.run(scenario).events("start")) == 2
+
+    def test_unreadable_record(self):
+        # Guards against one record that hides all the others.
+        async def scenario(world):
+            await world.store.put("jobs/x", b"\xc1", expect=0)
+            await world.submit("j", tasks=1, run_time=1)
+            await world.until_completed("j")
+
+        worlds.run(scenario)
+
+    def test_results_reach_the_record(self):
+        # Guards against progress that nobody can read.
+        async def scenario(world):
+            await world.submit("j", tasks=9, run_time=70)
+            await world.advance(75)
+            assert (await world.record("j")).finished == 8
+
+        worlds.run(scenario)
+
+
+class TestUnreadableJournal:
+    """What is not understood is neither changed nor run over."""
+
+    def test_entry_of_a_newer_version(self):
+        # Guards against a takeover that drops entries it cannot read.
+        async def scenario(world):
+            await world.advance(2)
+            key = "journal/a/tail"
+            value = world.store.entries[key].value
+            changed = value.replace(b"\x90", b"\x91\x91\xa1?")
+            version = world.store.entries[key].version
+            await world.schedulers[0].stop()
+            await world.store.put(key, changed, expect=version)
+            world.schedulers.append(worlds.Scheduler(world, "s9"))
+            await world.submit("j", tasks=1, run_time=1)
+            await world.advance(20)
+            assert starts(world) == 0
+            assert world.store.entries[key].value == changed
+            # The zone is offered to others rather than claimed each second.
+            assert len(world.store.versions) and world.owner() is None
+            await asyncio.sleep(0)
+
+        worlds.run(scenario)
--- /dev/null
+++ b/tests/scheduling/world.py
@@ -0,0 +1,325 @@
+"""Schedulers, workers and a store on one manual clock."""
+
+import asyncio
+import dataclasses
+import datetime
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal.platform import hosts
+from turmerichook._internal.platform import hosts_memory
+from turmerichook._internal.platform import store_faults
+from turmerichook._internal.platform import store_memory
+from turmerichook._internal.platform import workers_memory
+from turmerichook._internal.scheduling import environment
+from turmerichook._internal.scheduling import jobs
+from turmerichook._internal.scheduling import messages
+from turmerichook._internal.scheduling import ownership
+from turmerichook._internal.scheduling import tenures
+
+STEP = datetime.timedelta(milliseconds=100)
+# Turns of the event loop in which all that is due at one time happens.
+TURNS = 25
+CAPACITY = resources.Resources(millicores=4000, memory_mib=4096)
+SMALL = resources.Resources(millicores=1000, memory_mib=1024)
+
+
+def seconds(number: float) -> datetime.timedelta:
+    """Return a duration."""
+    return datetime.timedelta(seconds=number)
+
+
+class Gated:
+    """Passes calls on; a paused process learns no result until resumed."""
+
+    def __init__(self, inner, gate: asyncio.Event):
+        self.inner = inner
+        self.gate = gate
+
+    def __getattr__(self, name):
+        attribute = getattr(self.inner, name)
+        if not asyncio.iscoroutinefunction(attribute):
+            return attribute
+
+        async def call(*args, **kwargs):
+            try:
+                return await attribute(*args, **kwargs)
+            finally:
+                if not self.gate.is_set():
+                    await self.gate.wait()
+
+        return call
+
+
+class Scheduler:
+    """One scheduler process: a candidate for each zone."""
+
+    def __init__(self, world: "World", name: str):
+        self.world = world
+        self.name = name
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.configuration = site.EMPTY
+        self.clock = Gated(world.clock, self.gate)
+        self.faults = store_faults.FaultyStore(
+            store=world.store, clock=world.clock
+        )
+        self.store = Gated(self.faults, self.gate)
+        self.pool = workers_memory.MemoryWorkerPool(
+            network=world.network, clock=world.clock
+        )
+        self.environment = environment.Environment(
+            node=ids.NodeId(name),
+            store=self.store,
+            pool=Gated(self.pool, self.gate),
+            host_list=Gated(world.hosts, self.gate),
+            clock=self.clock,
+            configuration=lambda: self.configuration,
+            publish=self.publish,
+            peers=environment.Peers(),
+        )
+        self.zones = {
+            zone: tenures.Tenures(
+                candidate=ownership.Candidate(
+                    zone=zone,
+                    node=ids.NodeId(name),
+                    address=name,
+                    foreign=False,
+                    store=self.store,
+                    clock=self.clock,
+                    confirm=self.confirm,
+                ),
+                environment=self.environment,
+            )
+            for zone in world.configuration.zones
+        }
+        for zone in self.zones.values():
+            zone.start()
+
+    async def confirm(self) -> None:
+        await self.store.get("config/head")
+        self.configuration = self.world.configuration
+
+    def publish(self, message: object) -> None:
+        for other in self.world.schedulers:
+            if other.gate.is_set() and not self.world.peers_cut:
+                other.receive(message)
+
+    def receive(self, message: object) -> None:
+        peers = self.environment.peers
+        zone = self.zones[ids.ZoneId(message.zone)]
+        match message:
+            case messages.EndpointTable():
+                peers.tables[message.zone] = message
+                zone.heard_epoch(message.epoch, "peer")
+            case messages.ZoneStatus():
+                peers.statuses[message.zone] = message
+            case messages.ZoneReleased():
+                zone.heard_release(message)
+
+    def owner(self, zone: str):
+        return self.zones[ids.ZoneId(zone)].owner
+
+    async def stop(self) -> None:
+        for zone in self.zones.values():
+            await zone.stop()
+        for task in self.faults.late:
+            task.cancel()
+
+
+class World:
+    """Everything that a scenario needs, and its history."""
+
+    def __init__(self, *, zones=("a",), workers=2, schedulers=1):
+        self.clock = clocks.ManualClock()
+        self.store = store_memory.MemoryStore(clock=self.clock)
+        self.hosts = hosts_memory.MemoryHostList()
+        self.history: list[dict] = []
+        self.network: dict[str, workers_memory.MemoryWorker] = {}
+        self.configuration = site.Configuration(
+            zones={
+                ids.ZoneId(zone): site.Zone(
+                    zone=ids.ZoneId(zone), region=ids.RegionId("r")
+                )
+                for zone in zones
+            },
+            teams={ids.TeamId("t"): site.Team(team=ids.TeamId("t"))},
+        )
+        self.peers_cut = False
+        for zone in zones:
+            for number in range(workers):
+                self.add_worker(ids.ZoneId(zone), f"{zone}{number}")
+        self.schedulers: list[Scheduler] = []
+        for number in range(schedulers):
+            self.schedulers.append(Scheduler(self, f"s{number}"))
+
+    def add_worker(self, zone: ids.ZoneId, name: str) -> None:
+        self.network[name] = workers_memory.MemoryWorker(
+            host=ids.HostId(name),
+            zone=zone,
+            capacity=CAPACITY,
+            clock=self.clock,
+            record=self.history.append,
+        )
+        self.hosts.entries[ids.HostId(name)] = hosts.Host(
+            host=ids.HostId(name),
+            address=name,
+            zone=zone,
+            rack=ids.RackId("r"),
+            capacity=CAPACITY,
+            state=hosts.HostState.LIVE,
+        )
+
+    def set_host(self, name: str, state: hosts.HostState) -> None:
+        host = self.hosts.entries[ids.HostId(name)]
+        self.hosts.entries[host.host] = dataclasses.replace(host, state=state)
+
+    def set_zone(self, zone: str, state: site.ZoneState) -> None:
+        name = ids.ZoneId(zone)
+        changed = dataclasses.replace(
+            self.configuration.zones[name], state=state
+        )
+        self.configuration = dataclasses.replace(
+            self.configuration,
+            zones={**self.configuration.zones, name: changed},
+        )
+        self.note(state.value, zone=zone)
+
+    def set_service(self, name: str, replicas: int) -> None:
+        service = site.Service(
+            service=ids.ServiceId(name),
+            team=ids.TeamId("t"),
+            replicas=replicas,
+            resources=SMALL,
+            zones=(),
+        )
+        self.configuration = dataclasses.replace(
+            self.configuration, services={service.service: service}
+        )
+
+    def note(self, kind: str, **fields: object) -> None:
+        self.history.append(
+            {"kind": kind, "time": self.clock.monotonic(), **fields}
+        )
+
+    async def submit(
+        self, job: str, *, tasks=1, run_time=5.0, home="a"
+    ) -> None:
+        spec = site.Job(
+            job=ids.JobId(job),
+            team=ids.TeamId("t"),
+            tasks=tasks,
+            resources=SMALL,
+            run_time=seconds(run_time),
+        )
+        record = jobs.JobRecord(
+            spec=spec,
+            home=ids.ZoneId(home),
+            state=jobs.JobState.ACCEPTED,
+            operation=ids.OperationId("submit"),
+            accepted=self.clock.now().isoformat(),
+        )
+        await self.store.put(
+            jobs.key_of(spec.job), jobs.pack(record), expect=ids.Version(0)
+        )
+        self.note("submit", job=job)
+
+    async def cancel(self, *names: str) -> None:
+        cancellation = jobs.Cancellation(
+            jobs=tuple(map(ids.JobId, names)),
+            created=self.clock.now().isoformat(),
+        )
+        await self.store.put(
+            f"{jobs.CANCEL_PREFIX}{names[0]}",
+            jobs.pack_cancellation(cancellation),
+            expect=ids.Version(0),
+        )
+
+    async def record(self, job: str) -> jobs.JobRecord:
+        entry = await self.store.get(jobs.key_of(ids.JobId(job)))
+        return jobs.unpack(entry.value)
+
+    async def advance(self, duration: float) -> None:
+        """Let time pass in small steps."""
+        end = self.clock.monotonic() + seconds(duration)
+        while self.clock.monotonic() < end:
+            self.clock.advance(STEP)
+            self.store.expire()
+            for worker in self.network.values():
+                worker.advance()
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+
+    async def until(self, condition, limit: float = 60) -> None:
+        """Let time pass until a condition holds."""
+        end = self.clock.monotonic() + seconds(limit)
+        while not condition():
+            assert self.clock.monotonic() < end, "it did not happen in time"
+            await self.advance(0.1)
+
+    async def until_completed(self, job: str, limit: float = 60) -> None:
+        end = self.clock.monotonic() + seconds(limit)
+        while (await self.record(job)).state is jobs.JobState.ACCEPTED:
+            assert self.clock.monotonic() < end, f"{job} did not end in time"
+            await self.advance(0.5)
+
+    def owner(self, zone: str = "a"):
+        """Return the running owner of a zone with the highest epoch."""
+        found = [s.owner(zone) for s in self.schedulers if s.owner(zone)]
+        return max(found, key=lambda owner: owner.epoch, default=None)
+
+    def cut(self, host: str, *schedulers: Scheduler) -> None:
+        """Cut a worker off from some schedulers, or from all."""
+        for scheduler in schedulers or self.schedulers:
+            scheduler.pool.cut.add(host)
+        self.note("cut", host=host)
+
+    def heal(self, host: str) -> None:
+        for scheduler in self.schedulers:
+            scheduler.pool.cut.discard(host)
+        self.note("heal", host=host)
+
+    def restart(self, host: str) -> None:
+        self.network[host].restart()
+        self.note("restart", host=host)
+
+    def events(self, kind: str, task: str = "") -> list[dict]:
+        return [
+            entry
+            for entry in self.history
+            if entry["kind"] == kind and entry.get("task", "").startswith(task)
+        ]
+
+    def running(self, task: str = "") -> list[str]:
+        """Return hosts on which tasks run, one for each attempt."""
+        return [
+            name
+            for name, worker in self.network.items()
+            for running in worker.running
+            if running.startswith(task)
+        ]
+
+    async def close(self) -> None:
+        for scheduler in self.schedulers:
+            scheduler.gate.set()
+            await scheduler.stop()
+
+
+def run(scenario, **shape) -> World:
+    """Run a scenario in a world, check its history and return the world."""
+
+    async def main() -> World:
+        world = World(**shape)
+        try:
+            await scenario(world)
+        finally:
+            await world.close()
+        return world
+
+    from tests.scheduling import checker
+
+    world = asyncio.run(main())
+    assert checker.check(world.history) == []
+    return world
