--- a/src/turmerichook/_internal/scheduling/journal.py
+++ b/src/turmerichook/_internal/scheduling/journal.py
@@ -100,6 +100,10 @@
         self.jobs: dict[ids.JobId, progress.JobFacts] = {}
         self.others: dict[ids.TaskId, TaskFacts] = {}
         self.moving: set[ids.JobId] = set()
+        # Highest attempt of any replica that was forgotten. Later replicas
+        # go on from it, so that a late report about an attempt of an earlier
+        # replica of the same name fits no present one.
+        self.last_attempt = ids.Attempt(0)
         self.live = 0
         self.finished_bytes = 0
 
@@ -110,16 +114,10 @@
         """Return what is known about a task, or None."""
         place = _place(task)
         if place is None:
-            return self.others.get(task)
+            return self.others.get(task) or self._forgotten()
         found = self.jobs.get(place[0])
         return None if found is None else found.get(place[1])
 
-    def assigned(self) -> collections.abc.Iterator[tuple[ids.TaskId, str]]:
-        """Yield the tasks that may run, with their hosts."""
-        for task, fact in self.rows():
-            if fact.host is not None:
-                yield task, fact.host
-
     def rows(
         self,
     ) -> collections.abc.Iterator[tuple[ids.TaskId, TaskFacts]]:
@@ -135,7 +133,7 @@
         :param begun: tasks that begin before it and have no row yet.
         """
         place = _place(task)
-        if self.get(task) is not None:
+        if task in self.others or (place and self.get(task) is not None):
             return True
         if self.live + begun >= LIVE_TASKS:
             return False
@@ -235,10 +233,18 @@
         if found.live.pop(number, None) is not None:
             self.live -= 1
 
+    def _forgotten(self) -> TaskFacts | None:
+        if not self.last_attempt:
+            return None
+        return TaskFacts(attempt=self.last_attempt)
+
     def _drop(self, task: ids.TaskId) -> None:
         place = _place(task)
         if place is None:
-            self.live -= self.others.pop(task, None) is not None
+            fact = self.others.pop(task, None)
+            if fact is not None:
+                self.live -= 1
+                self.last_attempt = max(self.last_attempt, fact.attempt)
         elif place[0] in self.jobs:
             live = self.jobs[place[0]].live
             self.live -= live.pop(place[1], None) is not None
--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -12,9 +12,14 @@
 from turmerichook._internal.scheduling import journal as journals
 from turmerichook._internal.scheduling import journal_store
 from turmerichook._internal.scheduling import links
+from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import state as states
 from turmerichook._internal.scheduling import strays as stray_module
 
+# States after which a task is tried again with a growing delay. Of finished
+# tasks only replicas are, since they are meant to run until they are stopped.
+ENDED_BY_ITSELF = (workers.TaskState.FAILED, workers.TaskState.FINISHED)
+
 
 class WorkerReports:
     """Applies answers once the zone's wanted tasks are known."""
@@ -35,7 +40,9 @@
         self.seen: dict[ids.HostId, tuple[ids.BootId, int]] = {}
         # Events to acknowledge once the journal holds their entries.
         self.acknowledgements: dict[ids.HostId, tuple[ids.BootId, int]] = {}
-        # Starts that wait for the journal, and those that were sent.
+        # Starts that wait for the journal, and those that were sent. The
+        # latter are kept as long as the attempt is, since an inventory that
+        # was asked for before it may come late and not list it.
         self.starts: dict[ids.TaskId, states.StartCommand] = {}
         self.sent: dict[ids.TaskId, tuple[ids.Attempt, datetime.timedelta]]
         self.sent = {}
@@ -106,6 +113,10 @@
             failed=failed,
         )
         self._append(entries)
+        if entries and name not in self.state.tasks:
+            if not plan.is_batch(name):
+                # A replica that is no longer wanted leaves nothing behind.
+                self.journal.append(journals.Forgotten(task=name))
         if entries:
             self._forget_start(name, attempt)
             logs.emit(
@@ -120,15 +131,11 @@
         found = set()
         for name, (attempt, sent) in list(self.sent.items()):
             task = self.state.tasks.get(name)
-            current = (
-                task is not None
-                and task.attempt == attempt
-                and task.phase is states.Phase.ASSIGNED
-            )
-            if not current:
+            if task is None or task.attempt != attempt or task.host is None:
                 del self.sent[name]
-            elif now - sent > authorities.START_FATE_KNOWN:
-                found.add(task.host)
+            elif task.phase is states.Phase.ASSIGNED:
+                if now - sent > authorities.START_FATE_KNOWN:
+                    found.add(task.host)
         return found
 
     def _usable(self, host: ids.HostId) -> None:
@@ -159,6 +166,10 @@
                 self._returned(host, event)
 
     def _finished(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        if not plan.is_batch(event.task):
+            # A replica that ended by itself is started again.
+            self._returned(host, event)
+            return
         entries = self.state.ended(
             event.task,
             event.attempt,
@@ -173,7 +184,7 @@
             event.task,
             event.attempt,
             event.checkpoint,
-            failed=event.state is workers.TaskState.FAILED,
+            failed=event.state in ENDED_BY_ITSELF,
         )
         self.strays.ended(host, event.task, event.attempt, event.checkpoint)
 
