--- a/demo/steps.py
+++ b/demo/steps.py
@@ -80,8 +80,13 @@
         """Take a zone out or bring it back in."""
         path = self.folder / f"90-zone-{zone}.toml"
         path.write_text(f'[zones.{zone}]\nstate = "{state}"\n')
+        # The zone is open from some moment during the apply, and closed for
+        # certain only once the apply has returned.
+        if state == "in":
+            self.record({"kind": "zone-in", "zone": zone})
         self.apply()
-        self.record({"kind": f"zone-{state}", "zone": zone})
+        if state == "out":
+            self.record({"kind": "zone-out", "zone": zone})
 
     def submit(self, job: str, *, tasks: int) -> str:
         """Submit a job and return its id once it is accepted."""
--- a/faults/cells.py
+++ b/faults/cells.py
@@ -61,7 +61,7 @@
     cells = [
         Cell(row=row, faults=(fault,), impossible=_why_not(row, (fault,)))
         for row in rows.ROWS
-        for fault in strikes.FAULTS
+        for fault in (strikes.NONE, *strikes.FAULTS)
     ]
     for row in rows.ROWS:
         for names in PAIRS:
--- a/faults/rows.py
+++ b/faults/rows.py
@@ -7,9 +7,16 @@
 
 import collections.abc
 import dataclasses
+import time
 
 from faults import world as worlds
 
+# Longer than the bound after which nothing starts in a closed zone.
+CLOSED_S = 6.0
+# Time for a process that was asked to stop to begin with it.
+STOPPING_S = 1.0
+# Long enough that an eviction finds the task still running.
+LONG_RUN_S = 10
 JOB = "matrix"
 PLAIN_JOB = "plain"
 
@@ -108,7 +115,7 @@
 
 
 def _task_run(world: worlds.World) -> Reached:
-    _submit(world)
+    world.submit(JOB, tasks=3, zones=("a",), run_time_s=LONG_RUN_S)
     started = world.wait_for(
         lambda: world.entries("start", f"job/{JOB}/"), "start of a task"
     )
@@ -203,11 +210,30 @@
     return Reached(actor=world.owner("a"))
 
 
+def _zone_out_submit(world: worlds.World) -> Reached:
+    world.set_zone("a", "out")
+    time.sleep(CLOSED_S)
+    # Several, so that some would have their home in each open zone.
+    for number in range(6):
+        world.submit(f"{JOB}-{number}", tasks=3)
+    return Reached(actor=world.owner("a"))
+
+
+def _job_large(world: worlds.World) -> Reached:
+    # More than the zone's three hosts of 16 cores can run at once.
+    world.submit(JOB, tasks=120, zones=("a",))
+    return Reached(actor=world.owner("a"))
+
+
 def _stop_gateway(world: worlds.World) -> Reached:
     node = "gateway-a-0"
+    workers = world.system.hosts[0]["address"]
+    world.system.hold(workers, "endpoint run caller0-* before")
+    _wait_held(world, workers)
     world.record({"kind": "planned-stop", "node": node})
     world.system.terminate(node)
-    return Reached(actor=node)
+    time.sleep(STOPPING_S)
+    return Reached(actor=node, held=workers)
 
 
 def _stop_scheduler(world: worlds.World) -> Reached:
@@ -241,6 +267,7 @@
 ROWS: tuple[Row, ...] = (
     *_moments("job-submit", "job", _job_submit),
     *_moments("job-complete", "job", _job_complete),
+    Row(name="job-large", subject="job", reach=_job_large),
     *_moments("task-assign", "task", _task_assign),
     *_moments("task-start", "task", _task_start),
     Row(name="task-run", subject="task", reach=_task_run),
@@ -258,6 +285,7 @@
     *_stores("owner-epoch", "zones/a/owner"),
     *_stores("owner-journal", "journal/a/tail"),
     Row(name="zone-leave", subject="zone", reach=_zone_leave),
+    Row(name="zone-out-submit", subject="zone", reach=_zone_out_submit),
     Row(name="zone-return", subject="zone", reach=_zone_return),
     Row(name="stop-gateway", subject="planned stop", reach=_stop_gateway),
     Row(name="stop-scheduler", subject="planned stop", reach=_stop_scheduler),
--- a/faults/strikes.py
+++ b/faults/strikes.py
@@ -14,6 +14,8 @@
 SLOW_CALL_S = 1.0
 CUT_S = 8.0
 DEAD_S = 6.0
+# Longer than the bounds of the promises on zones and leaving endpoints.
+QUIET_S = 7.0
 
 Strike = collections.abc.Callable[[worlds.World, rows.Reached], None]
 
@@ -103,6 +105,20 @@
     world.system.fail_starts(host, failing=False)
 
 
+def _host_unreachable(world: worlds.World, reached: rows.Reached) -> None:
+    host = _host(world, reached)
+    world.system.mute(host, muted=True)
+    _release(world, reached)
+    time.sleep(CUT_S)
+    world.system.mute(host, muted=False)
+
+
+def _nothing(world: worlds.World, reached: rows.Reached) -> None:
+    time.sleep(QUIET_S)
+    _release(world, reached)
+    time.sleep(QUIET_S)
+
+
 def _list_stale(world: worlds.World, reached: rows.Reached) -> None:
     # The list reports a live host as leaving and a dead one as live.
     host = _host(world, reached)
@@ -127,6 +143,9 @@
     return next(h for h in world.system.hosts if h["host"] == name)
 
 
+# The step without a fault: what the breaks of ``breaks`` are shown in.
+NONE = Fault(name="none", strike=_nothing)
+
 FAULTS: tuple[Fault, ...] = (
     Fault(name="killed", strike=_kill),
     Fault(name="paused", strike=_pause),
@@ -138,6 +157,7 @@
     Fault(name="cut-from-both", strike=_cut("a->b", "b->a", "a->store")),
     Fault(name="host-dead", strike=_host_dead),
     Fault(name="host-failing", strike=_host_failing),
+    Fault(name="host-unreachable", strike=_host_unreachable),
     Fault(name="list-stale", strike=_list_stale),
     Fault(name="operators-race", strike=_operators_race),
 )
--- a/faults/world.py
+++ b/faults/world.py
@@ -159,8 +159,13 @@
     def set_zone(self, zone: str, state: str) -> None:
         """Take a zone out or bring it back, and record it."""
         self.write_zone(zone, state)
+        # The zone is open from some moment during the apply, and closed for
+        # certain only once the apply has returned.
+        if state == "in":
+            self.record({"kind": "zone-in", "zone": zone})
         self.apply()
-        self.record({"kind": f"zone-{state}", "zone": zone})
+        if state == "out":
+            self.record({"kind": "zone-out", "zone": zone})
         self.note_applied()
 
     def zone_is_out(self, zone: str) -> bool:
@@ -168,7 +173,14 @@
         path = self.files / f"90-zone-{zone}.toml"
         return path.exists() and '"out"' in path.read_text()
 
-    def submit(self, job: str, *, tasks: int, zones: tuple = ()) -> bool:
+    def submit(
+        self,
+        job: str,
+        *,
+        tasks: int,
+        zones: tuple = (),
+        run_time_s: float = TASK_RUN_S,
+    ) -> bool:
         """Submit a job until it is accepted or the time is over."""
         document = {
             "id": job,
@@ -176,7 +188,7 @@
             "tasks": tasks,
             "cores": 1,
             "memory_gib": 1,
-            "run_time_s": TASK_RUN_S,
+            "run_time_s": run_time_s,
             "zones": list(zones),
         }
         deadline = time.monotonic() + SETTLE_S
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -307,6 +307,12 @@
         """Kill a worker's host, or start it again."""
         self.call(host["address"], "/power", method="PUT", document={"on": on})
 
+    def mute(self, host: dict, *, muted: bool) -> None:
+        """Cut a worker off from schedulers while its tasks run on."""
+        self.call(
+            host["address"], "/power", method="PUT", document={"mute": muted}
+        )
+
     def fail_starts(self, host: dict, *, failing: bool) -> None:
         """Make a worker fail everything it starts, or end that."""
         self.call(
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -70,6 +70,7 @@
         self.sequence = 0
         self.changed = asyncio.Event()
         self.dead = False
+        self.muted = False
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one call."""
@@ -79,7 +80,7 @@
         if exchange.head.path == "/power":
             await self._power(exchange)
             return
-        if self.dead:
+        if self.dead or self.muted:
             exchange.connection.close()
             return
         try:
@@ -99,7 +100,7 @@
         except holds.DroppedError:
             exchange.connection.close()
             return
-        if self.dead:
+        if self.dead or self.muted:
             exchange.connection.close()
             return
         await exchange.respond_json(
@@ -107,9 +108,11 @@
         )
 
     async def _power(self, exchange: server.Exchange) -> None:
-        """``PUT /power`` with ``{"on": false}`` kills the host."""
+        """``{"on": false}`` kills the host, ``{"mute": true}`` cuts it off."""
         document = json.loads(await exchange.read_all())
-        if not document["on"]:
+        self.muted = document.get("mute", self.muted)
+        on = document.get("on", not self.dead)
+        if not on:
             await self._die()
         elif self.dead:
             self.boot = ids.BootId(uuid.uuid4().hex[:12])
--- a/tools/fault_table.py
+++ b/tools/fault_table.py
@@ -29,7 +29,8 @@
 
 def render() -> str:
     """Return the page."""
-    names = [fault.name for fault in strikes.FAULTS]
+    faults = (strikes.NONE, *strikes.FAULTS)
+    names = [fault.name for fault in faults]
     lines = [
         "| step | " + " | ".join(names) + " |",
         "|---" * (len(names) + 1) + "|",
