--- a/src/turmerichook/_internal/scheduling/announcements.py
+++ b/src/turmerichook/_internal/scheduling/announcements.py
@@ -4,13 +4,11 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import messages
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import queue_lengths
 from turmerichook._internal.scheduling import state as states
 
-BEGUN = (states.Phase.ASSIGNED, states.Phase.RUNNING, states.Phase.STOPPING)
-
 
 class Announcer:
     """Builds endpoint tables and status messages of one zone."""
@@ -28,16 +26,6 @@
         self.node = node
         self.state = state
         self.sequence = 0
-        # Service tasks, so that a table costs nothing for batch tasks.
-        self.services: list[ids.TaskId] = []
-
-    def note_tasks(self) -> None:
-        """Note which tasks may be endpoints, after a change of the plan."""
-        self.services = [
-            name
-            for name, task in self.state.tasks.items()
-            if task.spec.kind is workers.TaskKind.SERVICE
-        ]
 
     def inherit(self, table: messages.EndpointTable | None) -> None:
         """Use a former owner's addresses until the workers have answered.
@@ -58,9 +46,8 @@
         """Return all endpoints with the ones that are about to stop."""
         self.sequence += 1
         endpoints = []
-        for name in self.services:
-            task = self.state.tasks.get(name)
-            if task is None or not task.address:
+        for name, task in self.state.services.items():
+            if not task.address:
                 continue
             endpoints.append(
                 [
@@ -81,15 +68,16 @@
 
     def status(self, now: datetime.timedelta) -> messages.ZoneStatus:
         """Return how much waits and runs, and for how long."""
-        rows: dict[str, list] = {}
-        for task in self.state.tasks.values():
-            row = rows.setdefault(task.spec.urgency.value, [0, 0, 0.0])
-            if task.phase is states.Phase.WAITING:
-                row[0] += 1
-                age = (now - task.since).total_seconds()
-                row[2] = max(row[2], round(age, 1))
-            elif task.phase in BEGUN:
-                row[1] += 1
+        rows = {
+            urgency.value: [
+                length.waiting,
+                length.begun,
+                round(length.oldest.total_seconds(), 1),
+            ]
+            for urgency, length in queue_lengths.by_urgency(
+                self.state, now
+            ).items()
+        }
         capacity = sum(
             host.capacity.millicores
             for host in self.state.hosts.values()
--- a/src/turmerichook/_internal/scheduling/job_board.py
+++ b/src/turmerichook/_internal/scheduling/job_board.py
@@ -11,18 +11,22 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
 from turmerichook._internal.platform import store as stores
 from turmerichook._internal.scheduling import homes
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal as journals
-from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import progress
+from turmerichook._internal.scheduling import record_changes
 from turmerichook._internal.scheduling import records
 
 # A job's record shows its progress with at most this lag.
 PROGRESS_INTERVAL = datetime.timedelta(seconds=60)
 
 
+Faults = collections.abc.Mapping[ids.JobId, outcomes.Absent]
+
+
 @dataclasses.dataclass(kw_only=True)
 class JobEntry:
     """A job of this zone as last read or written.
@@ -97,15 +101,15 @@
         """Drop cancellations that the store no longer holds."""
         self.cancelled.difference_update(names)
 
-    def specs(self) -> list[plan.TaskSpec]:
-        """Return the tasks that should run or wait here."""
+    def active(self) -> dict[ids.JobId, jobs.JobRecord]:
+        """Return the jobs whose tasks should run or wait here."""
         self.leaving -= self.facts.moving
-        found = []
-        for job, entry in self.entries.items():
-            held = job in self.facts.moving or job in self.leaving
-            if self._active(job, entry) and not held:
-                found += plan.job_tasks(entry.record.spec)
-        return found
+        held = self.facts.moving | self.leaving
+        return {
+            job: entry.record
+            for job, entry in self.entries.items()
+            if self._active(job, entry) and job not in held
+        }
 
     def written(self, result: records.Written) -> list[journals.Entry]:
         """Apply a write that took effect."""
@@ -163,15 +167,32 @@
         configuration: site.Configuration,
         statuses: homes.Statuses,
         now: datetime.datetime,
+        failed: Faults,
     ) -> list[records.RecordWrite]:
-        """Return record changes that are due and not under way."""
+        """Return record changes that are due and not under way.
+
+        :param failed: jobs that have failed for good, and why.
+        """
         found = []
         for job, entry in self.entries.items():
             if job in self.writing:
                 continue
-            record = self._due(job, entry, configuration, statuses, now)
-            if record is not None:
-                found.append(record)
+            change = record_changes.due(
+                zone=self.zone,
+                record=entry.record,
+                facts=self.facts,
+                cancelled=job in self.cancelled,
+                fault=failed.get(job),
+                configuration=configuration,
+                statuses=statuses,
+                now=now,
+            )
+            if not isinstance(change, outcomes.Absent):
+                found.append(
+                    records.RecordWrite(
+                        job=job, record=change.record, expect=entry.version
+                    )
+                )
         found += self._offers(configuration, now)
         for write in found:
             self.writing.add(write.job)
@@ -231,73 +252,19 @@
                 self.changes += 1
         return found
 
-    def _due(
-        self,
-        job: ids.JobId,
-        entry: JobEntry,
-        configuration: site.Configuration,
-        statuses: homes.Statuses,
-        now: datetime.datetime,
-    ) -> records.RecordWrite | None:
-        record = entry.record
-        if record.state is not jobs.JobState.ACCEPTED:
-            kept = job in configuration.jobs
-            if kept or not jobs.older_than(record.ended, jobs.RETENTION, now):
-                return None
-            return records.RecordWrite(
-                job=job, record=None, expect=entry.version
-            )
-        facts = self.facts.jobs.get(job)
-        ended = 0 if facts is None else facts.ended
-        changes: dict[str, object] = {}
-        if ended >= record.spec.tasks:
-            changes = {"state": jobs.JobState.COMPLETED, "finished": ended}
-        elif job in self.cancelled:
-            changes = {"state": jobs.JobState.CANCELLED, "finished": ended}
-        elif job in self.facts.moving:
-            zones = homes.open_zones(record.spec, configuration, self.zone)
-            changes = {
-                "home": homes.least_loaded(job, zones, statuses) or self.zone,
-                "progress": None if facts is None else facts.pack(),
-                "finished": ended,
-            }
-        if not changes:
-            return None
-        if "state" in changes:
-            changes.update(ended=now.isoformat(), progress=None)
-        changed = dataclasses.replace(
-            record, operation=ids.OperationId(uuid.uuid4().hex), **changes
-        )
-        return records.RecordWrite(
-            job=job, record=changed, expect=entry.version
-        )
-
     def _offers(
         self, configuration: site.Configuration, now: datetime.datetime
     ) -> list[records.RecordWrite]:
         """Return records to create for jobs of the configuration folder."""
-        found = []
-        for job, spec in configuration.jobs.items():
-            if job in self.offered or job in self.entries:
-                continue
-            if (
-                not self.known
-                or homes.home_zone(spec, configuration) != self.zone
-            ):
-                continue
-            self.offered.add(job)
-            record = jobs.JobRecord(
-                spec=spec,
-                home=self.zone,
-                state=jobs.JobState.ACCEPTED,
-                operation=ids.OperationId(uuid.uuid4().hex),
-                accepted=now.isoformat(),
-            )
-            found.append(
-                records.RecordWrite(
-                    job=job, record=record, expect=stores.ABSENT_VERSION
-                )
-            )
+        if not self.known:
+            return []
+        found = record_changes.offers(
+            configuration=configuration,
+            zone=self.zone,
+            known=self.offered | self.entries.keys(),
+            now=now,
+        )
+        self.offered.update(write.job for write in found)
         return found
 
     def _active(self, job: ids.JobId, entry: JobEntry) -> bool:
--- a/src/turmerichook/_internal/scheduling/zone_drain.py
+++ b/src/turmerichook/_internal/scheduling/zone_drain.py
@@ -93,35 +93,33 @@
             if task.spec.kind is not workers.TaskKind.BATCH:
                 continue
             if task.phase in (states.Phase.ASSIGNED, states.Phase.RUNNING):
-                commands.append(tasks.stop(name, now))
+                commands.append(tasks.stop(task, now))
                 self.tokens -= 1
         return commands
 
-    def kept_replicas(
+    def kept_services(
         self,
         tasks: states.ZoneTasks,
         configuration: site.Configuration,
         tables: Tables,
         now: datetime.timedelta,
-    ) -> list[plan.TaskSpec]:
-        """Return the replicas that must stay until others have started."""
+    ) -> frozenset[ids.ServiceId]:
+        """Return the services whose replicas stay until others started."""
         if self.closed_since is None:
-            return []
+            return frozenset()
         if now - self.closed_since > HANDOVER_LIMIT:
-            return []
+            return frozenset()
         elsewhere = self._running_elsewhere(configuration, tables)
-        kept = []
-        for name, task in tasks.tasks.items():
-            if task.spec.kind is not workers.TaskKind.SERVICE:
-                continue
+        kept = set()
+        for name, task in tasks.services.items():
             if task.phase is not states.Phase.RUNNING:
                 continue
             service = configuration.services.get(plan.service_of(name))
             if service is None:
                 continue
             if elsewhere[service.service] < max(1, service.replicas):
-                kept.append(task.spec)
-        return kept
+                kept.add(service.service)
+        return frozenset(kept)
 
     def _running_elsewhere(
         self, configuration: site.Configuration, tables: Tables
