Add the decision modules for services beside batch work

Change: pure modules sizing, interference, tracking, ladder, budgets, relief, health, advice and reports behind the facade colocation. Services get latency_target_ms, the site gets a weight for interference, both with range checks.

--- a/src/turmerichook/_internal/configuration/schema.py
+++ b/src/turmerichook/_internal/configuration/schema.py
@@ -19,6 +19,9 @@
 MILLICORES_PER_CORE = 1000
 MIB_PER_GIB = 1024
 UNLIMITED = float("inf")
+LATENCY_TARGET_MS_MIN = 0.1
+LATENCY_TARGET_MS_MAX = 600_000.0
+INTERFERENCE_WEIGHT_MAX = 100.0
 
 ZONE_KEYS = frozenset({"region", "state"})
 TEAM_KEYS = frozenset({"quota", "weight"})
@@ -30,9 +33,10 @@
     "slots",
     "connections",
     "urgency",
+    "latency_target_ms",
 }
 JOB_KEYS = AMOUNT_KEYS | {"team", "tasks", "run_time_s", "zones", "urgency"}
-SITE_KEYS = frozenset({"name", "spread", "pack"})
+SITE_KEYS = frozenset({"name", "spread", "pack", "interference"})
 TOP_KEYS = frozenset({"site", "zones", "teams", "services", "jobs"})
 
 
@@ -184,6 +188,13 @@
         weights=site.Weights(
             spread=checker.number(site_table, "spread", "site", 1.0),
             pack=checker.number(site_table, "pack", "site", 0.0),
+            interference=checker.number(
+                site_table,
+                "interference",
+                "site",
+                1.0,
+                high=INTERFERENCE_WEIGHT_MAX,
+            ),
         ),
         zones=_each(checker, document, "zones", _zone),
         teams=_each(checker, document, "teams", _team),
@@ -281,9 +292,26 @@
         slots=checker.integer(table, "slots", where, 8, low=1),
         connections=checker.integer(table, "connections", where, 64, low=1),
         urgency=checker.choice(table, "urgency", where, site.Urgency.URGENT),
+        latency_target=_latency_target(checker, table, where),
     )
 
 
+def _latency_target(
+    checker: Checker, table: dict, where: str
+) -> datetime.timedelta | None:
+    if "latency_target_ms" not in table:
+        return None
+    milliseconds = checker.number(
+        table,
+        "latency_target_ms",
+        where,
+        LATENCY_TARGET_MS_MIN,
+        low=LATENCY_TARGET_MS_MIN,
+        high=LATENCY_TARGET_MS_MAX,
+    )
+    return datetime.timedelta(milliseconds=milliseconds)
+
+
 def _job(checker: Checker, name: str, table: dict, where: str) -> site.Job:
     checker.keys(table, JOB_KEYS, where)
     seconds = checker.number(table, "run_time_s", where, 60.0)
--- a/src/turmerichook/_internal/models/site.py
+++ b/src/turmerichook/_internal/models/site.py
@@ -54,6 +54,8 @@
     :param zones: zones that may hold replicas.
     :param slots: requests that one replica works on at once.
     :param connections: connections that one replica accepts.
+    :param latency_target: 99th percentile that replicas should keep next to
+        batch work; None leaves them without protection.
     """
 
     service: ids.ServiceId
@@ -64,6 +66,7 @@
     slots: int = 8
     connections: int = 64
     urgency: Urgency = Urgency.URGENT
+    latency_target: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -90,10 +93,13 @@
 
     :param spread: preference for hosts with much room left.
     :param pack: preference for hosts with little room left.
+    :param interference: reluctance to place batch next to services that it
+        slows down.
     """
 
     spread: float = 1.0
     pack: float = 0.0
+    interference: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/turmerichook/_internal/outcomes.py
+++ b/src/turmerichook/_internal/outcomes.py
@@ -21,6 +21,8 @@
     NOT_YET_KNOWN = "not-yet-known"
     QUOTA_REACHED = "team-quota-reached"
     PLACEMENT_UNKNOWN = "placement-unknown"
+    HOST_QUARANTINED = "hosts-with-room-quarantined"
+    SERVICE_AT_RISK = "would-slow-a-service"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/advice.py
@@ -0,0 +1,194 @@
+"""What co-location says about placing a task on a host."""
+
+import datetime
+import math
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import classes
+from turmerichook._internal.scheduling import health as healths
+from turmerichook._internal.scheduling import interference
+from turmerichook._internal.scheduling import ladder
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import relief as reliefs
+from turmerichook._internal.scheduling import tracking
+
+# Deviations added to a predicted slowdown, by the service's urgency. A batch
+# class that is unknown next to an urgent service is so taken for a bad one.
+CONFIDENCE = {
+    site.Urgency.URGENT: 2.0,
+    site.Urgency.NORMAL: 1.0,
+    site.Urgency.DEFERRABLE: 0.0,
+}
+# A service may be predicted to come this close to its target.
+MARGIN = 0.95
+# Slowdown allowed next to a service that has reported no latency yet.
+UNMEASURED_SLOWDOWN = math.log(1.1)
+# An unknown class is tried only where services have this much room.
+TRIAL_RATIO = 0.8
+TRIAL_TIME = datetime.timedelta(seconds=30)
+# Latency reports older than this say nothing about the present.
+STALE = datetime.timedelta(seconds=60)
+# Penalties in units of placement score, where a whole host is about 1.
+FAILED_BEFORE = 0.5
+SUSPICION = 1.0
+NOISY = 1.0
+
+Advice = float | outcomes.Absent
+
+
+class Adviser:
+    """Reads the learned state; changes nothing."""
+
+    def __init__(
+        self,
+        *,
+        tracker: tracking.Tracker,
+        model: interference.Interference,
+        health: healths.Health,
+        relief: reliefs.Relief,
+    ):
+        self.tracker = tracker
+        self.model = model
+        self.health = health
+        self.relief = relief
+        self.targets: dict[classes.TaskClass, datetime.timedelta] = {}
+        self.weight = 1.0
+
+    def advise(
+        self,
+        spec: plan.TaskSpec,
+        amount: resources.Resources,
+        host: ids.HostId,
+        now: datetime.timedelta,
+    ) -> Advice:
+        """Return a penalty to subtract from a host's score, or a refusal."""
+        batch = spec.kind is workers.TaskKind.BATCH
+        if not self.health.may_start(host, now, probe=batch):
+            return outcomes.Absent(reason=outcomes.Reason.HOST_QUARANTINED)
+        penalty = SUSPICION * self.health.suspicion(host)
+        tasks = self.tracker.hosts.get(host)
+        if not batch:
+            return penalty + self._beside_batch(spec, tasks, host, now)
+        if self.relief.step(host) is not ladder.Step.NONE:
+            return outcomes.Absent(reason=outcomes.Reason.SERVICE_AT_RISK)
+        if self.health.failed_before(host, plan.job_of(spec.task)):
+            penalty += FAILED_BEFORE
+        if tasks is None or not tasks.services:
+            return penalty
+        slowdown = self._beside_services(spec, amount, tasks, now)
+        if slowdown is None:
+            return outcomes.Absent(reason=outcomes.Reason.SERVICE_AT_RISK)
+        return penalty + self.weight * slowdown
+
+    def unknown(
+        self,
+        spec: plan.TaskSpec,
+        host: ids.HostId,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Tell whether a batch task is a trial next to a host's services."""
+        tasks = self.tracker.hosts.get(host)
+        if tasks is None:
+            return False
+        task_class = classes.class_of(spec)
+        return any(
+            self.model.unknown(
+                service.task_class, task_class, now.total_seconds()
+            )
+            for service in tasks.services.values()
+        )
+
+    def _beside_batch(
+        self,
+        spec: plan.TaskSpec,
+        tasks: tracking.HostTasks | None,
+        host: ids.HostId,
+        now: datetime.timedelta,
+    ) -> float:
+        if tasks is None:
+            return 0.0
+        slowdown = self.model.slowdown(
+            classes.class_of(spec), tasks.neighbours(), now.total_seconds()
+        )
+        noisy = NOISY * (self.relief.step(host) is not ladder.Step.NONE)
+        cautious = slowdown.upper(CONFIDENCE[spec.urgency])
+        return noisy + self.weight * max(0.0, cautious)
+
+    def _beside_services(
+        self,
+        spec: plan.TaskSpec,
+        amount: resources.Resources,
+        tasks: tracking.HostTasks,
+        now: datetime.timedelta,
+    ) -> float | None:
+        """Return the slowdown that a batch task adds, None if too much."""
+        task_class = classes.class_of(spec)
+        before = tasks.neighbours()
+        after = dict(before)
+        after[task_class] = after.get(task_class, 0.0) + tasks.weight_of(
+            amount
+        )
+        trying = any(
+            tracked.trial and now - tracked.since < TRIAL_TIME
+            for tracked in tasks.batch.values()
+        )
+        added = 0.0
+        for service in tasks.services.values():
+            unknown = self.model.unknown(
+                service.task_class, task_class, now.total_seconds()
+            )
+            if unknown and (trying or not self._has_room(service, now)):
+                return None
+            if not self._admits(service, tasks, after, now):
+                return None
+            added += self._slowdown(service, after, now).mean
+            added -= self._slowdown(service, before, now).mean
+        return max(0.0, added)
+
+    def _has_room(
+        self, service: tracking.Tracked, now: datetime.timedelta
+    ) -> bool:
+        if service.spec.urgency is not site.Urgency.URGENT:
+            return True
+        target = self.targets.get(service.task_class)
+        if target is None or service.latency is None:
+            return True
+        return service.latency < TRIAL_RATIO * target
+
+    def _admits(
+        self,
+        service: tracking.Tracked,
+        tasks: tracking.HostTasks,
+        after: interference.Neighbours,
+        now: datetime.timedelta,
+    ) -> bool:
+        target = self.targets.get(service.task_class)
+        if target is None:
+            return True
+        confidence = CONFIDENCE[service.spec.urgency]
+        predicted = self._slowdown(service, after, now).upper(confidence)
+        latency = service.latency
+        measured = service.latency_measured
+        if latency is None or now - measured > STALE:
+            return predicted <= UNMEASURED_SLOWDOWN
+        # The report contains the slowdown by what ran when it was measured.
+        then = tasks.neighbours_at(measured)
+        if then is None:
+            then = {}
+        alone = math.log(latency.total_seconds())
+        alone -= self._slowdown(service, then, now).mean
+        return alone + predicted <= math.log(MARGIN * target.total_seconds())
+
+    def _slowdown(
+        self,
+        service: tracking.Tracked,
+        neighbours: interference.Neighbours,
+        now: datetime.timedelta,
+    ) -> interference.Prediction:
+        return self.model.slowdown(
+            service.task_class, neighbours, now.total_seconds()
+        )
--- /dev/null
+++ b/tests/scheduling/test_colocation_parts.py
@@ -0,0 +1,325 @@
+"""Property tests of sizes, ladder, budgets, quarantine and interference."""
+
+import datetime
+
+import hypothesis
+from hypothesis import strategies
+
+from turmerichook._internal.models import resources
+from turmerichook._internal.scheduling import budgets
+from turmerichook._internal.scheduling import health
+from turmerichook._internal.scheduling import interference
+from turmerichook._internal.scheduling import ladder
+from turmerichook._internal.scheduling import sizing
+
+FIXED = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=150
+)
+AMOUNTS = strategies.builds(
+    resources.Resources,
+    millicores=strategies.integers(0, 64_000),
+    memory_mib=strategies.integers(0, 64_000),
+)
+
+
+def seconds(value: float) -> datetime.timedelta:
+    """Return a time in seconds."""
+    return datetime.timedelta(seconds=value)
+
+
+class TestSizes:
+    """Corrections stay within their bounds."""
+
+    @FIXED
+    @hypothesis.given(
+        declared=AMOUNTS,
+        reports=strategies.lists(AMOUNTS, max_size=80),
+        largest=AMOUNTS,
+    )
+    def test_new_attempt(self, declared, reports, largest):
+        # Guards against a size below half of the declared one, and against
+        # a correction that makes a task too large for every host.
+        sizes = sizing.Sizes()
+        for used in reports:
+            sizes.measured("c", declared, used)
+        size = sizes.size("c", declared, largest)
+        assert size.accelerators == declared.accelerators
+        for name in ("millicores", "memory_mib"):
+            before = getattr(declared, name)
+            after = getattr(size, name)
+            assert 0.5 * before <= after <= sizing.HIGHEST_SHARE * before
+            assert after <= max(before, getattr(largest, name))
+            if len(reports) < sizing.SAMPLES_TO_SHRINK:
+                assert after >= before
+
+    @FIXED
+    @hypothesis.given(
+        declared=AMOUNTS,
+        committed=AMOUNTS,
+        free=strategies.builds(
+            resources.Resources,
+            millicores=strategies.integers(-9_000, 64_000),
+            memory_mib=strategies.integers(-9_000, 64_000),
+        ),
+        reports=strategies.lists(AMOUNTS, max_size=10),
+    )
+    def test_running_attempt(self, declared, committed, free, reports):
+        # Guards against a growth beyond what the host has free, and
+        # against a running task that is shrunk.
+        usage = sizing.attempt_usage()
+        for used in reports:
+            usage.add(declared, used)
+        found = sizing.correct(
+            declared=declared, committed=committed, free=free, usage=usage
+        )
+        if isinstance(found, sizing.Grow):
+            growth = found.amount.minus(committed)
+            room = resources.Resources(
+                millicores=max(0, free.millicores),
+                memory_mib=max(0, free.memory_mib),
+            )
+            assert growth.fits(room)
+            assert committed.fits(found.amount)
+        if len(reports) < sizing.SAMPLES_TO_GROW:
+            assert found == sizing.Keep()
+
+    def test_downward_follows_use(self):
+        # Guards against a correction that never happens.
+        declared = resources.Resources(millicores=1000, memory_mib=1000)
+        used = resources.Resources(millicores=600, memory_mib=100)
+        sizes = sizing.Sizes()
+        for _ in range(sizing.SAMPLES_TO_SHRINK):
+            sizes.measured("c", declared, used)
+        size = sizes.size("c", declared, declared)
+        assert (size.millicores, size.memory_mib) == (720, 500)
+
+    def test_memory_is_bounded(self):
+        # Guards against one record for each of a day's 14,000 jobs.
+        sizes = sizing.Sizes()
+        amount = resources.Resources(millicores=1)
+        for number in range(3 * sizing.MAX_CLASSES):
+            sizes.measured(str(number), amount, amount)
+        assert len(sizes.records) == sizing.MAX_CLASSES
+
+
+class TestLadder:
+    """Steps are taken one at a time and with hysteresis."""
+
+    @FIXED
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0.0, 10.0),
+                strategies.integers(0, 8),
+                strategies.integers(0, 12),
+            ),
+            max_size=80,
+        )
+    )
+    def test_never_skips(self, reports):
+        # Guards against a step over another one, against two steps up
+        # within the dwell time, against a step down right after one up,
+        # and against a step that rests on reports from before the last one.
+        held = ladder.Ladder(since=seconds(0))
+        now = 0
+        ratios = []
+        for ratio, pause, age in reports:
+            now += pause
+            before = held.step
+            since = held.since
+            measured = seconds(now - age)
+            fresh = measured >= since or before is ladder.Step.NONE
+            if fresh:
+                ratios.append(ratio)
+            moved = ladder.observe(
+                held, ratio=ratio, measured=measured, now=seconds(now)
+            )
+            if moved is None:
+                assert held.step is before
+                continue
+            assert fresh
+            assert abs(moved.step - before) <= 1
+            if moved.step < before:
+                assert seconds(now) - since >= ladder.DWELL_DOWN
+                newest = ratios[-ladder.REPORTS_DOWN :]
+                assert max(newest) < ladder.RECOVERED
+                assert len(newest) == ladder.REPORTS_DOWN
+            else:
+                assert seconds(now) - since >= ladder.DWELL_UP
+                newest = ratios[-ladder.REPORTS_UP :]
+                assert min(newest) > ladder.SLOW
+                assert len(newest) == ladder.REPORTS_UP
+            ratios.clear()
+
+
+class TestBudgets:
+    """Evictions stay within both budgets."""
+
+    @FIXED
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 4), strategies.integers(0, 40)
+            ),
+            max_size=300,
+        ),
+        strategies.integers(0, 400),
+    )
+    def test_any_wave(self, requests, running):
+        # Guards against more evictions than allowed in any window.
+        budget = budgets.EvictionBudget()
+        granted = []
+        now = 0
+        for job, pause in requests:
+            now += pause
+            if budget.take(str(job), seconds(now), running):
+                granted.append((now, job))
+        zone = budgets.ZONE_WINDOW.total_seconds()
+        window = budgets.JOB_WINDOW.total_seconds()
+        for time, job in granted:
+            near = [t for t, _ in granted if time <= t < time + zone]
+            assert len(near) <= budgets.zone_limit(running)
+            own = [
+                t for t, j in granted if j == job and time <= t < time + window
+            ]
+            assert len(own) <= budgets.JOB_LIMIT
+
+
+class TestHealth:
+    """Bad hosts are quarantined, good ones are not."""
+
+    @FIXED
+    @hypothesis.given(
+        strategies.integers(1, 30),
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 29),
+                strategies.integers(0, 60),
+                strategies.booleans(),
+            ),
+            max_size=400,
+        ),
+    )
+    def test_cap_holds(self, hosts, attempts):
+        # Guards against a wave of failures that empties a zone.
+        records = health.Health()
+        records.set_hosts({str(number) for number in range(hosts)})
+        for number, (host, job, good) in enumerate(attempts):
+            name = str(host % hosts)
+            now = seconds(number)
+            probing = records.hosts[name].probe
+            if not records.may_start(name, now, probe=True):
+                continue
+            records.started(name, str(number))
+            if records.hosts[name].quarantined:
+                assert probing is None
+            if good:
+                records.worked(name, str(number), str(job))
+            else:
+                records.failed(
+                    name, str(number), str(job), ran=seconds(1), now=now
+                )
+            assert records.in_quarantine() <= records.quarantine_limit()
+            assert records.in_quarantine() < hosts
+
+    @FIXED
+    @hypothesis.given(strategies.integers(5, 40))
+    def test_failing_job_blames_no_host(self, failures):
+        # Guards against good hosts being quarantined by one bad job.
+        records = health.Health()
+        records.set_hosts({str(number) for number in range(4)})
+        for number in range(failures):
+            change = records.failed(
+                str(number % 4), "t", "bad", ran=seconds(1), now=seconds(1)
+            )
+            assert change is None
+        assert records.job_at_fault("bad")
+
+    def test_bad_jobs_on_one_good_host(self):
+        # Guards against several bad jobs that quarantine a good host: each
+        # of them has failed on other hosts too.
+        records = health.Health()
+        records.set_hosts({str(number) for number in range(40)})
+        for job in range(12):
+            for host in (job + 1, job + 2, 0):
+                change = records.failed(
+                    str(host), "t", str(job), ran=seconds(1), now=seconds(job)
+                )
+                assert change is None
+
+    def test_good_host_returns(self):
+        # Guards against a host that stays in quarantine for ever, and
+        # against a second probe beside the first.
+        records = health.Health()
+        records.set_hosts({str(number) for number in range(20)})
+        for job in range(health.JOBS_TO_QUARANTINE):
+            change = records.failed(
+                "0", "t", str(job), ran=seconds(1), now=seconds(0)
+            )
+        assert isinstance(change, health.Quarantined)
+        later = health.PROBE_PAUSE
+        for number in range(health.SUCCESSES_TO_RETURN):
+            assert records.may_start("0", later, probe=True)
+            assert not records.may_start("0", later, probe=False)
+            records.started("0", str(number))
+            assert not records.may_start("0", later, probe=True)
+            change = records.worked("0", str(number), "j")
+        assert change == health.Returned(host="0")
+        assert records.may_start("0", later, probe=False)
+
+
+class TestInterference:
+    """The model learns pairs and stays bounded."""
+
+    def test_tells_two_neighbours_apart(self):
+        # Guards against blaming a harmless class that runs next to a
+        # noisy one.
+        model = interference.Interference()
+        for number in range(200):
+            noisy = number % 3 * 0.1
+            calm = number % 2 * 0.2
+            model.observe(
+                service="s",
+                load=0.5,
+                latency=0.01 * 2.718 ** (2.0 * noisy),
+                neighbours={"noisy": noisy, "calm": calm},
+                measured=float(number),
+                now=number + 5.0,
+            )
+        now = 200.0
+        found = model.slowdown("s", {"noisy": 0.2}, now)
+        assert abs(found.mean - 0.4) < 0.1
+        assert abs(model.slowdown("s", {"calm": 0.2}, now).mean) < 0.05
+        assert model.unknown("s", "other", now)
+        # Age makes the pair uncertain again.
+        later = model.slowdown("s", {"noisy": 0.2}, now + 7200)
+        assert later.deviation > found.deviation
+
+    @FIXED
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0, 1e3),
+                strategies.floats(0, 1.0),
+                strategies.floats(0, 1e4),
+                strategies.floats(0, 2.0),
+            ),
+            max_size=60,
+        )
+    )
+    def test_stays_finite(self, reports):
+        # Guards against odd or late reports that make a variance negative
+        # or a coefficient infinite.
+        model = interference.Interference()
+        for latency, share, measured, load in reports:
+            model.observe(
+                service="s",
+                load=load,
+                latency=latency,
+                neighbours={"b": share},
+                measured=measured,
+                now=measured + 10.0,
+            )
+        found = model.slowdown("s", {"b": 1.0}, 1e4)
+        assert abs(found.mean) < 1e3
+        assert 0.0 <= found.deviation <= 0.5
