Let the zone's owner act on co-location decisions

Cause: the decision modules had no caller.

Change: sharing connects the owner with the facade. The owner has one call for each kind of message and one in its round. Log events 5100 to 5113.

--- a/src/turmerichook/_internal/scheduling/events.py
+++ b/src/turmerichook/_internal/scheduling/events.py
@@ -86,3 +86,53 @@
         level=events.Level.WARNING,
         summary="the host list cannot be read; the last one is used",
     )
+    HOST_NOISY = events.Event(
+        number=5100,
+        level=events.Level.WARNING,
+        summary="a slow service limits batch on its host one step further",
+    )
+    HOST_CALMER = events.Event(
+        number=5101,
+        level=events.Level.INFO,
+        summary="a limit on batch on the host is taken back by one step",
+    )
+    TASK_THROTTLED = events.Event(
+        number=5102,
+        level=events.Level.INFO,
+        summary="a batch task is limited to a share of its processors",
+    )
+    TASK_EVICTED = events.Event(
+        number=5103,
+        level=events.Level.INFO,
+        summary="a batch task is asked to leave its host",
+    )
+    EVICTION_DENIED = events.Event(
+        number=5104,
+        level=events.Level.WARNING,
+        summary="a budget keeps a batch task on its host",
+    )
+    TASK_RESIZED = events.Event(
+        number=5105,
+        level=events.Level.INFO,
+        summary="the commitment of a task follows its measured use",
+    )
+    HOST_QUARANTINED = events.Event(
+        number=5110,
+        level=events.Level.WARNING,
+        summary="a host fails what it starts and gets only probe tasks",
+    )
+    HOST_SUSPECTED = events.Event(
+        number=5111,
+        level=events.Level.ERROR,
+        summary="a host fails what it starts, but too many are in quarantine",
+    )
+    HOST_RETURNED = events.Event(
+        number=5112,
+        level=events.Level.INFO,
+        summary="a host has left quarantine",
+    )
+    JOB_AT_FAULT = events.Event(
+        number=5113,
+        level=events.Level.WARNING,
+        summary="a job fails on every host it was tried on",
+    )
--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -27,6 +27,7 @@
 from turmerichook._internal.scheduling import messages
 from turmerichook._internal.scheduling import ownership
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import sharing
 from turmerichook._internal.scheduling import state as states
 from turmerichook import exceptions
 
@@ -99,6 +100,7 @@
             zone=self.zone, epoch=self.epoch, store=store
         )
         self.state = states.ZoneTasks()
+        self.sharing = sharing.Sharing(state=self.state)
         self.links: dict[ids.HostId, links.WorkerLink] = {}
         self.link_tasks: dict[ids.HostId, asyncio.Task] = {}
         self.jobs: dict[ids.JobId, JobEntry] = {}
@@ -147,6 +149,7 @@
             while not self.inbox.empty():
                 self._apply(self.inbox.get_nowait())
             self._plan()
+            self._share()
             self._decide()
             await self._commit()
             await self._complete_jobs()
@@ -192,11 +195,13 @@
                 last = event.sequence
         self.seen[host] = (answer.boot, last)
         self.acknowledgements.append((host, answer.boot, last))
+        self.sharing.answered(host, answer, self.clock.monotonic())
         if report.inventory:
             self._on_inventory(host, answer)
 
     def _on_event(self, event: workers.TaskEvent) -> None:
         now = self.clock.monotonic()
+        self.sharing.event(event, now)
         match event.state:
             case workers.TaskState.RUNNING:
                 if self.state.running(
@@ -234,6 +239,7 @@
             item = running.get(name)
             if item is not None and item.attempt == task.attempt:
                 self.state.running(name, item.attempt, item.address)
+                self.sharing.inventory(host, item)
             elif now - task.since > START_FATE_KNOWN:
                 self._return(name, task.attempt, None)
 
@@ -267,6 +273,7 @@
 
     def _on_hosts(self, listing: hosts.HostListing) -> None:
         self.state.set_hosts(listing.hosts)
+        self.sharing.colocation.set_hosts(listing.hosts)
         for host in listing.hosts:
             if host.state is not hosts.HostState.LIVE:
                 self.state.usable.discard(host.host)
@@ -303,6 +310,7 @@
         configuration = self.configuration()
         zone = configuration.zones.get(self.zone)
         self.state.weights = configuration.weights
+        self.sharing.colocation.configure(configuration)
         self.state.open = (
             zone is not None
             and zone.state is site.ZoneState.IN
@@ -321,6 +329,10 @@
             if isinstance(command, states.StopCommand):
                 self._send(command.host, (command.stop,))
 
+    def _share(self) -> None:
+        for host, operation in self.sharing.act(self.clock.monotonic()):
+            self._send(host, (operation,))
+
     def _decide(self) -> None:
         now = self.clock.monotonic()
         if not self.tenure.authority.remaining(now):
@@ -424,7 +436,9 @@
             task=command.task,
             attempt=command.attempt,
             kind=spec.kind,
-            resources=spec.resources,
+            resources=self.state.ledger.hosts[command.host].tasks[
+                command.task
+            ],
             not_after=self.links[command.host].reading_after(left),
             run_time=spec.run_time,
             checkpoint=task.checkpoint,
--- /dev/null
+++ b/src/turmerichook/_internal/scheduling/sharing.py
@@ -0,0 +1,205 @@
+"""Connects the zone's owner with the decisions of co-location.
+
+It turns the owner's messages into events of ``colocation`` and decisions into
+log lines, changes of the ledger and operations for workers.
+"""
+
+import datetime
+
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import colocation
+from turmerichook._internal.scheduling import decisions
+from turmerichook._internal.scheduling import events
+from turmerichook._internal.scheduling import health
+from turmerichook._internal.scheduling import state as states
+
+INTERVAL = datetime.timedelta(seconds=1)
+OUTCOMES = {
+    workers.TaskState.FINISHED: colocation.Outcome.FINISHED,
+    workers.TaskState.FAILED: colocation.Outcome.FAILED,
+    workers.TaskState.STOPPED: colocation.Outcome.STOPPED,
+    workers.TaskState.REFUSED: colocation.Outcome.STOPPED,
+}
+
+HostOperation = tuple[ids.HostId, workers.Operation]
+
+
+class Sharing:
+    """Co-location of one tenure of a zone's owner."""
+
+    def __init__(self, *, state: states.ZoneTasks):
+        self.state = state
+        self.colocation = colocation.Colocation()
+        self.acted: datetime.timedelta | None = None
+        state.adviser = self.colocation
+
+    def answered(
+        self,
+        host: ids.HostId,
+        answer: workers.SyncAnswer,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take in the usage reports of a worker's answer."""
+        if answer.usage:
+            self.colocation.usage(host, answer.usage, now)
+
+    def event(self, event: workers.TaskEvent, now: datetime.timedelta) -> None:
+        """Take in the end of an attempt."""
+        outcome = OUTCOMES.get(event.state)
+        if outcome is not None:
+            self.colocation.ended(event.task, event.attempt, outcome, now)
+
+    def inventory(self, host: ids.HostId, item: workers.RunningTask) -> None:
+        """Commit what a worker has granted to a task.
+
+        After a takeover the ledger holds declared sizes, while the former
+        owner may have started the task with a corrected one.
+        """
+        account = self.state.ledger.hosts.get(host)
+        if account is None or item.task not in account.tasks:
+            return
+        before = account.tasks[item.task]
+        if not item.resources.fits(before):
+            self.state.ledger.release(host, item.task)
+            self.state.ledger.record(host, item.task, item.resources)
+
+    def act(self, now: datetime.timedelta) -> list[HostOperation]:
+        """Decide once a second and return what to send to workers."""
+        if self.acted is not None and now - self.acted < INTERVAL:
+            return []
+        self.acted = now
+        self._track(now)
+        operations: list[HostOperation] = []
+        for decision in self.colocation.decide(now, self._free):
+            operations += self._apply(decision)
+        return operations
+
+    def _free(self, host: ids.HostId) -> resources.Resources:
+        account = self.state.ledger.hosts.get(host)
+        return resources.NOTHING if account is None else account.free
+
+    def _track(self, now: datetime.timedelta) -> None:
+        """Follow changes that came without an event, such as a takeover."""
+        tracked = self.colocation.tracker.tasks
+        for name, known in list(tracked.items()):
+            task = self.state.tasks.get(name)
+            if task is None or task.host is None:
+                self.colocation.ended(
+                    name, known.attempt, colocation.Outcome.STOPPED, now
+                )
+        for name, task in self.state.tasks.items():
+            if task.host is None:
+                continue
+            known = tracked.get(name)
+            amount = self.state.ledger.hosts[task.host].tasks[name]
+            if known is not None and known.attempt == task.attempt:
+                if known.amount != amount:
+                    self.colocation.tracker.resize(known, amount, now)
+            else:
+                self.colocation.placed(
+                    task.spec,
+                    task.attempt,
+                    task.host,
+                    amount,
+                    resumed=task.checkpoint is not None,
+                    now=now,
+                    adopted=True,
+                )
+
+    def _apply(self, decision: decisions.Decision) -> list[HostOperation]:
+        match decision:
+            case decisions.Throttle():
+                return self._throttle(decision)
+            case decisions.Evict():
+                return self._evict(decision)
+            case decisions.Resize():
+                self._resize(decision)
+            case decisions.EvictionDenied():
+                logs.emit(
+                    events.SchedulingEvent.EVICTION_DENIED,
+                    host=decision.host,
+                    task=decision.task,
+                    reason=decision.reason.value,
+                )
+            case decisions.StepChanged():
+                _log_step(decision)
+            case decisions.JobAtFault():
+                logs.emit(
+                    events.SchedulingEvent.JOB_AT_FAULT, job=decision.job
+                )
+            case health.Quarantined():
+                logs.emit(
+                    events.SchedulingEvent.HOST_QUARANTINED,
+                    host=decision.host,
+                    jobs=",".join(decision.jobs),
+                )
+            case health.Suspected():
+                logs.emit(
+                    events.SchedulingEvent.HOST_SUSPECTED,
+                    host=decision.host,
+                    jobs=",".join(decision.jobs),
+                )
+            case health.Returned():
+                logs.emit(
+                    events.SchedulingEvent.HOST_RETURNED, host=decision.host
+                )
+        return []
+
+    def _throttle(self, decision: decisions.Throttle) -> list[HostOperation]:
+        logs.emit(
+            events.SchedulingEvent.TASK_THROTTLED,
+            host=decision.host,
+            task=decision.task,
+            attempt=decision.attempt,
+            share=decision.share,
+        )
+        operation = workers.Throttle(
+            task=decision.task,
+            attempt=decision.attempt,
+            share=decision.share,
+        )
+        return [(decision.host, operation)]
+
+    def _evict(self, decision: decisions.Evict) -> list[HostOperation]:
+        logs.emit(
+            events.SchedulingEvent.TASK_EVICTED,
+            host=decision.host,
+            task=decision.task,
+            attempt=decision.attempt,
+            checkpoint=decision.checkpoint,
+            reason=decision.reason.value,
+            again=decision.again,
+        )
+        operation = workers.Stop(
+            task=decision.task,
+            attempt=decision.attempt,
+            checkpoint=decision.checkpoint,
+        )
+        return [(decision.host, operation)]
+
+    def _resize(self, decision: decisions.Resize) -> None:
+        self.state.ledger.release(decision.host, decision.task)
+        self.state.ledger.commit(decision.host, decision.task, decision.after)
+        logs.emit(
+            events.SchedulingEvent.TASK_RESIZED,
+            host=decision.host,
+            task=decision.task,
+            attempt=decision.attempt,
+            before=decision.before.to_map(),
+            after=decision.after.to_map(),
+        )
+
+
+def _log_step(decision: decisions.StepChanged) -> None:
+    event = events.SchedulingEvent.HOST_CALMER
+    if decision.step > decision.before:
+        event = events.SchedulingEvent.HOST_NOISY
+    logs.emit(
+        event,
+        host=decision.host,
+        before=decision.before.name.lower(),
+        step=decision.step.name.lower(),
+    )
--- a/src/turmerichook/_internal/scheduling/state.py
+++ b/src/turmerichook/_internal/scheduling/state.py
@@ -7,8 +7,10 @@
 import dataclasses
 import datetime
 import enum
+import functools
 
 from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
 from turmerichook._internal.platform import hosts
@@ -86,6 +88,7 @@
         # Hosts that answer and are not leaving.
         self.usable: set[ids.HostId] = set()
         self.weights = site.Weights()
+        self.adviser: placement.Adviser = placement.NoAdvice()
         self.open = False
 
     def set_hosts(self, listing: tuple[hosts.Host, ...]) -> None:
@@ -132,11 +135,16 @@
             return entries, commands, refused
         usable = sorted(self.usable & self.hosts.keys())
         for name in sorted(self.waiting, key=self._rank)[:limit]:
+            spec = self.tasks[name].spec
+            amount = self.adviser.size(spec)
             choice = placement.choose(
-                amount=self.tasks[name].spec.resources,
+                amount=amount,
                 ledger=self.ledger,
                 usable=usable,
                 weights=self.weights,
+                advise=functools.partial(
+                    self.adviser.advise, spec, amount, now=now
+                ),
             )
             match choice:
                 case outcomes.Absent():
@@ -144,7 +152,7 @@
                         dataclasses.replace(choice, detail=str(name))
                     )
                 case placement.Placed():
-                    command = self._assign(name, choice.host, now)
+                    command = self._assign(name, choice.host, amount, now)
                     commands.append(command)
                     entries.append(
                         journal.Assigned(
@@ -260,16 +268,28 @@
         return [StopCommand(host=task.host, stop=stop)]
 
     def _assign(
-        self, name: ids.TaskId, host: ids.HostId, now: datetime.timedelta
+        self,
+        name: ids.TaskId,
+        host: ids.HostId,
+        amount: resources.Resources,
+        now: datetime.timedelta,
     ) -> StartCommand:
         task = self.tasks[name]
-        self.ledger.commit(host, name, task.spec.resources)
+        self.ledger.commit(host, name, amount)
         del self.waiting[name]
         task.phase = Phase.ASSIGNED
         task.since = now
         task.host = host
         task.address = ""
         task.attempt = ids.Attempt(task.attempt + 1)
+        self.adviser.placed(
+            task.spec,
+            task.attempt,
+            host,
+            amount,
+            resumed=task.checkpoint is not None,
+            now=now,
+        )
         return StartCommand(task=name, host=host, attempt=task.attempt)
 
     def _current(self, name: ids.TaskId, attempt: ids.Attempt) -> Task | None:
