Let batch start beside services without a latency target

Cause: a class that was never seen next to a service got one trial on a host every 30 s, also where the service has no target.

Change: the trial limits hold only for services with a target.

--- a/src/turmerichook/_internal/scheduling/advice.py
+++ b/src/turmerichook/_internal/scheduling/advice.py
@@ -138,37 +138,29 @@
         )
         added = 0.0
         for service in tasks.services.values():
+            target = self.targets.get(service.task_class)
             unknown = self.model.unknown(
                 service.task_class, task_class, now.total_seconds()
             )
-            if unknown and (trying or not self._has_room(service, now)):
+            if target is None:
+                # Without a target nothing says how much is too much.
+                pass
+            elif unknown and (trying or not _has_room(service, target)):
                 return None
-            if not self._admits(service, tasks, after, now):
+            elif not self._admits(service, target, tasks, after, now):
                 return None
             added += self._slowdown(service, after, now).mean
             added -= self._slowdown(service, before, now).mean
         return max(0.0, added)
 
-    def _has_room(
-        self, service: tracking.Tracked, now: datetime.timedelta
-    ) -> bool:
-        if service.spec.urgency is not site.Urgency.URGENT:
-            return True
-        target = self.targets.get(service.task_class)
-        if target is None or service.latency is None:
-            return True
-        return service.latency < TRIAL_RATIO * target
-
     def _admits(
         self,
         service: tracking.Tracked,
+        target: datetime.timedelta,
         tasks: tracking.HostTasks,
         after: interference.Neighbours,
         now: datetime.timedelta,
     ) -> bool:
-        target = self.targets.get(service.task_class)
-        if target is None:
-            return True
         confidence = CONFIDENCE[service.spec.urgency]
         predicted = self._slowdown(service, after, now).upper(confidence)
         latency = service.latency
@@ -192,3 +184,10 @@
         return self.model.slowdown(
             service.task_class, neighbours, now.total_seconds()
         )
+
+
+def _has_room(service: tracking.Tracked, target: datetime.timedelta) -> bool:
+    """Tell whether a service may stand the trial of an unknown class."""
+    if service.spec.urgency is not site.Urgency.URGENT:
+        return True
+    return service.latency is None or service.latency < TRIAL_RATIO * target
