Make stand-in workers noisy, slow to report, and able to fail everything

Cause: the stand-in reported no usage, ignored throttles, and could not fail, so no process test could reach the co-location decisions.

Two scenarios run the ladder and the quarantine through separate processes. They showed two faults: failures of tasks that had started before a quarantine put off its first probe (the pause doubled for each of them), and a batch penalty of up to 1 kept a suspected host from ever being judged. The first has a unit test; the second is now at most 0.05.

--- /dev/null
+++ b/features/steps/colocation.py
@@ -0,0 +1,142 @@
+"""Steps that make hosts noisy or broken."""
+
+import json
+import time
+
+import behave
+
+WAIT_S = 90.0
+
+
+def wait_for(condition, what: str):
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.2)
+    raise AssertionError(f"{what} did not happen within {WAIT_S:g} s")
+
+
+def behaviour(context, numbers, **changes) -> None:
+    """Change the behaviour of some workers."""
+    hosts = json.loads((context.folder / "hosts.json").read_text())["hosts"]
+    for number in numbers:
+        address = hosts[number]["address"]
+
+        def changed(address=address):
+            status, _ = context.system.call(
+                address, "/v1/behaviour", method="PUT", document=changes
+            )
+            return status == 200
+
+        # The stand-in may still be starting.
+        wait_for(changed, "an answer of the worker")
+
+
+def gateway(context) -> str:
+    """Return the address of a gateway."""
+    name = next(n for n in context.system.peer_addresses if "gateway" in n)
+    return context.system.listen_addresses[name]
+
+
+@behave.given('service "{name}" has a latency target of {target:g} ms')
+def step_target(context, name, target):
+    folder = context.folder / "configuration"
+    (folder / "30-target.toml").write_text(
+        f"[services.{name}]\nlatency_target_ms = {target}\n"
+    )
+    result = context.system.operator(
+        "config", "apply", str(folder), "--store", context.system.store
+    )
+    assert result.returncode == 0, result.stderr
+
+
+@behave.given(
+    'usage is reported after {lag:g} s and "{job}" slows "{service}" down '
+    "by {coefficient:g}"
+)
+def step_interference(context, lag, job, service, coefficient):
+    behaviour(
+        context,
+        range(context.system.layout.workers),
+        lag_s=lag,
+        interference={service: {job: coefficient}},
+    )
+
+
+@behave.given("worker {number:d} fails every task")
+def step_fail(context, number):
+    behaviour(context, [number], fail_all=True)
+
+
+@behave.when("worker {number:d} fails no more tasks")
+def step_heal(context, number):
+    behaviour(context, [number], fail_all=False)
+
+
+@behave.when('a caller submits {count:d} jobs "{prefix}" of {seconds:g} s')
+def step_jobs(context, count, prefix, seconds):
+    for number in range(count):
+        document = {
+            "id": f"{prefix}-{number}",
+            "team": "desks",
+            "cores": 1,
+            "memory_gib": 1,
+            "run_time_s": seconds,
+        }
+
+        def submitted(body=document):
+            status, _ = context.system.call(
+                gateway(context), "/v1/jobs", method="POST", document=body
+            )
+            return status == 202
+
+        wait_for(submitted, "acceptance of a job")
+    context.count = count
+
+
+@behave.then('all jobs "{prefix}" complete')
+def step_all_complete(context, prefix):
+    def completed(number):
+        _, answer = context.system.call(
+            gateway(context), f"/v1/jobs/{prefix}-{number}"
+        )
+        return answer.get("state") == "completed"
+
+    wait_for(
+        lambda: all(completed(n) for n in range(context.count)),
+        "completion of all jobs",
+    )
+
+
+@behave.then('the log of a scheduler shows "{code}"')
+def step_log(context, code):
+    def shown():
+        logs = context.folder.glob("scheduler-*.log")
+        return any(code in path.read_text() for path in logs)
+
+    wait_for(shown, code)
+
+
+@behave.then('the workers record "{kind}" for job "{job}"')
+def step_record(context, kind, job):
+    wait_for(lambda: entries(context, kind, job), kind)
+
+
+@behave.then('job "{job}" is stopped with a checkpoint')
+def step_stopped(context, job):
+    def stopped():
+        found = entries(context, "stop", job)
+        return any(entry["checkpoint"] for entry in found)
+
+    wait_for(stopped, "a stop with a checkpoint")
+
+
+def entries(context, kind: str, job: str) -> list[dict]:
+    """Return what workers recorded about a job."""
+    return [
+        entry
+        for entry in context.system.history()
+        if entry["kind"] == kind and entry["task"].startswith(f"job/{job}/")
+    ]
--- a/src/turmerichook/_internal/scheduling/advice.py
+++ b/src/turmerichook/_internal/scheduling/advice.py
@@ -35,6 +35,9 @@
 # Penalties in units of placement score, where a whole host is about 1.
 FAILED_BEFORE = 0.5
 SUSPICION = 1.0
+# A larger penalty would keep batch from a suspected host, so that it would
+# neither be quarantined nor cleared.
+SUSPICION_OF_BATCH = 0.05
 NOISY = 1.0
 
 Advice = float | outcomes.Absent
@@ -69,7 +72,8 @@
         batch = spec.kind is workers.TaskKind.BATCH
         if not self.health.may_start(host, now, probe=batch):
             return outcomes.Absent(reason=outcomes.Reason.HOST_QUARANTINED)
-        penalty = SUSPICION * self.health.suspicion(host)
+        suspicion = self.health.suspicion(host)
+        penalty = (SUSPICION_OF_BATCH if batch else SUSPICION) * suspicion
         tasks = self.tracker.hosts.get(host)
         if not batch:
             return penalty + self._beside_batch(spec, tasks, host, now)
--- a/src/turmerichook/_internal/scheduling/health.py
+++ b/src/turmerichook/_internal/scheduling/health.py
@@ -121,12 +121,14 @@
         record = self.hosts.get(host)
         if record is None:
             return None
+        probed = record.probe == task
         self._end_probe(record, task)
         if ran >= QUICK:
             return None
         self._note_failure(record, host, job, now)
         if record.quarantined:
-            if not self.job_at_fault(job):
+            # Tasks that started before the quarantine tell nothing new.
+            if probed and not self.job_at_fault(job):
                 record.successes = 0
                 record.pause = min(2 * record.pause, PROBE_PAUSE_MOST)
                 record.probe_after = now + record.pause
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -13,6 +13,8 @@
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
 
+WORK_S = 0.002
+
 Recorder = collections.abc.Callable[[dict], None]
 
 
@@ -26,7 +28,7 @@
         slots: int,
         connections: int,
         record: Recorder,
-        work_s: float = 0.002,
+        work_s: float = WORK_S,
     ):
         self.task = task
         self.record = record
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -16,7 +16,9 @@
 import typing
 import uuid
 
+from standins import contention
 from standins import endpoint
+from standins import metering
 from standins import process
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.http import addresses
@@ -28,7 +30,7 @@
 from turmerichook import exceptions
 
 LEASE_CHECK = datetime.timedelta(milliseconds=200)
-FAR = datetime.timedelta(days=10_000)
+FAULT_PATH = "/v1/behaviour"
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -37,8 +39,7 @@
 
     start: workers.Start
     lease_until: datetime.timedelta
-    done: datetime.timedelta
-    started: datetime.timedelta
+    progress: contention.Progress
     replica: endpoint.Endpoint | None = None
     address: str = ""
     runner: asyncio.Task | None = None
@@ -55,7 +56,10 @@
 
 
 class Worker:
-    """One host that runs tasks under leases."""
+    """One host that runs tasks under leases.
+
+    ``PUT /v1/behaviour`` with a JSON document changes its options.
+    """
 
     def __init__(
         self,
@@ -64,7 +68,10 @@
         zone: ids.ZoneId,
         capacity: resources.Resources,
         record: Recorder,
+        options: contention.Options = contention.Options(),
     ):
+        self.options = options
+        self.meter = metering.Meter()
         self.host = host
         self.zone = zone
         self.capacity = capacity
@@ -79,6 +86,11 @@
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one call."""
+        if exchange.head.path == FAULT_PATH:
+            document = json.loads(await exchange.read_all())
+            self.options = contention.from_document(document, self.options)
+            await exchange.respond_json(document={})
+            return
         try:
             document = json.loads(await exchange.read_all())
             request = worker_format.decode_request(document)
@@ -119,6 +131,7 @@
             boot=self.boot,
             clock=self.clock.monotonic(),
             events=tuple(self.events),
+            usage=self.meter.due(self.clock.monotonic(), self.options.lag),
             running=self._inventory() if request.inventory else (),
         )
 
@@ -158,7 +171,7 @@
                         checkpoint=operation.checkpoint,
                     )
             case workers.Throttle():
-                pass
+                self._throttle(operation)
 
     async def _start(
         self, start: workers.Start, request: workers.SyncRequest
@@ -168,23 +181,35 @@
             self._emit(start, workers.TaskState.REFUSED, detail="too late")
             return
         remaining = start.run_time - _progress(start.checkpoint)
-        done = now + remaining
-        if start.kind is workers.TaskKind.SERVICE:
-            done = FAR
         attempt = Attempt(
             start=start,
             lease_until=request.lease_until,
-            done=done,
-            started=now,
+            progress=contention.Progress(left=remaining, since=now),
         )
         self.running[start.task] = attempt
         self._record("start", start, checkpoint=start.checkpoint)
+        if self.options.fail_all:
+            del self.running[start.task]
+            self._record("fail", start)
+            self._emit(start, workers.TaskState.FAILED, detail="fault")
+            return
         if start.kind is workers.TaskKind.SERVICE:
             await self._serve(attempt)
         else:
             attempt.runner = asyncio.create_task(self._finish(attempt))
         self._emit(start, workers.TaskState.RUNNING, address=attempt.address)
 
+    def _throttle(self, operation: workers.Throttle) -> None:
+        attempt = self.running.get(operation.task)
+        if attempt is None or attempt.runner is None:
+            return
+        if attempt.start.attempt != operation.attempt:
+            return
+        attempt.progress.throttle(operation.share, self.clock.monotonic())
+        attempt.runner.cancel()
+        attempt.runner = asyncio.create_task(self._finish(attempt))
+        self._record("throttle", attempt.start, share=operation.share)
+
     async def _serve(self, attempt: Attempt) -> None:
         start = attempt.start
         attempt.replica = endpoint.Endpoint(
@@ -197,8 +222,7 @@
         attempt.address = f"127.0.0.1:{port}"
 
     async def _finish(self, attempt: Attempt) -> None:
-        delay = attempt.done - self.clock.monotonic()
-        await self.clock.sleep(max(datetime.timedelta(), delay))
+        await self.clock.sleep(attempt.progress.wait(self.clock.monotonic()))
         start = attempt.start
         del self.running[start.task]
         self._record("finish", start)
@@ -219,9 +243,8 @@
         self._emit(attempt.start, workers.TaskState.STOPPED, checkpoint=mark)
 
     def _checkpoint(self, attempt: Attempt) -> ids.CheckpointId:
-        before = _progress(attempt.start.checkpoint)
-        now = self.clock.monotonic()
-        seconds = (before + now - attempt.started).total_seconds()
+        left = attempt.progress.left_at(self.clock.monotonic())
+        seconds = (attempt.start.run_time - left).total_seconds()
         return ids.CheckpointId(f"done={seconds:.3f}")
 
     def _emit(
@@ -269,7 +292,9 @@
     return datetime.timedelta(seconds=float(checkpoint.partition("=")[2]))
 
 
-async def serve(hosts: list[dict], record: Recorder) -> None:
+async def serve(
+    hosts: list[dict], record: Recorder, options: contention.Options
+) -> None:
     """Serve all hosts until cancelled."""
     async with asyncio.TaskGroup() as group:
         for item in hosts:
@@ -278,11 +303,13 @@
                 zone=ids.ZoneId(item["zone"]),
                 capacity=resources.Resources(**item["capacity"]),
                 record=record,
+                options=options,
             )
             host, port = addresses.split(item["address"])
             listener = server.Server(handler=worker.handle)
             await listener.start(host=host, port=port)
             group.create_task(worker.expire())
+            group.create_task(metering.run(worker))
 
 
 def main() -> None:
@@ -291,11 +318,17 @@
     parser.add_argument("--hosts", type=pathlib.Path, required=True)
     parser.add_argument("--record", type=pathlib.Path, required=True)
     parser.add_argument("--zone", default="")
+    parser.add_argument(
+        "--behaviour",
+        type=pathlib.Path,
+        help="JSON file: lag_s, used_share, interference, fail_all",
+    )
     options = parser.parse_args()
     hosts = json.loads(options.hosts.read_text())["hosts"]
     if options.zone:
         hosts = [h for h in hosts if h["zone"] == options.zone]
-    process.run(serve(hosts, Recorder(path=options.record)))
+    behaviour = contention.read_options(options.behaviour)
+    process.run(serve(hosts, Recorder(path=options.record), behaviour))
 
 
 if __name__ == "__main__":
--- a/tests/scheduling/test_colocation_parts.py
+++ b/tests/scheduling/test_colocation_parts.py
@@ -257,6 +257,11 @@
                 "0", "t", str(job), ran=seconds(1), now=seconds(0)
             )
         assert isinstance(change, health.Quarantined)
+        # A wave that was under way must not put off the first probe.
+        for job in range(10):
+            records.failed(
+                "0", "t", f"late-{job}", ran=seconds(1), now=seconds(0)
+            )
         later = health.PROBE_PAUSE
         for number in range(health.SUCCESSES_TO_RETURN):
             assert records.may_start("0", later, probe=True)
