--- a/src/turmerichook/_internal/scheduling/relief.py
+++ b/src/turmerichook/_internal/scheduling/relief.py
@@ -1,5 +1,6 @@
 """What happens to batch tasks on hosts whose service is slow."""
 
+import collections.abc
 import datetime
 
 from turmerichook._internal.models import ids
@@ -11,6 +12,8 @@
 from turmerichook._internal.scheduling import tracking
 
 THROTTLED_SHARE = 0.5
+# Part of the predicted slowdown whose tasks are throttled together.
+THROTTLED_BLAME = 0.8
 # Time after which a stop that had no effect is asked for again.
 ASK_AGAIN = datetime.timedelta(seconds=10)
 
@@ -137,26 +140,49 @@
             self.denied -= self.tracker.hosts[host].batch.keys()
         match moved.step:
             case ladders.Step.NONE:
-                found += self._throttle(host, 1.0, now)
+                tasks = self.tracker.hosts[host].batch.values()
+                found += self._throttle(host, tasks, 1.0, now)
             case ladders.Step.THROTTLE if moved.before < moved.step:
-                found += self._throttle(host, THROTTLED_SHARE, now)
+                found += self._throttle_noisy(host, now)
             case ladders.Step.EVICT if moved.before <= moved.step:
                 found += self._evict_one(host, now)
             case ladders.Step.STOP:
                 found += self._stop_all(host, now)
         return found
 
+    def _throttle_noisy(
+        self, host: ids.HostId, now: datetime.timedelta
+    ) -> list[decisions.Decision]:
+        """Throttle the tasks that make up most of the slowdown."""
+        blamed = self._blame(host, now)
+        total = sum(max(0.0, slowdown) for slowdown, _ in blamed)
+        noisy = []
+        covered = 0.0
+        for slowdown, tracked in blamed:
+            if noisy and covered >= THROTTLED_BLAME * total:
+                break
+            noisy.append(tracked)
+            covered += max(0.0, slowdown)
+        return self._throttle(host, noisy, THROTTLED_SHARE, now)
+
     def _throttle(
-        self, host: ids.HostId, share: float, now: datetime.timedelta
+        self,
+        host: ids.HostId,
+        tasks: collections.abc.Iterable[tracking.Tracked],
+        share: float,
+        now: datetime.timedelta,
     ) -> list[decisions.Decision]:
         found: list[decisions.Decision] = []
-        for name, tracked in self.tracker.hosts[host].batch.items():
+        for tracked in tasks:
             if tracked.share == share:
                 continue
             self.tracker.throttle(tracked, share, now)
             found.append(
                 decisions.Throttle(
-                    host=host, task=name, attempt=tracked.attempt, share=share
+                    host=host,
+                    task=tracked.spec.task,
+                    attempt=tracked.attempt,
+                    share=share,
                 )
             )
         return found
@@ -191,9 +217,15 @@
         self, host: ids.HostId, now: datetime.timedelta
     ) -> list[tracking.Tracked]:
         """Return batch tasks, the one that slows services most first."""
-        tasks = self.tracker.hosts[host]
+        return [tracked for _, tracked in self._blame(host, now)]
 
-        def blame(tracked: tracking.Tracked) -> tuple[float, float]:
+    def _blame(
+        self, host: ids.HostId, now: datetime.timedelta
+    ) -> list[tuple[float, tracking.Tracked]]:
+        """Return batch tasks with their slowdown, the largest first."""
+        tasks = self.tracker.hosts[host]
+        found = []
+        for tracked in tasks.batch.values():
             share = tasks.weight_of(tracked.amount) * tracked.share
             slowdown = sum(
                 self.model.slowdown(
@@ -203,10 +235,11 @@
                 ).mean
                 for service in tasks.services.values()
             )
-            # Between equals the younger one loses less work.
-            return (slowdown, tracked.since.total_seconds())
-
-        return sorted(tasks.batch.values(), key=blame, reverse=True)
+            found.append((slowdown, tracked))
+        # Between equals the younger one loses less work.
+        return sorted(
+            found, key=lambda item: (item[0], item[1].since), reverse=True
+        )
 
 
 def _evict(tracked: tracking.Tracked, *, again: bool) -> decisions.Evict:
