Step down the ladder at 0.93 of the target

Cause: a service at high load and without interference is at 0.9 of its target, so a host in a load wave never fell below 0.85 and stayed throttled.

Change: RECOVERED is 0.93.

--- a/src/turmerichook/_internal/scheduling/ladder.py
+++ b/src/turmerichook/_internal/scheduling/ladder.py
@@ -14,7 +14,7 @@
 # Latency relative to the target: above the first the service is slow, below
 # the second it has recovered.
 SLOW = 1.0
-RECOVERED = 0.85
+RECOVERED = 0.93
 REPORTS_UP = 2
 REPORTS_DOWN = 3
 DWELL_UP = datetime.timedelta(seconds=5)
