--- a/src/turmerichook/_internal/scheduling/advice.py
+++ b/src/turmerichook/_internal/scheduling/advice.py
@@ -24,7 +24,7 @@
     site.Urgency.DEFERRABLE: 0.0,
 }
 # A service may be predicted to come this close to its target.
-MARGIN = 0.95
+MARGIN = 0.92
 # Slowdown allowed next to a service that has reported no latency yet.
 UNMEASURED_SLOWDOWN = math.log(1.1)
 # An unknown class is tried only where services have this much room.
