Merge the decisions of co-location

Sharing hands reports and ends of attempts to the facade and carries out its decisions in the owner's rounds. A corrected commitment changes the ledger, the team's use and the task in one step, so that a hold on the host cannot take room in between. A start from reserved room commits the amount that was reserved, since the size of new attempts may have changed meanwhile.

Placement asks co-location about the drawn hosts, and about up to 64 others once it has refused all of them. Waiting work follows a learned size only if that is larger than its amount or smaller by more than an eighth.

--- a/src/turmerichook/_internal/configuration/fields.py
+++ b/src/turmerichook/_internal/configuration/fields.py
@@ -123,6 +123,13 @@
             high=1000,
             meaning="preference for hosts with little room left",
         ),
+        Field(
+            name="interference",
+            kind=Kind.NUMBER,
+            default=1.0,
+            high=100,
+            meaning="reluctance to place batch next to services it slows",
+        ),
     ),
     "zones": (
         Field(
@@ -195,6 +202,14 @@
             meaning="connections that one replica accepts",
         ),
         _urgency("urgent"),
+        Field(
+            name="latency_target_ms",
+            kind=Kind.NUMBER,
+            unit="ms",
+            low=0.1,
+            high=600_000,
+            meaning="99th percentile to keep next to batch work",
+        ),
     ),
     "jobs": (
         TEAM,
--- a/src/turmerichook/_internal/configuration/schema.py
+++ b/src/turmerichook/_internal/configuration/schema.py
@@ -32,7 +32,11 @@
     values = checker.values(table, SECTIONS["site"], "site")
     configuration = site.Configuration(
         site=values["name"],
-        weights=site.Weights(spread=values["spread"], pack=values["pack"]),
+        weights=site.Weights(
+            spread=values["spread"],
+            pack=values["pack"],
+            interference=values["interference"],
+        ),
         zones=_each(checker, document, "zones", _zone),
         teams=_each(checker, document, "teams", _team),
         services=_each(checker, document, "services", _service),
@@ -132,9 +136,18 @@
         slots=values["slots"],
         connections=values["connections"],
         urgency=site.Urgency(values["urgency"]),
+        latency_target=_latency_target(values["latency_target_ms"]),
     )
 
 
+def _latency_target(
+    milliseconds: float | None,
+) -> datetime.timedelta | None:
+    if milliseconds is None:
+        return None
+    return datetime.timedelta(milliseconds=milliseconds)
+
+
 def _job(
     checker: checkers.Checker, name: str, table: checkers.Table, where: str
 ) -> site.Job:
--- a/src/turmerichook/_internal/outcomes.py
+++ b/src/turmerichook/_internal/outcomes.py
@@ -32,6 +32,8 @@
     NOTHING_DUE = "nothing-due"
     JOURNAL_FULL = "journal-is-full"
     PLACEMENT_UNKNOWN = "placement-unknown"
+    HOST_QUARANTINED = "hosts-with-room-quarantined"
+    SERVICE_AT_RISK = "would-slow-a-service"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/turmerichook/_internal/scheduling/commitments.py
+++ b/src/turmerichook/_internal/scheduling/commitments.py
@@ -10,6 +10,7 @@
 from turmerichook._internal import outcomes
 from turmerichook._internal.platform import hosts
 from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import advisers
 from turmerichook._internal.scheduling import ledger as ledgers
 from turmerichook._internal.scheduling import placement
 from turmerichook._internal.scheduling import plan
@@ -21,11 +22,9 @@
 
 # A stop whose message may have been lost is sent again after this time.
 STOP_INTERVAL = datetime.timedelta(seconds=2)
-
-
-def no_cost(work: plan.Workload, host: ids.HostId) -> float:
-    """Return the deduction of a site that measures no interference."""
-    return 0.0
+# A learned size changes with each report. Waiting work keeps an amount that is
+# at most this much larger, since it would change its lane with each of them.
+SPARE_SHARE = 1.125
 
 
 def always_admits(task: ids.TaskId, begun: int) -> bool:
@@ -33,6 +32,15 @@
     return True
 
 
+def _near(amount: resources.Resources, size: resources.Resources) -> bool:
+    """Tell whether an amount covers a size with little to spare."""
+    return (
+        size.fits(amount)
+        and amount.millicores <= size.millicores * SPARE_SHARE
+        and amount.memory_mib <= size.memory_mib * SPARE_SHARE
+    )
+
+
 class Commitments:
     """Records of a zone's tasks and every change of their commitments.
 
@@ -68,10 +76,9 @@
         self.admits: collections.abc.Callable[[ids.TaskId, int], bool] = (
             always_admits
         )
-        # Deduction from the score of a host for a workload.
-        self.cost: collections.abc.Callable[
-            [plan.Workload, ids.HostId], float
-        ] = no_cost
+        self.adviser: advisers.Adviser = advisers.NoAdvice()
+        # When workloads that the adviser refused are looked at again.
+        self.refused_until: datetime.timedelta | None = None
         # Amounts for which no host has room until something is released.
         self.blocked: set[resources.Resources] = set()
         self.releases = 0
@@ -95,22 +102,34 @@
         """Commit the room for the next attempt of a task."""
         task = self.record(group, number, now)
         name = task.spec.task
+        amount = group.amount
         if task.phase is Phase.RESERVED:
             if task.host != host:
                 self.ledger.drop_hold(task.host, name)
+            else:
+                # The size of new attempts may have changed meanwhile.
+                amount = task.amount
             self.teams.give_back(task.spec.team, task.amount)
             del self.reserved[name]
-        self.ledger.commit(host, name, group.amount)
-        self.teams.use(group.work.team, group.amount)
+        self.ledger.commit(host, name, amount)
+        self.teams.use(group.work.team, amount)
         if group.work.kind is workers.TaskKind.SERVICE:
             self.replicas.add(plan.service_of(name), host, 1)
         task.phase = Phase.ASSIGNED
         task.since = task.saved = now
         task.host = host
-        task.amount = group.amount
+        task.amount = amount
         task.address = ""
         task.due = None
         task.attempt = ids.Attempt(task.attempt + 1)
+        self.adviser.placed(
+            task.spec,
+            task.attempt,
+            host,
+            amount,
+            resumed=task.checkpoint is not None,
+            now=now,
+        )
         return records.StartCommand(
             task=name, host=host, attempt=task.attempt, amount=task.amount
         )
@@ -142,20 +161,51 @@
         task.since = now
         task.host = None
 
+    def resize(self, task: records.Task, amount: resources.Resources) -> None:
+        """Change what the current attempt commits."""
+        self.ledger.resize(task.host, task.spec.task, amount)
+        self.teams.give_back(task.spec.team, task.amount)
+        self.teams.use(task.spec.team, amount)
+        task.amount = amount
+
+    def resize_waiting(self) -> None:
+        """Take over the sizes that new attempts now need."""
+        sizes: dict[tuple, resources.Resources] = {}
+        for group in self.groups.values():
+            if group.peek() is None:
+                continue
+            key = (group.kin, group.work.resources)
+            if key not in sizes:
+                sizes[key] = self.adviser.size(group.work.task(0))
+            if not _near(group.amount, sizes[key]):
+                group.amount = sizes[key]
+                self.queue.put(group)
+
     def stop(
-        self, task: records.Task, now: datetime.timedelta
+        self,
+        task: records.Task,
+        now: datetime.timedelta,
+        *,
+        checkpoint: bool = True,
     ) -> records.StopCommand:
-        """Ask for the end of an attempt; batch tasks are checkpointed."""
+        """Ask for the end of an attempt.
+
+        :param checkpoint: whether a batch task is checkpointed first.
+        """
         task.phase = Phase.STOPPING
         task.since = now
         self.stopping[task.spec.task] = now
-        return self.stop_command(task)
+        return self.stop_command(task, checkpoint=checkpoint)
 
-    def stop_command(self, task: records.Task) -> records.StopCommand:
+    def stop_command(
+        self, task: records.Task, *, checkpoint: bool = True
+    ) -> records.StopCommand:
         """Return the message that stops a task's attempt."""
         batch = task.spec.kind is workers.TaskKind.BATCH
         stop = workers.Stop(
-            task=task.spec.task, attempt=task.attempt, checkpoint=batch
+            task=task.spec.task,
+            attempt=task.attempt,
+            checkpoint=batch and checkpoint,
         )
         return records.StopCommand(host=task.host, stop=stop)
 
--- a/src/turmerichook/_internal/scheduling/eligibility.py
+++ b/src/turmerichook/_internal/scheduling/eligibility.py
@@ -1,5 +1,7 @@
 """Whether a workload may start at all, and what its tasks ask of a host."""
 
+import datetime
+
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal import outcomes
@@ -54,7 +56,10 @@
 
 
 def preference(
-    zone: states.ZoneTasks, group: queues.Group, number: int
+    zone: states.ZoneTasks,
+    group: queues.Group,
+    number: int,
+    now: datetime.timedelta,
 ) -> placement.Preference:
     """Return what is asked of a host for a task of a group."""
     work = group.work
@@ -63,10 +68,13 @@
         service = plan.service_of(ids.TaskId(work.key))
     task = zone.tasks.get(work.name(number))
     avoid = task.avoid if task is not None else frozenset()
+    spec = work.task(number)
 
-    def cost(host: ids.HostId) -> float:
-        extra = AVOIDED_COST if host in avoid else 0.0
-        return zone.cost(work, host) + extra
+    def cost(host: ids.HostId) -> float | outcomes.Absent:
+        advice = zone.adviser.advise(spec, group.amount, host, now)
+        if isinstance(advice, outcomes.Absent) or host not in avoid:
+            return advice
+        return advice + AVOIDED_COST
 
     return placement.Preference(
         weights=zone.weights,
--- a/src/turmerichook/_internal/scheduling/ledger.py
+++ b/src/turmerichook/_internal/scheduling/ledger.py
@@ -156,6 +156,26 @@
             self._add(account, task, amount)
             self._update(host, account)
 
+    def resize(
+        self,
+        host: ids.HostId,
+        task: ids.TaskId,
+        amount: resources.Resources,
+    ) -> None:
+        """Change a commitment to what the host has granted already.
+
+        What a former owner granted counts even if it is more than is free.
+        """
+        account = self.hosts[host]
+        former = account.tasks[task]
+        account.tasks[task] = amount
+        account.committed = account.committed.minus(former).plus(amount)
+        if amount.fits(former):
+            self._grant(account)
+            self._released(host, account)
+        else:
+            self._update(host, account)
+
     def release(self, host: ids.HostId, task: ids.TaskId) -> None:
         """End a task's commitment; unknown ones are ignored."""
         account = self.hosts.get(host)
--- a/src/turmerichook/_internal/scheduling/placement.py
+++ b/src/turmerichook/_internal/scheduling/placement.py
@@ -23,6 +23,8 @@
 # Hosts that are compared for a service's replica, whose anti-affinity needs
 # a wider view. Zones with fewer hosts are compared in full.
 SERVICE_SAMPLES = 64
+# Hosts that are compared once co-location has refused all that were drawn.
+REFUSED_SAMPLES = 64
 # Room is compared in ten-thousandths, so that its logged form is exact.
 ROOM_UNIT = 10_000
 
@@ -60,11 +62,12 @@
 
     :param service: the service whose replicas are kept apart, if any.
     :param spread: counts of its replicas.
-    :param cost: deduction from a host's score.
+    :param cost: deduction from a host's score, or why the task may not be
+        there.
     """
 
     weights: site.Weights
-    cost: collections.abc.Callable[[ids.HostId], float]
+    cost: collections.abc.Callable[[ids.HostId], float | outcomes.Absent]
     service: ids.ServiceId | None = None
     spread: "Replicas | None" = None
 
@@ -115,10 +118,15 @@
         slots = _apart(index, need, slots, preference)
     if not slots:
         return outcomes.Absent(reason=outcomes.Reason.NO_FIT)
-    found = tuple(
-        _candidate(index.names[slot], need, ledger, preference)
-        for slot in slots
-    )
+    found, refusal = _candidates(slots, need, ledger, preference)
+    if not found:
+        if len(index) <= REFUSED_SAMPLES:
+            slots = _all(index, need)
+        else:
+            slots = _draw(index, need, generator, REFUSED_SAMPLES)
+        found, refusal = _candidates(slots, need, ledger, preference)
+    if not found:
+        return refusal
     best = select(found, preference.weights)
     return Placed(
         host=best.host,
@@ -161,11 +169,31 @@
     return preferred - candidate.cost
 
 
+def _candidates(
+    slots: list[int],
+    need: resources.Resources,
+    ledger: ledgers.Ledger,
+    preference: Preference,
+) -> tuple[tuple[Candidate, ...], outcomes.Absent]:
+    """Return the hosts that co-location allows, and why not the others."""
+    found = []
+    refusal = outcomes.Absent(reason=outcomes.Reason.NO_FIT)
+    for slot in slots:
+        host = ledger.index.names[slot]
+        cost = preference.cost(host)
+        if isinstance(cost, outcomes.Absent):
+            refusal = cost
+        else:
+            found.append(_candidate(host, need, ledger, preference, cost))
+    return tuple(found), refusal
+
+
 def _candidate(
     host: ids.HostId,
     need: resources.Resources,
     ledger: ledgers.Ledger,
     preference: Preference,
+    cost: float,
 ) -> Candidate:
     account = ledger.hosts[host]
     on_host = on_rack = 0
@@ -180,7 +208,7 @@
         room=_room(account, need, ledger.index, host),
         on_host=on_host,
         on_rack=on_rack,
-        cost=preference.cost(host),
+        cost=cost,
     )
 
 
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -62,7 +62,9 @@
         if not known or not configuration.zones:
             return False
         now = self.clock.monotonic()
-        self.configuration = configuration
+        if configuration is not self.configuration:
+            self.configuration = configuration
+            self.owner.sharing.colocation.configure(configuration)
         if self.drain.note(configuration, now):
             closed = self.drain.closed
             event = (
@@ -89,12 +91,17 @@
         self.announce(now)
         for command in self.drain.evictions(self.state, now):
             self.owner.stops.add(command, now)
+        for host, operation in self.owner.sharing.act(now):
+            self._send(host, operation)
         if self.owner.tenure.authority.remaining(now):
             self._place(now)
         for due in self.owner.stops.take_due(now):
-            boot = self.reports.seen.get(due.host)
-            if boot is not None:
-                self.owner.links.send(due.host, (due.stop,), boot=boot[0])
+            self._send(due.host, due.stop)
+
+    def _send(self, host: ids.HostId, operation: workers.Operation) -> None:
+        boot = self.reports.seen.get(host)
+        if boot is not None:
+            self.owner.links.send(host, (operation,), boot=boot[0])
 
     def announce(self, now: datetime.timedelta) -> None:
         """Publish the endpoints, and the status when it is due."""
--- a/src/turmerichook/_internal/scheduling/state.py
+++ b/src/turmerichook/_internal/scheduling/state.py
@@ -142,6 +142,33 @@
         account = self.ledger.hosts.get(host)
         return list(account.tasks) if account else []
 
+    def expire(self, now: datetime.timedelta) -> None:
+        """Fail the jobs whose deadlines have passed."""
+        while self.deadlines and self.deadlines[0][0] <= now:
+            deadline, key = heapq.heappop(self.deadlines)
+            group = self.groups.get(key)
+            if group is None or group.work.deadline != deadline:
+                continue
+            left = group.work.count - group.finished
+            if left > 0:
+                fault = outcomes.Absent(
+                    reason=outcomes.Reason.DEADLINE_PASSED,
+                    detail=f"{left} of {group.work.count} tasks have not "
+                    "finished",
+                )
+                self.fail(group, fault)
+
+    def end_delays(self, now: datetime.timedelta) -> None:
+        """Queue the failed tasks that may be tried again."""
+        while self.delayed and self.delayed[0][0] <= now:
+            due, name = heapq.heappop(self.delayed)
+            task = self.tasks.get(name)
+            if task is None or task.due != due or not task.wanted:
+                continue
+            task.due = None
+            key, number = plan.split(name)
+            self.requeue(self.groups[key], number)
+
     # Steps
 
     def _note_failure(
--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -13,6 +13,7 @@
 from turmerichook._internal.scheduling import journal_store
 from turmerichook._internal.scheduling import links
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import sharing as sharing_module
 from turmerichook._internal.scheduling import state as states
 from turmerichook._internal.scheduling import strays as stray_module
 
@@ -30,11 +31,13 @@
         state: states.ZoneTasks,
         journal: journal_store.Journal,
         strays: stray_module.Strays,
+        sharing: sharing_module.Sharing,
         clock: clocks.Clock,
     ):
         self.state = state
         self.journal = journal
         self.strays = strays
+        self.sharing = sharing
         self.clock = clock
         # Boot id and highest applied event of each worker that answered.
         self.seen: dict[ids.HostId, tuple[ids.BootId, int]] = {}
@@ -62,6 +65,7 @@
                 last = event.sequence
         self.seen[host] = (answer.boot, last)
         self.acknowledgements[host] = (answer.boot, last)
+        self.sharing.answered(host, answer, self.clock.monotonic())
         if report.inventory:
             self._inventory(report)
 
@@ -147,6 +151,7 @@
             logs.emit(events.SchedulingEvent.WORKER_RETURNED, host=host)
 
     def _event(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        self.sharing.event(event, self.clock.monotonic())
         match event.state:
             case workers.TaskState.RUNNING:
                 if self.state.running(
@@ -202,6 +207,7 @@
                 self.state.running(
                     name, item.attempt, item.address, self.clock.monotonic()
                 )
+                self.sharing.inventory(host, item)
             elif self._never_ran(name, task, report.sent):
                 self.return_task(name, task.attempt, None)
         self.strays.listed(host, set(running))
--- a/src/turmerichook/_internal/scheduling/workloads.py
+++ b/src/turmerichook/_internal/scheduling/workloads.py
@@ -64,7 +64,7 @@
         group = queues.Group(
             work=work,
             sequence=self.sequence,
-            amount=work.resources,
+            amount=self.adviser.size(work.task(0)),
             since=now,
         )
         self.groups[work.key] = group
@@ -118,7 +118,7 @@
         group.work = work
         if work.resources != former.resources:
             # Running attempts keep what they have committed.
-            group.amount = work.resources
+            group.amount = self.adviser.size(work.task(0))
         commands: list[StopCommand] = []
         for number in sorted(group.active):
             if number >= work.count:
