--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -38,7 +38,6 @@
 from turmerichook._internal.scheduling import worker_reports
 from turmerichook import exceptions
 
-GROUP_INTERVAL = datetime.timedelta(milliseconds=200)
 RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
@@ -177,7 +176,7 @@
                 self.rounds.decide()
                 await self._commit()
                 self.rounds.write_records()
-            await self.clock.sleep(GROUP_INTERVAL)
+            await self.clock.sleep(self.rounds.interval())
 
     async def _tidy(self) -> None:
         await self.journal.discard_orphans()
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -20,6 +20,10 @@
 if typing.TYPE_CHECKING:
     from turmerichook._internal.scheduling import owner as owners
 
+GROUP_INTERVAL = datetime.timedelta(milliseconds=200)
+# Interval of the rounds until the first workers have answered, so that a
+# takeover does not spend several group intervals before its first start.
+BEGIN_INTERVAL = datetime.timedelta(milliseconds=20)
 PLACEMENTS_PER_ROUND = 1000
 STATUS_INTERVAL = datetime.timedelta(seconds=2)
 RECORDS_INTERVAL = datetime.timedelta(seconds=1)
@@ -55,6 +59,11 @@
         self.records_due = datetime.timedelta()
         self.configuration = site.EMPTY
 
+    def interval(self) -> datetime.timedelta:
+        """Return the time until the next round."""
+        begun = self.ready and self.reports.seen
+        return GROUP_INTERVAL if begun else BEGIN_INTERVAL
+
     def prepare(self) -> bool:
         """Bring the wanted tasks up to date; False if they are unknown."""
         configuration = self.owner.environment.configuration()
--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -49,6 +49,8 @@
         self.starts: dict[ids.TaskId, states.StartCommand] = {}
         self.sent: dict[ids.TaskId, tuple[ids.Attempt, datetime.timedelta]]
         self.sent = {}
+        # Hosts that refused a start; they may run another attempt.
+        self.refusing: set[ids.HostId] = set()
 
     def answered(self, report: links.Answered) -> None:
         """Apply a worker's answer."""
@@ -132,14 +134,16 @@
 
     def doubtful_hosts(self, now: datetime.timedelta) -> set[ids.HostId]:
         """Return the hosts whose inventory must show the fate of a start."""
-        found = set()
+        found = set(self.refusing)
+        self.refusing.clear()
         for name, (attempt, sent) in list(self.sent.items()):
             task = self.state.tasks.get(name)
             if task is None or task.attempt != attempt or task.host is None:
                 del self.sent[name]
-            elif task.phase is states.Phase.ASSIGNED:
-                if now - sent > authorities.START_FATE_KNOWN:
-                    found.add(task.host)
+            elif task.phase is not states.Phase.ASSIGNED:
+                continue
+            elif now - sent > authorities.START_FATE_KNOWN:
+                found.add(task.host)
         return found
 
     def _usable(self, host: ids.HostId) -> None:
@@ -185,6 +189,8 @@
         self.strays.ended(host, event.task, event.attempt, None, finished=True)
 
     def _returned(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        if event.state is workers.TaskState.REFUSED:
+            self.refusing.add(host)
         self.return_task(
             event.task,
             event.attempt,
@@ -225,7 +231,7 @@
         A start of a former owner is refused by the worker once it has
         answered this owner. This owner's start may still be on its way
         until ``not_after`` has passed, so the inventory must have been
-        asked for later than that.
+        asked for later than that; an inventory may also arrive late.
         """
         if name in self.starts:
             return False
