--- a/src/turmerichook/_internal/http/server.py
+++ b/src/turmerichook/_internal/http/server.py
@@ -8,149 +8,19 @@
 import asyncio
 import collections.abc
 import contextlib
-import json
-import typing
 
 import h11
 
 from turmerichook._internal.http import connection as connections
+from turmerichook._internal.http import exchange as exchanges
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import wire as wires
 from turmerichook import exceptions
 
 BACKLOG = 256
 
-Handler = collections.abc.Callable[
-    ["Exchange"], collections.abc.Awaitable[None]
-]
-
-
-class Exchange:
-    """One request and the response to it.
-
-    Public methods raise ``MessageError`` when the peer breaks the protocol
-    and ``ExchangeError`` when the connection ends or a time limit passes.
-    """
-
-    __slots__ = ("head", "connection", "response_started", "response_ended")
-
-    def __init__(
-        self,
-        *,
-        head: heads.RequestHead,
-        connection: connections.ServerConnection,
-    ):
-        self.head = head
-        self.connection = connection
-        self.response_started = False
-        self.response_ended = False
-
-    @property
-    def has_body(self) -> bool:
-        """Whether a request body follows the head."""
-        for name, value in self.head.headers:
-            if name == b"transfer-encoding":
-                return True
-            if name == b"content-length":
-                return int(value) > 0
-        return False
-
-    async def body(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the pieces of the request body as they arrive."""
-        while (piece := await self.next_piece()) is not None:
-            yield piece
-
-    async def next_piece(self) -> bytes | None:
-        """Return the next piece of the request body, None at its end.
-
-        A call that is cancelled loses nothing; the next one goes on.
-        """
-        limit = self.connection.limits.body_timeout.total_seconds()
-        await self.connection.send_continue()
-        match await self.connection.next_event(limit):
-            case h11.Data() as event:
-                return bytes(event.data)
-            case h11.EndOfMessage():
-                return None
-            case _:
-                raise exceptions.ExchangeError(
-                    message="the request body was cut off",
-                    progress=exceptions.Progress.REQUEST_STARTED,
-                )
-
-    async def read_all(self) -> bytes:
-        """Return the whole request body.
-
-        :raises BodyTooLargeError: if it exceeds the listener's limit.
-        """
-        pieces = bytearray()
-        async for piece in self.body():
-            pieces += piece
-            if len(pieces) > self.connection.limits.body_bytes:
-                raise exceptions.BodyTooLargeError(
-                    message="the request body exceeds the limit",
-                    context=f"{self.connection.limits.body_bytes} bytes",
-                )
-        return bytes(pieces)
-
-    async def start(
-        self, *, status: int, headers: heads.Headers, body: bytes = b""
-    ) -> None:
-        """Send the head of the response, and a first piece of its body."""
-        self.response_started = True
-        event = self.connection.response(status, headers)
-        if body:
-            await self.connection.send_events(event, h11.Data(data=body))
-        else:
-            await self.connection.send_events(event)
-
-    async def send(self, data: bytes) -> None:
-        """Send a piece of the response body."""
-        await self.connection.send_events(h11.Data(data=data))
-
-    async def end(self) -> None:
-        """End the response."""
-        await self.connection.send_events(h11.EndOfMessage())
-        self.response_ended = True
-
-    async def finish(
-        self, *, status: int, headers: heads.Headers, body: bytes
-    ) -> None:
-        """Send a whole response in one piece."""
-        self.response_started = True
-        events = [self.connection.response(status, headers)]
-        if body:
-            events.append(h11.Data(data=body))
-        await self.connection.send_events(*events, h11.EndOfMessage())
-        self.response_ended = True
-
-    async def respond(
-        self,
-        *,
-        status: int,
-        body: bytes = b"",
-        content_type: str = "application/json",
-        headers: heads.Headers | None = None,
-    ) -> None:
-        """Send a whole response."""
-        head: heads.Headers = [
-            (b"content-type", content_type.encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        if self.head.method == "HEAD":
-            body = b""
-        await self.finish(
-            status=status, headers=head + (headers or []), body=body
-        )
-
-    async def respond_json(
-        self,
-        *,
-        document: typing.Any,
-        status: int = 200,
-    ) -> None:
-        """Send ``document`` as JSON."""
-        await self.respond(status=status, body=json.dumps(document).encode())
+Exchange = exchanges.Exchange
+Handler = collections.abc.Callable[[Exchange], collections.abc.Awaitable[None]]
 
 
 class Server:
