Draw two different endpoints and test the pure decisions

Cause: the two random choices could be the same endpoint, so a loaded one was taken although another was free (found by test_reported_load_counts). Change: the second draw leaves the first one out; property tests of retries, queue, selection, limits and headers.

--- a/src/turmerichook/_internal/routing/selection.py
+++ b/src/turmerichook/_internal/routing/selection.py
@@ -208,20 +208,30 @@
 def _of_two(
     targets: list[Target], now: float, source: random.Random
 ) -> Target:
-    first = _draw(targets, now, source)
+    first = _draw(targets, None, now, source)
     if len(targets) == 1:
         return first
-    second = _draw(targets, now, source)
-    if second is first:
-        second = _draw(targets, now, source)
+    second = _draw(targets, first, now, source)
     return second if second.cost(now) < first.cost(now) else first
 
 
-def _draw(targets: list[Target], now: float, source: random.Random) -> Target:
-    """Draw an endpoint; one in its slow start is often turned down."""
+def _draw(
+    targets: list[Target],
+    besides: Target | None,
+    now: float,
+    source: random.Random,
+) -> Target:
+    """Draw an endpoint; one in its slow start is often turned down.
+
+    :param besides: one that must not be drawn; there is another one.
+    """
+    count = len(targets) - (besides is not None)
     target = targets[0]
     for _ in range(DRAWS):
-        target = targets[int(source.random() * len(targets))]
+        target = targets[int(source.random() * count)]
+        if target is besides:
+            # The last one stands in, which keeps the draw uniform.
+            target = targets[-1]
         share = target.health.share(now)
         if share >= 1.0 or source.random() < share:
             return target
--- /dev/null
+++ b/tests/routing/test_decisions.py
@@ -0,0 +1,366 @@
+"""Tests of the pure modules that decide about requests."""
+
+import collections
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from turmerichook._internal.http import heads
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.routing import concurrency
+from turmerichook._internal.routing import endpoints
+from turmerichook._internal.routing import health
+from turmerichook._internal.routing import queues
+from turmerichook._internal.routing import rates
+from turmerichook._internal.routing import requests
+from turmerichook._internal.routing import retries
+from turmerichook._internal.routing import selection
+from turmerichook._internal.routing import sharing
+
+BOUNDED = settings(derandomize=True, max_examples=200, deadline=None)
+URGENCIES = strategies.sampled_from(list(site.Urgency))
+
+
+def target(task, *, zone="a", limit=8.0, latency=0.01):
+    """Return a target past its slow start."""
+    return selection.Target(
+        endpoint=endpoints.Endpoint(
+            service="booking",
+            task=task,
+            zone=zone,
+            address="127.0.0.1:1",
+            slots=8,
+            connections=64,
+            leaving=False,
+        ),
+        limit=concurrency.Limit(
+            value=limit, ceiling=8.0, latency=latency, lowest=latency
+        ),
+        health=health.Health(since=-1000.0),
+    )
+
+
+def choose(targets, *, seed=1, probe=True, tried=(), now=0.0):
+    """Choose from the view of a gateway in zone a."""
+    return selection.choose(
+        targets=targets,
+        wanted=selection.Wanted(probe=probe, tried=frozenset(tried)),
+        zone="a",
+        links={"a": 0.0, "b": 0.01},
+        now=now,
+        source=random.Random(seed),
+    )
+
+
+class TestRetries:
+    """Retries never run a request twice and never multiply load."""
+
+    failures = strategies.builds(
+        retries.Failure,
+        effect=strategies.sampled_from(list(retries.Effect)),
+        attempts=strategies.integers(1, 5),
+        idempotent=strategies.booleans(),
+        replayable=strategies.booleans(),
+        repeated=strategies.booleans(),
+        left=strategies.floats(-1, 10),
+    )
+
+    @BOUNDED
+    @given(failures)
+    def test_safe(self, failure):
+        # Guards against a second run of a request that must run once.
+        verdict = retries.decide(failure, retries.Budget())
+        if verdict is retries.Verdict.RETRY:
+            unknown = failure.effect is retries.Effect.UNKNOWN
+            assert failure.idempotent or not unknown
+            assert failure.replayable
+            assert failure.attempts < retries.MAX_ATTEMPTS
+            assert failure.left > 0
+            sent = failure.effect is not retries.Effect.NOTHING_SENT
+            assert not (failure.repeated and sent)
+
+    @BOUNDED
+    @given(strategies.lists(strategies.booleans(), max_size=300))
+    def test_budget(self, failing):
+        # Guards against retries beyond a tenth of the requests.
+        budget = retries.Budget()
+        taken = 0
+        for fails in failing:
+            budget.deposit()
+            taken += fails and budget.withdraw()
+        assert taken <= retries.RESERVE + 0.1 * len(failing) + 1e-6
+
+
+class TestQueue:
+    """Waiting requests leave in a fair order and never get lost."""
+
+    @BOUNDED
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                URGENCIES,
+                strategies.sampled_from("xyz"),
+                strategies.floats(1, 100),
+                strategies.sampled_from(["offer", "pop", "remove"]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_every_entry_has_one_end(self, steps):
+        # Guards against entries that are lost, doubled or out of order.
+        queue = queues.Queue(capacity=5)
+        waiting = []
+        for urgency, team, deadline, step in steps:
+            if step == "offer":
+                entry = queues.Entry(
+                    urgency=urgency,
+                    team=team,
+                    weight=1.0,
+                    deadline=deadline,
+                    ticket=None,
+                )
+                shed, out = queue.offer(entry, now=0.0, needed=0.1)
+                if out is not None:
+                    least = max(queues.ORDER[e.urgency] for e in waiting)
+                    assert queues.ORDER[out.urgency] == least
+                    assert least > queues.ORDER[urgency]
+                    waiting.remove(out)
+                if shed is None:
+                    waiting.append(entry)
+            elif step == "pop":
+                entry = queue.pop()
+                assert (entry is None) == (not waiting)
+                if entry is not None:
+                    most = min(queues.ORDER[e.urgency] for e in waiting)
+                    assert queues.ORDER[entry.urgency] == most
+                    waiting.remove(entry)
+            elif waiting:
+                queue.remove(waiting[0])
+                queue.remove(waiting.pop(0))
+            assert len(queue) == len(waiting) <= 5
+
+    def test_teams_take_turns_by_weight(self):
+        # Guards against one team that keeps the others waiting.
+        queue = queues.Queue()
+        for number in range(300):
+            for team, weight in (("x", 2.0), ("y", 1.0)):
+                queue.offer(
+                    queues.Entry(
+                        urgency=site.Urgency.URGENT,
+                        team=team,
+                        weight=weight,
+                        deadline=1000.0 + (number if team == "x" else 0),
+                        ticket=None,
+                    ),
+                    now=0.0,
+                    needed=0.0,
+                )
+        served = collections.Counter(queue.pop().team for _ in range(90))
+        assert served == {"x": 60, "y": 30}
+
+    def test_cannot_be_met(self):
+        # Guards against requests that wait only to be late.
+        queue = queues.Queue()
+        queue.interval = 0.1
+        for deadline in (5.0, 5.0, 0.05):
+            entry = queues.Entry(
+                urgency=site.Urgency.URGENT,
+                team="x",
+                weight=1.0,
+                deadline=deadline,
+                ticket=None,
+            )
+            shed, _ = queue.offer(entry, now=0.0, needed=0.01)
+        assert shed is queues.Shed.CANNOT_MEET_DEADLINE
+
+
+class TestSelection:
+    """Endpoints are chosen by zone, load and health."""
+
+    def test_own_zone_first(self):
+        # Guards against requests that cross zones without need.
+        targets = [target("1"), target("2"), target("3", zone="b")]
+        for seed in range(50):
+            chosen = choose(targets, seed=seed)
+            assert chosen.why is selection.Why.OWN_ZONE
+
+    def test_spill_over(self):
+        # Guards against a full own zone that keeps requests waiting.
+        targets = [target("1"), target("2", zone="b")]
+        targets[0].in_flight = 8
+        assert choose(targets).why is selection.Why.OWN_ZONE_FULL
+
+    def test_slow_own_zone(self):
+        # Guards against a slow own zone that is used at any price.
+        targets = [target("1", latency=1.0), target("2", zone="b")]
+        assert choose(targets).why is selection.Why.OWN_ZONE_SLOW
+
+    def test_reported_load_counts(self):
+        # Guards against load from other gateways that goes unseen.
+        targets = [target("1"), target("2")]
+        targets[0].load, targets[0].load_at = 1.5, 0.0
+        found = {choose(targets, seed=s).target.endpoint.task for s in "abcd"}
+        assert found == {"2"}
+
+    def test_last_resort(self):
+        # Guards against refusing while an ejected endpoint could be tried.
+        only = target("1")
+        only.health.state = health.State.EJECTED
+        only.health.until = 100.0
+        assert choose([only]).why is selection.Why.ALL_EJECTED
+
+    @BOUNDED
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("ab"),
+                strategies.integers(0, 9),
+                strategies.sampled_from(list(health.State)),
+            ),
+            max_size=8,
+        ),
+        strategies.booleans(),
+        strategies.integers(0, 1000),
+    )
+    def test_never_over_the_limit(self, shapes, probe, seed):
+        # Guards against more requests in flight than the limit allows.
+        targets = []
+        for number, (zone, in_flight, state) in enumerate(shapes):
+            made = target(str(number), zone=zone)
+            made.in_flight = in_flight
+            made.health.state = state
+            made.health.until = 100.0
+            targets.append(made)
+        chosen = choose(targets, seed=seed, probe=probe)
+        if isinstance(chosen, outcomes.Absent):
+            assert not targets or chosen.reason in (
+                outcomes.Reason.NO_ROOM,
+                outcomes.Reason.NO_ENDPOINT,
+            )
+            return
+        assert chosen.target.room
+        if chosen.target.health.state is health.State.PROBING:
+            assert probe and chosen.target.in_flight == 0
+
+
+class TestHealth:
+    """Failing endpoints are ejected and come back slowly."""
+
+    def test_cap(self):
+        # Guards against ejecting so many that the rest is flooded.
+        assert health.may_eject(ejected=1, endpoints=4)
+        assert not health.may_eject(ejected=2, endpoints=4)
+        assert not health.may_eject(ejected=0, endpoints=1)
+
+    def test_way_out_and_back(self):
+        # Guards against an endpoint that stays out, or returns at full load.
+        known = health.Health(since=-1000.0)
+        for _ in range(health.CONSECUTIVE_FAILURES):
+            change = health.fail(known, 0.0, allowed=True)
+        assert change is health.Change.EJECTED
+        assert known.present(health.EJECTION_S) is health.State.PROBING
+        for _ in range(health.PROBES):
+            change = health.succeed(known, 6.0)
+        assert change is health.Change.RETURNED
+        assert known.share(6.0) == health.SLOW_START_SHARE
+        assert known.share(6.0 + health.SLOW_START_S) == 1.0
+
+    def test_failed_probe(self):
+        # Guards against probing a dead endpoint ever more often.
+        known = health.Health(since=0.0, state=health.State.PROBING)
+        known.ejections = 1
+        health.fail(known, 0.0, allowed=False)
+        assert known.until == 2 * health.EJECTION_S
+
+
+class TestLimits:
+    """Limits stay within bounds whatever happens."""
+
+    @BOUNDED
+    @given(
+        strategies.integers(1, 64),
+        strategies.floats(0.1, 64),
+        strategies.lists(strategies.floats(0.0, 10.0), max_size=60),
+    )
+    def test_bounds(self, ceiling, share, latencies):
+        # Guards against a limit of nothing or beyond the endpoint's slots.
+        limit = concurrency.start(share=share, ceiling=ceiling)
+        for number, latency in enumerate(latencies):
+            if latency > 9:
+                concurrency.refused(limit, float(number))
+            else:
+                concurrency.answered(
+                    limit, latency=latency, in_flight=99, now=float(number)
+                )
+            assert 1 <= limit.allowed <= ceiling
+
+    def test_shares(self):
+        # Guards against gateways that open too many connections together.
+        for gateways in (6, 7, 60, 64):
+            share = sharing.connection_share(connections=64, gateways=gateways)
+            assert 1 <= share * gateways <= 64
+
+    def test_subset(self):
+        # Guards against 60 gateways on each of 30 endpoints with 8 slots.
+        zones = [target(str(n), zone="abc"[n % 3]) for n in range(30)]
+        known = [each.endpoint for each in zones]
+        users = collections.Counter()
+        for number in range(60):
+            chosen = sharing.subset(
+                endpoints=known, node=f"g{number}", gateways=60
+            )
+            assert {e.zone for e in chosen} == set("abc")
+            users.update(e.task for e in chosen)
+        assert sum(users.values()) / 30 <= 12
+        for gateways in (6, 7, 8):
+            few = sharing.subset(endpoints=known, node="g", gateways=gateways)
+            assert len(few) == 30
+
+    def test_team_rate(self):
+        # Guards against a team that gets more than its rate.
+        teams = rates.TeamRates()
+        taken = sum(
+            teams.take(team="x", rate=60.0, gateways=6, now=n / 100) == 0.0
+            for n in range(1000)
+        )
+        assert 100 <= taken <= 10 * 10 + 20 + 1
+
+
+class TestRequests:
+    """Headers are read as the design page says."""
+
+    @BOUNDED
+    @given(
+        strategies.sampled_from(
+            [b"priority", b"request-timeout", b"request-attempt"]
+        ),
+        strategies.binary(max_size=12),
+    )
+    def test_any_value(self, name, value):
+        # Guards against a header that crashes the gateway.
+        head = heads.RequestHead(
+            method="POST", target="/services/x/y", headers=[(name, value)]
+        )
+        parsed = requests.parse(head)
+        if isinstance(parsed, requests.ServiceRequest):
+            assert 0 <= parsed.timeout <= requests.MAX_TIMEOUT_S
+            assert parsed.attempt >= 1
+            assert not parsed.idempotent
+
+    def test_urgency(self):
+        # Guards against misreading the Priority header.
+        for value, urgency in (
+            (b"u=0", site.Urgency.URGENT),
+            (b"i, u=4", site.Urgency.NORMAL),
+            (b"u=5;x", site.Urgency.DEFERRABLE),
+            (b"u=9", None),
+        ):
+            head = heads.RequestHead(
+                method="GET",
+                target="/services/x",
+                headers=[(b"priority", value)],
+            )
+            assert requests.parse(head).urgency is urgency
