--- a/src/turmerichook/_internal/routing/queues.py
+++ b/src/turmerichook/_internal/routing/queues.py
@@ -141,6 +141,8 @@
         # Smoothed time between two exchanges that ended, 0 while unknown.
         self.interval = 0.0
         self.last_end = 0.0
+        # Whether requests waited at the last end.
+        self.busy = False
 
     def __len__(self):
         return sum(level.count for level in self.levels.values())
@@ -148,12 +150,14 @@
     def ended(self, now: float, *, busy: bool) -> None:
         """Account for an exchange that made room.
 
-        :param busy: whether requests wait; otherwise the time since the last
-            end tells nothing about what the endpoints can do.
+        :param busy: whether requests wait. The time between two ends tells
+            what the endpoints can do only if requests waited at both.
         """
         gap = now - self.last_end
+        counts = busy and self.busy
         self.last_end = now
-        if not busy:
+        self.busy = busy
+        if not counts:
             return
         if not self.interval:
             self.interval = gap
--- a/src/turmerichook/_internal/routing/rooms.py
+++ b/src/turmerichook/_internal/routing/rooms.py
@@ -185,7 +185,7 @@
             ticket=(future, wanted),
         )
         shed, displaced = self.queue.offer(
-            entry, now=self.now(), needed=self.latency
+            entry, now=self.now(), needed=self._needed(urgency)
         )
         if displaced is not None:
             _resolve(displaced, queues.Shed.DISPLACED)
@@ -216,6 +216,20 @@
             handle.cancel()
             self.queue.remove(entry)
 
+    def _needed(self, urgency: site.Urgency) -> float:
+        """Return the time that an exchange is taken to need at least.
+
+        An urgent request is shed only if even the quickest recent exchange
+        would be too slow: shedding it on an average would let deferrable
+        ones with later deadlines pass it.
+        """
+        if urgency is not site.Urgency.URGENT:
+            return self.latency
+        return min(
+            (target.limit.lowest for target in self.targets.values()),
+            default=0.0,
+        )
+
     def freed(self) -> None:
         """Let waiting requests go on as far as there is room."""
         while len(self.queue):
@@ -223,7 +237,7 @@
             if entry is None:
                 return
             now = self.now()
-            if now + self.latency > entry.deadline:
+            if now + self._needed(entry.urgency) > entry.deadline:
                 _resolve(entry, queues.Shed.CANNOT_MEET_DEADLINE)
                 continue
             chosen = self.choose(entry.ticket[1])
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -117,8 +117,8 @@
 
         :param peers: names of gateways that it dials.
         """
-        self.listen[name] = launcher.free_address()
-        self.peer[name] = launcher.free_address()
+        self.listen.setdefault(name, launcher.free_address())
+        self.peer.setdefault(name, launcher.free_address())
         path = self.folder / f"{name}.toml"
         nowhere = launcher.free_address()
         dialled = [self.peer[peer] for peer in peers]
@@ -147,6 +147,13 @@
             await self.until_ready(name)
         return self.listen[name]
 
+    async def restart_gateway(self, name: str, **options) -> str:
+        """Start a gateway again under its addresses."""
+        writer = self.links.pop(name, None)
+        if writer is not None:
+            writer.close()
+        return await self.start_gateway(name, **options)
+
     async def until_ready(self, name: str) -> None:
         """Wait until a gateway says that it is ready."""
         deadline = time.monotonic() + START_S
--- a/tests/routing/test_decisions.py
+++ b/tests/routing/test_decisions.py
@@ -161,6 +161,14 @@
         served = collections.Counter(queue.pop().team for _ in range(90))
         assert served == {"x": 60, "y": 30}
 
+    def test_idle_time_is_no_wait(self):
+        # Guards against shedding at the start of a burst because the time
+        # since the last exchange was taken for the time that one needs.
+        queue = queues.Queue()
+        for now, busy in ((5.0, False), (900.0, True), (900.1, True)):
+            queue.ended(now, busy=busy)
+        assert 0.0 < queue.interval < 0.2
+
     def test_cannot_be_met(self):
         # Guards against requests that wait only to be late.
         queue = queues.Queue()
