--- a/src/turmerichook/_internal/routing/refusals.py
+++ b/src/turmerichook/_internal/routing/refusals.py
@@ -117,12 +117,6 @@
         code="endpoint-failed",
         title="an endpoint broke off the exchange",
     )
-    STOPPING = Kind(
-        status=503,
-        code="gateway-stopping",
-        title="this gateway is stopping",
-        retry_after=1,
-    )
     INTERNAL = Kind(
         status=500,
         code="internal-error",
--- /dev/null
+++ b/tests/routing/test_uploads.py
@@ -0,0 +1,122 @@
+"""Tests that abandoned uploads do not disturb what follows."""
+
+import asyncio
+import json
+
+from turmerichook._internal.http import pool as pools
+from turmerichook._internal.http import server
+from turmerichook._internal.routing import bodies
+from turmerichook._internal.routing import relay
+
+
+class Stage:
+    """A relay with a retry between a raw caller and scripted endpoints.
+
+    The first endpoint breaks off after ``limit`` bytes, the second answers
+    with the number of bytes that it got.
+    """
+
+    def __init__(self, *, limit):
+        self.limit = limit
+        self.room = bodies.KeepRoom()
+        self.replayed = []
+
+    async def broken(self, reader, writer):
+        """Take some bytes and break off."""
+        await reader.read(self.limit)
+        writer.transport.abort()
+
+    async def whole(self, exchange):
+        """Answer with the length of the body."""
+        body = await exchange.read_all()
+        await exchange.respond_json(document={"bytes": len(body)})
+
+    async def relay(self, exchange):
+        """Try the broken endpoint, then the whole one."""
+        body = bodies.ReplayBody(
+            exchange=exchange, room=self.room, limit=10**6
+        )
+        try:
+            for pool in self.pools:
+                if not body.replayable:
+                    break
+                if await self._attempt(exchange, pool, body):
+                    return
+        finally:
+            self.replayed.append(body.replayable)
+            body.forget()
+        await exchange.respond(status=502, body=b"{}")
+
+    async def _attempt(self, exchange, pool, body):
+        connection = await pool.take(fresh=True)
+        attempt = relay.Attempt(
+            exchange=exchange,
+            connection=connection,
+            head=exchange.head,
+            body=body,
+            exchange_id=b"1",
+        )
+        try:
+            loop = asyncio.get_running_loop()
+            response = await attempt.receive(loop.time() + 5)
+            await attempt.pass_on(response, response.headers)
+            return True
+        except Exception:
+            return False
+        finally:
+            await attempt.end()
+            pool.give_back(connection)
+
+    async def run(self, sizes):
+        """Send requests on one connection; return the answers."""
+        first = await asyncio.start_server(self.broken, "127.0.0.1", 0)
+        second = server.Server(handler=self.whole)
+        ports = [
+            first.sockets[0].getsockname()[1],
+            await second.start(host="127.0.0.1", port=0),
+        ]
+        self.pools = [
+            pools.ConnectionPool(
+                host="127.0.0.1", port=port, limit=4, connect_timeout=1.0
+            )
+            for port in ports
+        ]
+        gateway = server.Server(handler=self.relay)
+        port = await gateway.start(host="127.0.0.1", port=0)
+        answers = []
+        async with asyncio.timeout(10):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            for size in sizes:
+                head = b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n"
+                writer.write(head % size + b"\r\n" + bytes(size))
+                answer = await reader.readuntil(b"\r\n\r\n")
+                length = answer.lower().partition(b"content-length: ")[2]
+                body = await reader.readexactly(int(length.split()[0]))
+                answers.append((int(answer.split()[1]), json.loads(body)))
+            writer.close()
+        for listener in (gateway, second):
+            await listener.stop(grace=1)
+        first.close()
+        for pool in self.pools:
+            pool.close()
+        return answers
+
+
+class TestUploads:
+    """Uploads that an endpoint does not take to their end."""
+
+    def test_sent_again_in_full(self):
+        # Guards against a replay that lacks what the first endpoint took.
+        stage = Stage(limit=100)
+        sizes = [20000, 5, 30000, 1]
+        answers = asyncio.run(stage.run(sizes))
+        assert answers == [(200, {"bytes": size}) for size in sizes]
+        assert stage.room.left == bodies.KEEP_ALL_BYTES
+
+    def test_too_large_to_keep(self):
+        # Guards against a body that is sent again without its beginning.
+        stage = Stage(limit=60000)
+        status, _ = asyncio.run(stage.run([200000]))[0]
+        assert status == 502
+        assert stage.replayed == [False]
+        assert stage.room.left == bodies.KEEP_ALL_BYTES
