--- a/src/turmerichook/_internal/logs/events.py
+++ b/src/turmerichook/_internal/logs/events.py
@@ -37,12 +37,15 @@
     :param limit: lines in 10 s; more are counted and left out. By default
         warnings and errors are limited, and decisions, which must all be
         there for a replay, are not.
+    :param value_characters: longest value of a field; longer ones are cut.
     """
 
     number: int
     level: Level
     summary: str
     limit: int | None = None
+    # Callers may put long or hostile texts into what is logged.
+    value_characters: int = 500
 
     @property
     def lines_allowed(self) -> int | None:
--- a/src/turmerichook/_internal/logs/setup.py
+++ b/src/turmerichook/_internal/logs/setup.py
@@ -14,8 +14,6 @@
 TEXT = "text"
 JSON = "json"
 
-# Callers may put long or hostile texts into what is logged.
-VALUE_CHARACTERS = 500
 SECRET = re.compile(
     r"authorization|cookie|credential|passw|secret|token|api.?key", re.I
 )
@@ -35,11 +33,16 @@
     """
     loguru.logger.remove()
     loguru.logger.configure(extra={"node": node, "code": "", "fields": {}})
-    line_format = _json_line if style == JSON else _text_line
+    line_of = _json_line if style == JSON else _text_line
+    # loguru parses what a format function returns for each line again, but a
+    # format text only once.
+    loguru.logger.configure(
+        patcher=lambda record: record["extra"].update(line=line_of(record))
+    )
     loguru.logger.add(
         sys.stderr,
         level=level,
-        format=line_format,
+        format="{extra[line]}",
         backtrace=False,
         diagnose=False,
     )
@@ -69,7 +72,9 @@
 def _write(event: events.EventEnum, fields: dict[str, typing.Any]) -> None:
     definition = event.event
     safe = {
-        name: HIDDEN if SECRET.search(name) else _plain(value)
+        name: HIDDEN
+        if SECRET.search(name)
+        else _plain(value, definition.value_characters)
         for name, value in fields.items()
     }
     loguru.logger.bind(
@@ -83,11 +88,10 @@
     extra = record["extra"]
     pairs = " ".join(f"{k}={_quoted(v)}" for k, v in extra["fields"].items())
     when = record["time"].strftime("%Y-%m-%dT%H:%M:%S.%f")
-    line = (
+    return (
         f"{when} {record['level'].name} {extra['node']} {extra['code']} "
         f"{record['message']} {pairs}"
     )
-    return _escape(line)
 
 
 def _json_line(record: typing.Any) -> str:
@@ -101,24 +105,18 @@
         "message": record["message"],
         **extra["fields"],
     }
-    return _escape(json.dumps(document))
+    return json.dumps(document)
 
 
-def _plain(value: typing.Any) -> typing.Any:
+def _plain(value: typing.Any, longest: int) -> typing.Any:
     if isinstance(value, (int, float, bool, type(None))):
         return value
     text = str(value)
-    if len(text) > VALUE_CHARACTERS:
-        return text[:VALUE_CHARACTERS] + "..."
+    if len(text) > longest:
+        return text[:longest] + "..."
     return text
 
 
 def _quoted(value: typing.Any) -> str:
     text = str(value)
     return json.dumps(text) if UNSAFE.search(text) else text
-
-
-def _escape(line: str) -> str:
-    # loguru treats the returned text as a format string and markup.
-    escaped = line.rstrip().replace("{", "{{").replace("}", "}}")
-    return escaped.replace("<", "\\<") + "\n"
--- a/src/turmerichook/_internal/scheduling/events.py
+++ b/src/turmerichook/_internal/scheduling/events.py
@@ -10,6 +10,9 @@
         number=5001,
         level=events.Level.INFO,
         summary="a task is assigned to a worker",
+        # 64 candidates with long host names; a line that is cut short could
+        # not be replayed.
+        value_characters=16_384,
     )
     TASKS_WAIT = events.Event(
         number=5002,
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -1,12 +1,15 @@
 """Tests of the index of free room and of the choice of a host."""
 
+import json
 import random
 
 from tests.scheduling import zones
+from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal.scheduling import candidates
 from turmerichook._internal.scheduling import decisions
+from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import plan
 
 
@@ -85,6 +88,19 @@
             fields = {k: str(v) for k, v in placed.fields().items()}
             assert decisions.replay(fields) == placed.command.host
 
+    def test_written_line_replays(self, capsys):
+        # Guards against a line that is cut short when it is written.
+        logs.configure(node="n", style=logs.JSON, level="INFO")
+        zone = zones.make_zone(64)
+        zone.adviser.advise = lambda spec, amount, host, now: 0.1 + 0.2
+        zones.submit(zone, "service/s/a", count=1)
+        [placed] = zones.run(zone).placements
+        logs.emit(events.SchedulingEvent.TASK_PLACED, **placed.fields())
+        [line] = capsys.readouterr().err.splitlines()
+        fields = {k: str(v) for k, v in json.loads(line).items()}
+        assert len(placed.candidates) == 64
+        assert decisions.replay(fields) == placed.command.host
+
     def test_same_state_same_decisions(self):
         # Guards against an order that depends on hashes or on time.
         def hosts_of_run():
