--- a/bench/measure_capacity.py
+++ b/bench/measure_capacity.py
@@ -24,6 +24,8 @@
 OUTPUT = pathlib.Path("build") / "capacity.json"
 SIZES = (10, 100, 1000)
 WINDOW_S = 10.0
+# Long enough to see calls that are made every 10 s.
+IDLE_WINDOW_S = 40.0
 WAIT_S = 90.0
 SETTLE_S = 3.0
 ZONE = "a"
@@ -146,8 +148,9 @@
         *_gateway_by_requests(),
     ]
     documents = [slope.document() for slope in slopes]
+    measured = {"slopes": documents, "idle_calls_per_s": _idle_calls()}
     OUTPUT.parent.mkdir(exist_ok=True)
-    OUTPUT.write_text(json.dumps(documents, indent=1) + "\n")
+    OUTPUT.write_text(json.dumps(measured, indent=1) + "\n")
     return [
         results.Result(
             name=f"capacity.{d['name']}.slope",
@@ -158,6 +161,19 @@
     ]
 
 
+def _idle_calls() -> dict[str, float]:
+    """Return the store's calls a second by kind for one idle zone."""
+    with site(10) as running:
+        time.sleep(SETTLE_S)
+        before = running.calls()
+        time.sleep(IDLE_WINDOW_S)
+        after = running.calls()
+    return {
+        kind: (after[kind] - before.get(kind, 0)) / IDLE_WINDOW_S
+        for kind in sorted(after)
+    }
+
+
 def _owner_by_workers() -> list[Slope]:
     memory, cpu = [], []
     for size in SIZES:
