--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -67,7 +67,6 @@
             **members.hub_peers(settings),
         )
         self.server = server.Server(handler=self._handle)
-        self.candidates: dict[ids.ZoneId, asyncio.Task] = {}
         self.histories: dict[ids.ZoneId, operator_calls.QueueHistory] = {}
         self.tenures: dict[ids.ZoneId, tenures.Tenures] = {}
         self.environment = environments.Environment(
@@ -93,11 +92,7 @@
                 group.create_task(self._receive())
                 group.create_task(self._sample_queues())
         finally:
-            for task in self.candidates.values():
-                task.cancel()
-            await asyncio.gather(
-                *self.candidates.values(), return_exceptions=True
-            )
+            await asyncio.gather(*(t.stop() for t in self.tenures.values()))
             # Lets the links send what the candidates published last.
             await self.clock.sleep(FLUSH_TIME)
             self.hub.stop()
@@ -121,7 +116,7 @@
         self.tenures[zone] = tenures.Tenures(
             candidate=candidate, environment=self.environment
         )
-        self.candidates[zone] = asyncio.create_task(self.tenures[zone].run())
+        self.tenures[zone].start()
 
     def _publish(self, message: object) -> None:
         if isinstance(message, messages.EndpointTable):
--- a/src/turmerichook/_internal/scheduling/decision_round.py
+++ b/src/turmerichook/_internal/scheduling/decision_round.py
@@ -12,6 +12,7 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
+from turmerichook._internal.scheduling import advisers
 from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import eligibility
 from turmerichook._internal.scheduling import journal
@@ -51,17 +52,18 @@
     """
     done = Round()
     done.stops += zone.overdue_stops(now)
-    _expire(zone, now)
-    _end_delays(zone, now)
+    zone.expire(now)
+    zone.end_delays(now)
     _start_reserved(zone, now, done)
     if not zone.open:
         return done
     if zone.ledger.releases != zone.releases:
         zone.releases = zone.ledger.releases
         zone.blocked.clear()
-    elif not zone.queue.changed:
+    elif not zone.queue.changed and not _refusals_due(zone, now):
         return done
     zone.queue.changed = False
+    zone.refused_until = None
     for tier in queues.Tier:
         _fill(zone, tier, now, limit, done)
         if len(done.starts) >= limit:
@@ -71,30 +73,8 @@
     return done
 
 
-def _expire(zone: states.ZoneTasks, now: datetime.timedelta) -> None:
-    while zone.deadlines and zone.deadlines[0][0] <= now:
-        deadline, key = heapq.heappop(zone.deadlines)
-        group = zone.groups.get(key)
-        if group is None or group.work.deadline != deadline:
-            continue
-        if group.finished < group.work.count:
-            left = group.work.count - group.finished
-            fault = outcomes.Absent(
-                reason=outcomes.Reason.DEADLINE_PASSED,
-                detail=f"{left} of {group.work.count} tasks have not finished",
-            )
-            zone.fail(group, fault)
-
-
-def _end_delays(zone: states.ZoneTasks, now: datetime.timedelta) -> None:
-    while zone.delayed and zone.delayed[0][0] <= now:
-        due, name = heapq.heappop(zone.delayed)
-        task = zone.tasks.get(name)
-        if task is None or task.due != due or not task.wanted:
-            continue
-        task.due = None
-        key, number = plan.split(name)
-        zone.requeue(zone.groups[key], number)
+def _refusals_due(zone: states.ZoneTasks, now: datetime.timedelta) -> bool:
+    return zone.refused_until is not None and now >= zone.refused_until
 
 
 def _start_reserved(
@@ -133,7 +113,7 @@
         need=group.amount,
         ledger=zone.ledger,
         generator=zone.generator,
-        preference=eligibility.preference(zone, group, number),
+        preference=eligibility.preference(zone, group, number, now),
     )
     if isinstance(choice, placement.Placed):
         _start(zone, group, number, choice, now, done, "best-of-drawn")
@@ -216,7 +196,7 @@
             need=need,
             ledger=zone.ledger,
             generator=zone.generator,
-            preference=eligibility.preference(zone, group, group.peek()),
+            preference=eligibility.preference(zone, group, group.peek(), now),
         )
     match choice:
         case placement.Placed():
@@ -224,8 +204,10 @@
             group.take()
             _start(zone, group, number, choice, now, done, "best-of-drawn")
             return None
-        case outcomes.Absent():
+        case outcomes.Absent(reason=outcomes.Reason.NO_FIT):
             zone.blocked.add(need)
+        case outcomes.Absent():
+            zone.refused_until = now + advisers.INTERVAL
     if group.work.urgency is site.Urgency.URGENT:
         if _preempt(zone, group, now, done):
             return None
@@ -243,10 +225,11 @@
         zone.queue.changed = True
         return False
     done.searches += 1
-    victims = preemption.find(zone, group.amount, now)
+    number = group.peek()
+    spec = group.work.task(number)
+    victims = preemption.find(zone, group.amount, now, spec)
     if isinstance(victims, outcomes.Absent):
         return False
-    number = group.peek()
     group.take()
     for name in victims.tasks:
         done.stops.append(zone.stop(zone.tasks[name], now))
--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -30,6 +30,7 @@
 from turmerichook._internal.scheduling import record_writer
 from turmerichook._internal.scheduling import records
 from turmerichook._internal.scheduling import rounds
+from turmerichook._internal.scheduling import sharing
 from turmerichook._internal.scheduling import state as states
 from turmerichook._internal.scheduling import stops
 from turmerichook._internal.scheduling import strays
@@ -37,7 +38,6 @@
 from turmerichook._internal.scheduling import worker_reports
 from turmerichook import exceptions
 
-GROUP_INTERVAL = datetime.timedelta(milliseconds=200)
 RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
@@ -65,6 +65,7 @@
             generator=random.Random(f"{self.zone}/{self.epoch}"),
         )
         self.stops = stops.StopList(state=self.state)
+        self.sharing = sharing.Sharing(state=self.state, stop_list=self.stops)
         self.strays = strays.Strays(
             state=self.state, journal=self.journal, stop_list=self.stops
         )
@@ -72,6 +73,7 @@
             state=self.state,
             journal=self.journal,
             strays=self.strays,
+            sharing=self.sharing,
             clock=self.clock,
         )
         self.links = link_set.LinkSet(
@@ -174,7 +176,7 @@
                 self.rounds.decide()
                 await self._commit()
                 self.rounds.write_records()
-            await self.clock.sleep(GROUP_INTERVAL)
+            await self.clock.sleep(self.rounds.interval())
 
     async def _tidy(self) -> None:
         await self.journal.discard_orphans()
@@ -226,17 +228,15 @@
     def _on_hosts(self, listing: hosts.HostListing) -> None:
         now = self.clock.monotonic()
         self.state.set_hosts(listing.hosts)
+        self.sharing.colocation.set_hosts(listing.hosts)
         self.unknown.note_listing(listing, now)
+        listed = set()
         for host in listing.hosts:
             if host.state is not hosts.HostState.LIVE:
                 self.state.usable.discard(host.host)
             if host.state is not hosts.HostState.GONE:
                 self.links.open(host)
-        listed = {
-            host.host
-            for host in listing.hosts
-            if host.state is not hosts.HostState.GONE
-        }
+                listed.add(host.host)
         for name in list(self.links.links):
             if name not in listed and not self.state.on_host(name):
                 self.links.close(name)
--- a/src/turmerichook/_internal/scheduling/preemption.py
+++ b/src/turmerichook/_internal/scheduling/preemption.py
@@ -9,6 +9,7 @@
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
 from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import state as states
 
 # Hosts that are compared; all others are tried only if none of them serves.
@@ -31,9 +32,21 @@
     zone: states.ZoneTasks,
     need: resources.Resources,
     now: datetime.timedelta,
+    spec: plan.TaskSpec | None = None,
 ) -> Victims | outcomes.Absent:
-    """Return the cheapest victims on one host that make enough room."""
-    names = sorted(zone.usable)
+    """Return the cheapest victims on one host that make enough room.
+
+    :param spec: the task that needs the room; hosts that co-location refuses
+        for it are left out.
+    """
+    names = sorted(
+        host
+        for host in zone.usable
+        if spec is None
+        or not isinstance(
+            zone.adviser.advise(spec, need, host, now), outcomes.Absent
+        )
+    )
     drawn = names
     if len(names) > SAMPLES:
         drawn = zone.generator.sample(names, SAMPLES)
--- a/src/turmerichook/_internal/scheduling/queues.py
+++ b/src/turmerichook/_internal/scheduling/queues.py
@@ -1,9 +1,10 @@
 """Waiting tasks in the order in which they may start.
 
 Tasks of one workload are equal, so a workload waits as one group and a task
-record is made only when a task is assigned. Groups of one tier and team that
-need the same amount share a lane: if the first one finds no host, no other
-one of the lane would, so a round looks at each lane once and not at each task.
+record is made only when a task is assigned. Groups of one tier and team
+that need the same amount and are of one class share a lane: if the first one
+finds no host, no other one of the lane would, so a round looks at each lane
+once and not at each task.
 """
 
 import collections
@@ -17,6 +18,7 @@
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
 from turmerichook._internal.platform import workers
+from turmerichook._internal.scheduling import classes
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import retries
 
@@ -36,6 +38,7 @@
     site.Urgency.NORMAL: Tier.BATCH,
     site.Urgency.DEFERRABLE: Tier.DEFERRABLE_BATCH,
 }
+LaneKey = tuple[resources.Resources, classes.TaskClass]
 NO_START_BY = float("inf")
 
 
@@ -83,6 +86,11 @@
     told: outcomes.Reason | None = None
     lane: "Lane | None" = None
 
+    @property
+    def kin(self) -> classes.TaskClass:
+        """Class of its tasks, by which co-location judges them."""
+        return classes.class_of(self.work.task(0))
+
     @property
     def order(self) -> tuple[float, int]:
         """Order inside a lane and a team."""
@@ -153,9 +161,9 @@
     """All lanes of a zone."""
 
     def __init__(self):
-        self.tiers: dict[
-            Tier, dict[ids.TeamId, dict[resources.Resources, Lane]]
-        ] = {tier: {} for tier in Tier}
+        self.tiers: dict[Tier, dict[ids.TeamId, dict[LaneKey, Lane]]] = {
+            tier: {} for tier in Tier
+        }
         # Whether something was added since the last full round.
         self.changed = False
 
@@ -167,9 +175,10 @@
         if group.lane is not None and group.lane.amount == group.amount:
             return
         lanes = self.tiers[tier_of(group.work)].setdefault(group.work.team, {})
-        lane = lanes.get(group.amount)
+        key = (group.amount, group.kin)
+        lane = lanes.get(key)
         if lane is None:
-            lane = lanes[group.amount] = Lane(group.amount)
+            lane = lanes[key] = Lane(group.amount)
         lane.push(group)
 
     def lanes(
@@ -178,10 +187,10 @@
         """Return a heap of a team's lanes by their first groups."""
         lanes = self.tiers[tier].get(team, {})
         found = []
-        for amount, lane in list(lanes.items()):
+        for key, lane in list(lanes.items()):
             head = lane.head()
             if head is None:
-                del lanes[amount]
+                del lanes[key]
             else:
                 found.append((head.order, lane))
         if not lanes:
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -20,6 +20,10 @@
 if typing.TYPE_CHECKING:
     from turmerichook._internal.scheduling import owner as owners
 
+GROUP_INTERVAL = datetime.timedelta(milliseconds=200)
+# Interval of the rounds until the first workers have answered, so that a
+# takeover does not spend several group intervals before its first start.
+BEGIN_INTERVAL = datetime.timedelta(milliseconds=20)
 PLACEMENTS_PER_ROUND = 1000
 STATUS_INTERVAL = datetime.timedelta(seconds=2)
 RECORDS_INTERVAL = datetime.timedelta(seconds=1)
@@ -55,6 +59,11 @@
         self.records_due = datetime.timedelta()
         self.configuration = site.EMPTY
 
+    def interval(self) -> datetime.timedelta:
+        """Return the time until the next round."""
+        begun = self.ready and self.reports.seen
+        return GROUP_INTERVAL if begun else BEGIN_INTERVAL
+
     def prepare(self) -> bool:
         """Bring the wanted tasks up to date; False if they are unknown."""
         configuration = self.owner.environment.configuration()
@@ -62,7 +71,9 @@
         if not known or not configuration.zones:
             return False
         now = self.clock.monotonic()
-        self.configuration = configuration
+        if configuration is not self.configuration:
+            self.configuration = configuration
+            self.owner.sharing.colocation.configure(configuration)
         if self.drain.note(configuration, now):
             closed = self.drain.closed
             event = (
@@ -89,12 +100,17 @@
         self.announce(now)
         for command in self.drain.evictions(self.state, now):
             self.owner.stops.add(command, now)
+        for host, operation in self.owner.sharing.act(now):
+            self._send(host, operation)
         if self.owner.tenure.authority.remaining(now):
             self._place(now)
         for due in self.owner.stops.take_due(now):
-            boot = self.reports.seen.get(due.host)
-            if boot is not None:
-                self.owner.links.send(due.host, (due.stop,), boot=boot[0])
+            self._send(due.host, due.stop)
+
+    def _send(self, host: ids.HostId, operation: workers.Operation) -> None:
+        boot = self.reports.seen.get(host)
+        if boot is not None:
+            self.owner.links.send(host, (operation,), boot=boot[0])
 
     def announce(self, now: datetime.timedelta) -> None:
         """Publish the endpoints, and the status when it is due."""
--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -12,9 +12,15 @@
 from turmerichook._internal.scheduling import journal as journals
 from turmerichook._internal.scheduling import journal_store
 from turmerichook._internal.scheduling import links
+from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import sharing as sharing_module
 from turmerichook._internal.scheduling import state as states
 from turmerichook._internal.scheduling import strays as stray_module
 
+# States after which a task is tried again with a growing delay. Of finished
+# tasks only replicas are, since they are meant to run until they are stopped.
+ENDED_BY_ITSELF = (workers.TaskState.FAILED, workers.TaskState.FINISHED)
+
 
 class WorkerReports:
     """Applies answers once the zone's wanted tasks are known."""
@@ -25,20 +31,26 @@
         state: states.ZoneTasks,
         journal: journal_store.Journal,
         strays: stray_module.Strays,
+        sharing: sharing_module.Sharing,
         clock: clocks.Clock,
     ):
         self.state = state
         self.journal = journal
         self.strays = strays
+        self.sharing = sharing
         self.clock = clock
         # Boot id and highest applied event of each worker that answered.
         self.seen: dict[ids.HostId, tuple[ids.BootId, int]] = {}
         # Events to acknowledge once the journal holds their entries.
         self.acknowledgements: dict[ids.HostId, tuple[ids.BootId, int]] = {}
-        # Starts that wait for the journal, and those that were sent.
+        # Starts that wait for the journal, and those that were sent. The
+        # latter are kept as long as the attempt is, since an inventory that
+        # was asked for before it may come late and not list it.
         self.starts: dict[ids.TaskId, states.StartCommand] = {}
         self.sent: dict[ids.TaskId, tuple[ids.Attempt, datetime.timedelta]]
         self.sent = {}
+        # Hosts that refused a start; they may run another attempt.
+        self.refusing: set[ids.HostId] = set()
 
     def answered(self, report: links.Answered) -> None:
         """Apply a worker's answer."""
@@ -55,6 +67,7 @@
                 last = event.sequence
         self.seen[host] = (answer.boot, last)
         self.acknowledgements[host] = (answer.boot, last)
+        self.sharing.answered(host, answer, self.clock.monotonic())
         if report.inventory:
             self._inventory(report)
 
@@ -106,6 +119,10 @@
             failed=failed,
         )
         self._append(entries)
+        if entries and name not in self.state.tasks:
+            if not plan.is_batch(name):
+                # A replica that is no longer wanted leaves nothing behind.
+                self.journal.append(journals.Forgotten(task=name))
         if entries:
             self._forget_start(name, attempt)
             logs.emit(
@@ -117,16 +134,14 @@
 
     def doubtful_hosts(self, now: datetime.timedelta) -> set[ids.HostId]:
         """Return the hosts whose inventory must show the fate of a start."""
-        found = set()
+        found = set(self.refusing)
+        self.refusing.clear()
         for name, (attempt, sent) in list(self.sent.items()):
             task = self.state.tasks.get(name)
-            current = (
-                task is not None
-                and task.attempt == attempt
-                and task.phase is states.Phase.ASSIGNED
-            )
-            if not current:
+            if task is None or task.attempt != attempt or task.host is None:
                 del self.sent[name]
+            elif task.phase is not states.Phase.ASSIGNED:
+                continue
             elif now - sent > authorities.START_FATE_KNOWN:
                 found.add(task.host)
         return found
@@ -140,6 +155,7 @@
             logs.emit(events.SchedulingEvent.WORKER_RETURNED, host=host)
 
     def _event(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        self.sharing.event(event, self.clock.monotonic())
         match event.state:
             case workers.TaskState.RUNNING:
                 if self.state.running(
@@ -159,6 +175,10 @@
                 self._returned(host, event)
 
     def _finished(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        if not plan.is_batch(event.task):
+            # A replica that ended by itself is started again.
+            self._returned(host, event)
+            return
         entries = self.state.ended(
             event.task,
             event.attempt,
@@ -169,11 +189,13 @@
         self.strays.ended(host, event.task, event.attempt, None, finished=True)
 
     def _returned(self, host: ids.HostId, event: workers.TaskEvent) -> None:
+        if event.state is workers.TaskState.REFUSED:
+            self.refusing.add(host)
         self.return_task(
             event.task,
             event.attempt,
             event.checkpoint,
-            failed=event.state is workers.TaskState.FAILED,
+            failed=event.state in ENDED_BY_ITSELF,
         )
         self.strays.ended(host, event.task, event.attempt, event.checkpoint)
 
@@ -191,6 +213,7 @@
                 self.state.running(
                     name, item.attempt, item.address, self.clock.monotonic()
                 )
+                self.sharing.inventory(host, item)
             elif self._never_ran(name, task, report.sent):
                 self.return_task(name, task.attempt, None)
         self.strays.listed(host, set(running))
@@ -208,7 +231,7 @@
         A start of a former owner is refused by the worker once it has
         answered this owner. This owner's start may still be on its way
         until ``not_after`` has passed, so the inventory must have been
-        asked for later than that.
+        asked for later than that; an inventory may also arrive late.
         """
         if name in self.starts:
             return False
--- a/src/turmerichook/_internal/scheduling/workloads.py
+++ b/src/turmerichook/_internal/scheduling/workloads.py
@@ -59,12 +59,12 @@
         """
         group = self.groups.get(work.key)
         if group is not None:
-            return self._change(group, work, now)
+            return self._change(group, work, facts, now)
         self.sequence += 1
         group = queues.Group(
             work=work,
             sequence=self.sequence,
-            amount=work.resources,
+            amount=self.adviser.size(work.task(0)),
             since=now,
         )
         self.groups[work.key] = group
@@ -76,10 +76,7 @@
         if work.deadline is not None:
             heapq.heappush(self.deadlines, (work.deadline, work.key))
         for number in range(work.count):
-            name = work.name(number)
-            fact = facts.get(name)
-            if fact is not None or name in self.tasks:
-                self._adopt(group, number, fact, now)
+            self._adopt_known(group, number, facts, now)
         self.note_completion(group)
         self.queue.put(group)
         return []
@@ -109,7 +106,11 @@
                 self.completed[job] = None
 
     def _change(
-        self, group: queues.Group, work: plan.Workload, now: datetime.timedelta
+        self,
+        group: queues.Group,
+        work: plan.Workload,
+        facts: journal.Facts,
+        now: datetime.timedelta,
     ) -> list[StopCommand]:
         former = group.work
         if work == former:
@@ -117,13 +118,17 @@
         group.work = work
         if work.resources != former.resources:
             # Running attempts keep what they have committed.
-            group.amount = work.resources
+            group.amount = self.adviser.size(work.task(0))
         commands: list[StopCommand] = []
         for number in sorted(group.active):
             if number >= work.count:
                 commands += self._unwant(group, number, now)
             else:
                 self._want_again(group, number)
+        for number in range(former.count, work.count):
+            if number not in group.active:
+                # Attempts go on from those of earlier tasks of that name.
+                self._adopt_known(group, number, facts, now)
         group.fresh = min(group.fresh, work.count)
         group.again = type(group.again)(
             number for number in group.again if number < work.count
@@ -141,6 +146,18 @@
         if task.phase is Phase.WAITING:
             self.requeue(group, number)
 
+    def _adopt_known(
+        self,
+        group: queues.Group,
+        number: int,
+        facts: journal.Facts,
+        now: datetime.timedelta,
+    ) -> None:
+        name = group.work.name(number)
+        fact = facts.get(name)
+        if fact is not None or name in self.tasks:
+            self._adopt(group, number, fact, now)
+
     def _adopt(
         self,
         group: queues.Group,
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -25,6 +25,8 @@
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
 
+WORK_S = 0.002
+
 Recorder = collections.abc.Callable[[dict], None]
 
 # Requests that may wait for a slot, relative to the slots.
@@ -45,7 +47,7 @@
         connections: int,
         record: Recorder,
         steps: holds.Holds | None = None,
-        work_s: float = 0.002,
+        work_s: float = WORK_S,
         fail_every: int = 0,
     ):
         self.task = task
--- a/tests/scheduling/driver.py
+++ b/tests/scheduling/driver.py
@@ -5,7 +5,7 @@
 
 from hypothesis import stateful
 
-from tests.scheduling import checker as checkers
+from tests.scheduling import decision_checker as checkers
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -77,7 +77,9 @@
     def test_line_replays(self):
         # Guards against a log line that lacks an input of the choice.
         zone = zones.make_zone(6)
-        zone.cost = lambda work, host: 0.3 if host < "h4" else 0.0
+        zone.adviser.advise = lambda spec, amount, host, now: (
+            0.3 if host < "h4" else 0.0
+        )
         zones.submit(zone, "job/j", count=9)
         for placed in zones.run(zone).placements:
             fields = {k: str(v) for k, v in placed.fields().items()}
