Run the demonstration on the example site

Cause: the example folders were used by nothing.

Change: each example has the operators' folder and the platform's figures; the demonstration applies the folder of Dzwonnica with one zone out, and its batch job is followed like the submitted ones.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -64,7 +64,8 @@
 
 
 def _disturb(system: launcher.Launcher, operator: steps.Operator) -> None:
-    jobs = [operator.submit(f"memorial-{n}", tasks=4) for n in range(6)]
+    jobs = [operator.job_of_folder()]
+    jobs += [operator.submit(f"memorial-{n}", tasks=4) for n in range(6)]
     steps.say(f"{len(jobs)} jobs are accepted")
     time.sleep(2)
     operator.set_zone("tarnow", "out")
--- a/demo/steps.py
+++ b/demo/steps.py
@@ -1,42 +1,24 @@
 """What the operator does in the demonstration."""
 
 import json
+import shutil
 import sys
 import time
 
 from standins import caller
+from standins import examples
 from standins import launcher
 from standins import recorder
 
 SERVICE = "booking"
+FOLDER_JOB = "memorial-rounds-december"
 WAIT_S = 45.0
 
-FILES = {
-    "10-site.toml": """
-[site]
-name = "dzwonnica"
-
-[zones.krakow]
-region = "malopolska"
-
-[zones.tarnow]
-region = "malopolska"
-""",
-    "20-teams.toml": """
-[teams.desks]
-weight = 4.0
-
-[teams.memorials]
-weight = 1.0
-""",
-    "30-booking.toml": """
-[services.booking]
-team = "desks"
-replicas = 6
-cores = 2
-memory_gib = 4
-""",
-}
+# The demonstration runs two of the example's three zones.
+ABSENT_ZONE = """
+[zones.nowy-sacz]
+state = "out"
+"""
 
 
 def say(text: str) -> None:
@@ -53,9 +35,9 @@
         self.system = system
         self.record = record
         self.folder = system.folder / "configuration"
-        self.folder.mkdir()
-        for name, text in FILES.items():
-            (self.folder / name).write_text(text)
+        example = examples.load("dzwonnica")
+        shutil.copytree(example.configuration, self.folder)
+        (self.folder / "80-demo.toml").write_text(ABSENT_ZONE)
 
     def record_hosts(self) -> None:
         """Record the hosts' capacities for the checker."""
@@ -88,6 +70,25 @@
         if state == "out":
             self.record({"kind": "zone-out", "zone": zone})
 
+    def job_of_folder(self) -> str:
+        """Return the id of the job in the folder once it is accepted."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            status, answer = self.system.call(
+                self._gateway(), f"/v1/jobs/{FOLDER_JOB}"
+            )
+            if status == 200:
+                self.record(
+                    {
+                        "kind": "job-accepted",
+                        "job": FOLDER_JOB,
+                        "tasks": answer["tasks"],
+                    }
+                )
+                return FOLDER_JOB
+            time.sleep(0.2)
+        raise RuntimeError(f"{FOLDER_JOB} was not accepted")
+
     def submit(self, job: str, *, tasks: int) -> str:
         """Submit a job and return its id once it is accepted."""
         document = {
