Accept cancellations of jobs in batches

Cause: owners acted on cancellations in the store, but nothing wrote them, so 'turmerichook jobs cancel' ended with not-found.

Change: POST /v1/cancellations writes one record for the whole batch; a write whose answer was lost is repeated under its own key. The fault matrix has the rows job-cancel-before and job-cancel-after.

--- a/faults/rows.py
+++ b/faults/rows.py
@@ -210,6 +210,20 @@
     return Reached(actor=world.owner("a"))
 
 
+def _job_cancel(moment: str) -> Reach:
+    def reach(world: worlds.World) -> Reached:
+        world.submit(JOB, tasks=3, zones=("a",), run_time_s=LONG_RUN_S)
+        world.wait_for(
+            lambda: world.entries("start", f"job/{JOB}/"), "start of a task"
+        )
+        _hold_store(world, f"cancels/* {moment}")
+        world.in_thread(lambda: world.cancel(JOB))
+        _wait_held(world, world.system.store)
+        return Reached(actor="gateway-a-0", held=world.system.store)
+
+    return reach
+
+
 def _zone_out_submit(world: worlds.World) -> Reached:
     world.set_zone("a", "out")
     time.sleep(CLOSED_S)
@@ -267,6 +281,7 @@
 ROWS: tuple[Row, ...] = (
     *_moments("job-submit", "job", _job_submit),
     *_moments("job-complete", "job", _job_complete),
+    *_moments("job-cancel", "job", _job_cancel),
     Row(name="job-large", subject="job", reach=_job_large),
     *_moments("task-assign", "task", _task_assign),
     *_moments("task-start", "task", _task_start),
--- a/faults/world.py
+++ b/faults/world.py
@@ -209,6 +209,22 @@
             time.sleep(0.2)
         return False
 
+    def cancel(self, job: str) -> bool:
+        """Cancel a job until that is accepted or the time is over."""
+        deadline = time.monotonic() + SETTLE_S
+        while time.monotonic() < deadline:
+            for name in self.gateways():
+                status, _ = self.system.call(
+                    self.system.listen_addresses[name],
+                    "/v1/cancellations",
+                    method="POST",
+                    document={"jobs": [job]},
+                )
+                if status == 202:
+                    return True
+            time.sleep(0.2)
+        return False
+
     def in_thread(self, action: typing.Callable[[], object]) -> None:
         """Run an action beside the cell's own steps, until it ends."""
         self.actions.append(self._start_thread(action))
--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -163,6 +163,8 @@
             await self.forwarder.handle(exchange)
         elif path == "/v1/jobs" and method == "POST":
             await self.jobs.submit(exchange)
+        elif path == job_calls.CANCEL_PATH and method == "POST":
+            await self.jobs.cancel(exchange)
         elif path.startswith(job_calls.JOB_PREFIX) and method == "GET":
             await self.jobs.show(exchange)
         elif path == "/healthz":
--- a/src/turmerichook/_internal/routing/events.py
+++ b/src/turmerichook/_internal/routing/events.py
@@ -51,13 +51,18 @@
         level=events.Level.ERROR,
         summary="a request ended with an unexpected error in the gateway",
     )
+    JOBS_CANCELLED = events.Event(
+        number=6020,
+        level=events.Level.INFO,
+        summary="the cancellation of some jobs was accepted and is durable",
+    )
     JOB_ACCEPTED = events.Event(
         number=6010,
         level=events.Level.INFO,
         summary="a job was accepted and is durable",
     )
     STOPPING = events.Event(
-        number=6011,
+        number=6020,
         level=events.Level.INFO,
         summary="the gateway stops and tells the load balancer first",
     )
--- a/src/turmerichook/_internal/routing/job_calls.py
+++ b/src/turmerichook/_internal/routing/job_calls.py
@@ -11,6 +11,7 @@
 from turmerichook import exceptions
 
 JOB_PREFIX = "/v1/jobs/"
+CANCEL_PATH = "/v1/cancellations"
 
 
 class JobCalls:
@@ -42,6 +43,21 @@
         )
         await exchange.respond_json(document=_document(record), status=202)
 
+    async def cancel(self, exchange: server.Exchange) -> None:
+        """Accept the cancellation of a batch of jobs once it is durable."""
+        body = await exchange.read_all()
+        try:
+            cancellation = await self.submissions.cancel(body)
+        except exceptions.TurmerichookError as error:
+            await refuse(exchange, _refusal(error))
+            return
+        logs.emit(
+            events.RoutingEvent.JOBS_CANCELLED, jobs=len(cancellation.jobs)
+        )
+        await exchange.respond_json(
+            document={"jobs": list(cancellation.jobs)}, status=202
+        )
+
     async def show(self, exchange: server.Exchange) -> None:
         """Answer with a job's record."""
         name = exchange.head.path.removeprefix(JOB_PREFIX)
--- a/src/turmerichook/_internal/routing/submission.py
+++ b/src/turmerichook/_internal/routing/submission.py
@@ -14,6 +14,9 @@
 from turmerichook._internal.scheduling import jobs
 from turmerichook import exceptions
 
+# Ids of 63 bytes each stay far below the store's limit of 1 MB.
+CANCEL_BATCH = 10_000
+
 
 class Submissions:
     """Creates and reads job records."""
@@ -65,6 +68,34 @@
             )
         return jobs.unpack(found.value)
 
+    async def cancel(self, body: bytes) -> jobs.Cancellation:
+        """Make the cancellation of a batch of jobs durable.
+
+        One store write serves the whole batch; the owners of the jobs' home
+        zones act on it.
+
+        :raises JobInvalidError: if the document is malformed.
+        :raises StoreError: if the store does not confirm.
+        """
+        cancellation = jobs.Cancellation(
+            jobs=_parse_cancellation(body),
+            created=self.clock.now().isoformat(),
+        )
+        key = jobs.CANCEL_PREFIX + uuid.uuid4().hex
+        value = jobs.pack_cancellation(cancellation)
+        try:
+            await self.store.put(key, value, expect=stores.ABSENT_VERSION)
+        except exceptions.StoreOutcomeUnknownError:
+            await self._put_again(key, value)
+        return cancellation
+
+    async def _put_again(self, key: str, value: bytes) -> None:
+        try:
+            await self.store.put(key, value, expect=stores.ABSENT_VERSION)
+        except exceptions.VersionConflictError:
+            # The key is unique to this call, so the first write took effect.
+            pass
+
     async def _existing(self, spec: site.Job) -> jobs.JobRecord:
         record = await self.find(spec.job)
         if record.spec != spec:
@@ -95,17 +126,37 @@
     return allowed[number % len(allowed)]
 
 
+def _parse_cancellation(body: bytes) -> tuple[ids.JobId, ...]:
+    match _load(body):
+        case {"jobs": [*names]} if _are_ids(names):
+            return tuple(ids.JobId(name) for name in names)
+        case _:
+            raise exceptions.JobInvalidError(
+                message="the body is not an object with a list 'jobs' of ids",
+                context=f"1 to {CANCEL_BATCH} ids",
+            )
+
+
+def _are_ids(names: list[typing.Any]) -> bool:
+    return 0 < len(names) <= CANCEL_BATCH and all(
+        isinstance(name, str) and schema.NAME.fullmatch(name) for name in names
+    )
+
+
 def _parse(body: bytes) -> tuple[str, dict[str, typing.Any]]:
-    try:
-        document = json.loads(body)
-    except ValueError as error:
-        raise exceptions.JobInvalidError(
-            message=f"the body is not JSON: {error}",
-        ) from error
-    match document:
+    match _load(body):
         case {"id": str(name), **table}:
             return name, table
         case _:
             raise exceptions.JobInvalidError(
                 message="the body is not an object with an 'id'",
             )
+
+
+def _load(body: bytes) -> typing.Any:
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise exceptions.JobInvalidError(
+            message=f"the body is not JSON: {error}",
+        ) from error
