--- a/src/turmerichook/_internal/cli/scheduler.py
+++ b/src/turmerichook/_internal/cli/scheduler.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from turmerichook._internal.cli import compact  # noqa: F401
 from turmerichook._internal.cli import daemons
 from turmerichook._internal.scheduling import daemon
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -41,6 +41,8 @@
     :param schedulers: schedulers in each zone.
     :param linked: whether store and peers are reached through links that can
         be cut and delayed by zone.
+    :param bounded: whether processes dial all peers of their own zone and
+        only a few of the others, as in a large site.
     """
 
     zones: tuple[str, ...]
@@ -49,6 +51,7 @@
     schedulers: int = 1
     shape: WorkerShape = WorkerShape()
     linked: bool = False
+    bounded: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -226,6 +229,16 @@
                 daemon.process.kill()
                 daemon.process.wait()
 
+    def start_operator(self, *arguments: str) -> subprocess.Popen:
+        """Start the operators' command line without waiting for its end."""
+        return subprocess.Popen(
+            [sys.executable, "-m", "turmerichook", *arguments],
+            env=_environment(),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
     def operator(self, *arguments: str) -> subprocess.CompletedProcess:
         """Run the operators' command line."""
         return subprocess.run(
@@ -318,6 +331,14 @@
             for other, address in self.peer_addresses.items()
             if other != name
         ]
+        zone_peers = []
+        if self.layout.bounded:
+            zone_peers = [
+                address
+                for other, address in self.peer_addresses.items()
+                if other != name and zone_of(other) == zone
+            ]
+            peers = [address for address in peers if address not in zone_peers]
         store = self._seen_from(zone, self.store)
         return "\n".join(
             (
@@ -328,6 +349,7 @@
                 f'listen = "{self.listen_addresses[name]}"',
                 f'peer_listen = "{self.peer_addresses[name]}"',
                 f"peers = {json.dumps(peers)}",
+                f"zone_peers = {json.dumps(zone_peers)}",
                 "",
             )
         )
