--- a/src/turmerichook/_internal/commands/explain.py
+++ b/src/turmerichook/_internal/commands/explain.py
@@ -6,6 +6,9 @@
 from turmerichook._internal.commands import context as contexts
 from turmerichook._internal.commands import members
 from turmerichook._internal.membership import records
+from turmerichook._internal.models import ids
+from turmerichook._internal import outcomes
+from turmerichook._internal.scheduling import jobs
 from turmerichook import exceptions
 
 SCHEDULER = "scheduler"
@@ -17,7 +20,13 @@
 
     :raises TaskUnknownError: if no owner knows the task.
     """
-    return await _ask(context, SCHEDULER, "task", name)
+    try:
+        return await _ask(context, SCHEDULER, "task", name)
+    except exceptions.TaskUnknownError:
+        ended = await _job_of(name, context)
+        if ended is None:
+            raise
+        return ended
 
 
 async def request(name: str, context: contexts.Context) -> dict:
@@ -28,6 +37,25 @@
     return await _ask(context, GATEWAY, "request", name)
 
 
+async def _job_of(name: str, context: contexts.Context) -> dict | None:
+    """Return the job of a task that its zone's owner has forgotten."""
+    match name.split("/"):
+        case ["job", job, _]:
+            key = jobs.key_of(ids.JobId(job))
+        case _:
+            return None
+    entry = await context.open_store().get(key)
+    if isinstance(entry, outcomes.Absent):
+        return None
+    record = jobs.unpack(entry.value)
+    return {
+        "task": name,
+        "phase": f"its job is {record.state.value}",
+        "zone": record.home,
+        "detail": record.detail,
+    }
+
+
 async def _ask(
     context: contexts.Context, role: str, key: str, name: str
 ) -> dict:
