--- a/src/turmerichook/_internal/membership/member.py
+++ b/src/turmerichook/_internal/membership/member.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import datetime
 import typing
 
@@ -189,6 +190,7 @@
             "reads_store": self.subscription.reads,
             "gateways": self.view.gateways(now),
             "live_gateways": self.live_gateways(),
+            "traffic": dataclasses.asdict(self.hub.traffic()),
             "members": [own, *peers],
         }
 
--- a/src/turmerichook/_internal/membership/metrics.py
+++ b/src/turmerichook/_internal/membership/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of membership, streams and configuration of one process."""
 
+import dataclasses
+
 from turmerichook._internal.membership import member as members
 from turmerichook._internal.metrics import registry as registries
 
@@ -14,6 +16,5 @@
     registry.set("live_peers", len(member.view.live(now)))
     registry.set("live_gateways", member.live_gateways())
     if member.hub is not None:
-        sent, received = member.hub.traffic()
-        registry.set("stream_sent_bytes", sent)
-        registry.set("stream_received_bytes", received)
+        for name, value in dataclasses.asdict(member.hub.traffic()).items():
+            registry.set(f"stream_{name}", value)
--- a/src/turmerichook/_internal/streams/connection.py
+++ b/src/turmerichook/_internal/streams/connection.py
@@ -29,6 +29,23 @@
 UNACKNOWLEDGED_MS = 10_000
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Traffic:
+    """Payload that a process exchanged with its peers."""
+
+    sent_bytes: int = 0
+    sent_frames: int = 0
+    received_bytes: int = 0
+    received_frames: int = 0
+
+    def add(self, other: "Traffic") -> None:
+        """Add another amount to this one."""
+        self.sent_bytes += other.sent_bytes
+        self.sent_frames += other.sent_frames
+        self.received_bytes += other.received_bytes
+        self.received_frames += other.received_frames
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Received:
     """A message with the connection that it came on.
@@ -75,8 +92,7 @@
         self.waiting_bytes = 0
         self.wake = asyncio.Event()
         self.closed = False
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self.traffic = Traffic()
         self.source = "%s:%s" % writer.get_extra_info("peername")[:2]
 
     def send(self, frame: bytes) -> bool:
@@ -122,9 +138,11 @@
                 data = await self.reader.read(READ_BYTES)
             if not data:
                 return
-            self.bytes_received += len(data)
+            self.traffic.received_bytes += len(data)
             limit = self.idle_timeout
-            for message in frames.feed(data):
+            messages = frames.feed(data)
+            self.traffic.received_frames += len(messages)
+            for message in messages:
                 await self.received.put(
                     Received(
                         message=message, source=self.source, connection=self
@@ -137,7 +155,8 @@
             while self.frames:
                 frame = self.frames.popleft()
                 self.waiting_bytes -= len(frame)
-                self.bytes_sent += len(frame)
+                self.traffic.sent_bytes += len(frame)
+                self.traffic.sent_frames += 1
                 self.writer.write(frame)
                 async with asyncio.timeout(SEND_TIMEOUT_S):
                     await self.writer.drain()
--- a/src/turmerichook/_internal/streams/hub.py
+++ b/src/turmerichook/_internal/streams/hub.py
@@ -64,7 +64,8 @@
         self.accepted: set[connections.Connection] = set()
         self.listener: asyncio.Server | None = None
         self.tasks: list[asyncio.Task] = []
-        self.ended_bytes = [0, 0]
+        # Traffic of the connections that have ended.
+        self.ended = connections.Traffic()
 
     async def start(self, address: str) -> int:
         """Listen, dial the peers, and return the port."""
@@ -89,23 +90,16 @@
         """Tell whether each near peer was dialled, with success or not."""
         return all(link.tried for link in self.links)
 
-    def traffic(self) -> tuple[int, int]:
-        """Return the payload bytes sent and received so far."""
-        live = list(self.accepted)
-        live += [
-            link.connection
-            for link in self.links + self.far_links
-            if link.connection is not None
-        ]
-        return (
-            self.ended_bytes[0] + sum(c.bytes_sent for c in live),
-            self.ended_bytes[1] + sum(c.bytes_received for c in live),
-        )
-
-    def account(self, ended: connections.Connection) -> None:
-        """Keep the byte counts of a connection that has ended."""
-        self.ended_bytes[0] += ended.bytes_sent
-        self.ended_bytes[1] += ended.bytes_received
+    def traffic(self) -> connections.Traffic:
+        """Return what was sent and received so far."""
+        total = connections.Traffic()
+        total.add(self.ended)
+        for connection in self.accepted:
+            total.add(connection.traffic)
+        for link in self.links + self.far_links:
+            if link.connection is not None:
+                total.add(link.connection.traffic)
+        return total
 
     def stop(self) -> None:
         """Close the listener and all links."""
@@ -154,6 +148,6 @@
             pass
         finally:
             self.accepted.discard(connection)
-            self.account(connection)
+            self.ended.add(connection.traffic)
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
--- a/src/turmerichook/_internal/streams/links.py
+++ b/src/turmerichook/_internal/streams/links.py
@@ -88,7 +88,7 @@
             await connection.run()
         finally:
             self.connection = None
-            self.hub.account(connection)
+            self.hub.ended.add(connection.traffic)
 
     def _delay(self) -> datetime.timedelta:
         # Without jitter all peers of a process that returns would dial it
--- a/tests/streams/test_hub.py
+++ b/tests/streams/test_hub.py
@@ -61,7 +61,7 @@
                 first = await server.received.get()
             first.reply(Note(text="answer"))
             assert await received_text(dialler) == "answer"
-            assert server.traffic()[1] > 0
+            assert server.traffic().received_frames == 1
             dialler.stop()
             server.stop()
 
