--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -67,22 +67,23 @@
 )
 def step_fault(context, fault, step):
     change(context)
-    hold(context, f"store {step}", 1)
+    context.system.hold(context.system.store, f"store {step}")
     process = start_apply(context)
     wait_held(context, 1)
     if fault == "delivers it late":
         # The operator's call times out, and its repetition takes effect.
         finish(context, process)
-        release(context, drop=False)
+        context.system.release(context.system.store)
     else:
-        release(context, drop=True)
+        context.system.release(context.system.store, drop=True)
         finish(context, process)
 
 
 @behave.when("two operators apply different changes at once")
 def step_race(context):
     processes = []
-    hold(context, "store PUT config/head before", 2)
+    store = context.system.store
+    context.system.hold(store, "store PUT config/head before", count=2)
     for name in ("first", "second"):
         folder = context.folder / name
         folder.mkdir()
@@ -92,7 +93,7 @@
         (folder / "20.toml").write_text(f"[teams.{name}]\n")
         processes.append(start_apply(context, folder))
     wait_held(context, 2)
-    release(context, drop=False)
+    context.system.release(context.system.store)
     context.results = []
     for process in processes:
         finish(context, process)
@@ -244,7 +245,7 @@
 
 def start_apply(context, folder=None, *options: str):
     """Start an apply of the operator's folder."""
-    return context.system.start_operator(
+    return context.system.operator_process(
         "config",
         "apply",
         str(folder or context.site),
@@ -283,30 +284,12 @@
         context.system.set_links(f"{other}->{zone}", cut=cut)
 
 
-def hold(context, pattern: str, count: int) -> None:
-    """Hold calls to the store that match a pattern."""
-    context.system.call(
-        context.system.store,
-        "/holds",
-        method="PUT",
-        document={"pattern": pattern, "count": count},
-    )
-
-
 def wait_held(context, count: int) -> None:
-    """Wait until so many calls are held."""
-
-    def held():
-        _, answer = context.system.call(context.system.store, "/holds")
-        return len(answer.get("waiting", [])) >= count
-
-    whole_path.wait_for(held, "a held call")
-
-
-def release(context, *, drop: bool) -> None:
-    """Let held calls go on, or cut them off."""
-    target = "/holds?drop=1" if drop else "/holds"
-    context.system.call(context.system.store, target, method="DELETE")
+    """Wait until so many calls to the store are held."""
+    system = context.system
+    whole_path.wait_for(
+        lambda: len(system.held(system.store)) >= count, "a held call"
+    )
 
 
 def wait_in_force(context, generation: int, limit: float) -> None:
--- a/features/steps/operator.py
+++ b/features/steps/operator.py
@@ -162,5 +162,5 @@
     options += ["--store", context.system.store]
     if context.system.peer_addresses:
         options += ["--gateway", whole_path.gateway(context)]
-    process = context.system.start_operator(*words, *options)
+    process = context.system.operator_process(*words, *options)
     configuration.finish(context, process)
--- a/src/turmerichook/_internal/configuration/fields.py
+++ b/src/turmerichook/_internal/configuration/fields.py
@@ -147,6 +147,14 @@
             high=1000,
             meaning="share of contended room relative to other teams",
         ),
+        Field(
+            name="request_rate",
+            kind=Kind.NUMBER,
+            unit="requests a second",
+            default=0.0,
+            high=1_000_000,
+            meaning="limit at each gateway; 0 for none",
+        ),
         Field(
             name="quota",
             kind=Kind.TABLE,
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -19,6 +20,7 @@
 
 STOP_TIMEOUT_S = 10.0
 CALL_TIMEOUT_S = 5.0
+NOTICE_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,25 +72,53 @@
     return name.partition("-")[2].rpartition("-")[0]
 
 
-def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % sock.getsockname()[1]
+class Addresses:
+    """Loopback addresses that no other launcher on this machine uses.
+
+    Each launcher has an IP address of its own in 127.0.0.0/8, so that ports
+    of systems that run side by side never collide.
+    """
+
+    numbers = itertools.count(1)
+
+    def __init__(self):
+        process = os.getpid()
+        number = next(Addresses.numbers)
+        self.host = "127.%d.%d.%d" % (
+            1 + process // 250 % 250,
+            1 + process % 250,
+            number % 250,
+        )
+        self.taken: set[int] = set()
+
+    def free(self) -> str:
+        """Return an address whose port is free now."""
+        while True:
+            with socket.socket() as sock:
+                sock.bind((self.host, 0))
+                port = sock.getsockname()[1]
+            if port not in self.taken:
+                self.taken.add(port)
+                return f"{self.host}:{port}"
 
 
 class Launcher:
     """One running system in one folder."""
 
-    def __init__(self, *, layout: Layout, folder: pathlib.Path):
+    def __init__(
+        self, *, layout: Layout, folder: pathlib.Path, broken: str = ""
+    ):
         self.layout = layout
+        # Name of a deliberate break of the product, see ``faults.breaks``.
+        self.broken = broken
         self.folder = folder
         self.record = folder / "history.jsonl"
-        self.store = free_address()
+        self.addresses = Addresses()
+        self.store = self.addresses.free()
         self.daemons: dict[str, Daemon] = {}
         self.peer_addresses: dict[str, str] = {}
         self.listen_addresses: dict[str, str] = {}
-        self.links_control = free_address()
+        self.links_control = self.addresses.free()
         self.hosts: list[dict] = []
         # Address of a target as seen from a zone.
         self.links: dict[tuple[str, str], str] = {}
@@ -106,8 +136,8 @@
             for zone in self.layout.zones:
                 for number in range(count):
                     name = f"{kind}-{zone}-{number}"
-                    self.peer_addresses[name] = free_address()
-                    self.listen_addresses[name] = free_address()
+                    self.peer_addresses[name] = self.addresses.free()
+                    self.listen_addresses[name] = self.addresses.free()
         if self.layout.linked:
             self.start_links()
         for name in self.peer_addresses:
@@ -121,7 +151,7 @@
             for name, address in self.peer_addresses.items():
                 targets[name] = (address, zone_of(name))
             for name, (address, place) in targets.items():
-                listen = free_address()
+                listen = self.addresses.free()
                 self.links[zone, address] = listen
                 documents.append(
                     {
@@ -193,10 +223,13 @@
         zone = zone_of(name)
         path = self.folder / f"{name}.toml"
         path.write_text(self._settings(name, zone))
+        command = [f"turmerichook._internal.cli.{kind}", str(path)]
+        if self.broken:
+            command = ["faults.broken", self.broken, kind, str(path)]
         self._spawn(
             name,
             zone,
-            [f"turmerichook._internal.cli.{kind}", str(path)],
+            command,
             listen=self.listen_addresses[name],
         )
 
@@ -229,8 +262,19 @@
                 daemon.process.kill()
                 daemon.process.wait()
 
-    def start_operator(self, *arguments: str) -> subprocess.Popen:
-        """Start the operators' command line without waiting for its end."""
+    def operator(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the operators' command line."""
+        process = self.operator_process(*arguments)
+        output, errors = process.communicate(timeout=60)
+        return subprocess.CompletedProcess(
+            args=arguments,
+            returncode=process.returncode,
+            stdout=output,
+            stderr=errors,
+        )
+
+    def operator_process(self, *arguments: str) -> subprocess.Popen:
+        """Start the operators' command line."""
         return subprocess.Popen(
             [sys.executable, "-m", "turmerichook", *arguments],
             env=_environment(),
@@ -239,16 +283,51 @@
             text=True,
         )
 
-    def operator(self, *arguments: str) -> subprocess.CompletedProcess:
-        """Run the operators' command line."""
-        return subprocess.run(
-            [sys.executable, "-m", "turmerichook", *arguments],
-            env=_environment(),
-            capture_output=True,
-            text=True,
-            timeout=60,
+    def terminate(self, name: str) -> None:
+        """Ask a process for a planned stop."""
+        self.daemons[name].process.terminate()
+
+    def hold(self, address: str, pattern: str, count: int = 1) -> None:
+        """Hold the next steps of a stand-in whose label matches."""
+        self.call(
+            address,
+            "/holds",
+            method="PUT",
+            document={"pattern": pattern, "count": count},
+        )
+
+    def held(self, address: str) -> list[str]:
+        """Return the labels of the steps that a stand-in holds."""
+        _, document = self.call(address, "/holds")
+        return document.get("waiting", [])
+
+    def release(self, address: str, *, drop: bool = False) -> None:
+        """Release all held steps, or drop their connections."""
+        query = "?drop=1" if drop else ""
+        self.call(address, f"/holds{query}", method="DELETE")
+
+    def power(self, host: dict, *, on: bool) -> None:
+        """Kill a worker's host, or start it again."""
+        self.call(host["address"], "/power", method="PUT", document={"on": on})
+
+    def fail_starts(self, host: dict, *, failing: bool) -> None:
+        """Make a worker fail everything it starts, or end that."""
+        self.call(
+            host["address"],
+            "/faults",
+            method="PUT",
+            document={"fail_starts": failing},
         )
 
+    def list_hosts(self, states: dict[str, str]) -> None:
+        """Change the state that the host list gives some hosts."""
+        hosts = [
+            {**host, "state": states.get(host["host"], "live")}
+            for host in self.hosts
+        ]
+        document = {"age": 0.0, "hosts": hosts}
+        self.call(self.store, "/hosts", method="PUT", document=document)
+
     def history(self) -> list[dict]:
         """Return what the stand-ins recorded, oldest first."""
         if not self.record.exists():
@@ -350,6 +429,7 @@
                 f'peer_listen = "{self.peer_addresses[name]}"',
                 f"peers = {json.dumps(peers)}",
                 f"zone_peers = {json.dumps(zone_peers)}",
+                f"notice_s = {NOTICE_S}",
                 "",
             )
         )
@@ -362,7 +442,7 @@
         hosts = [
             {
                 "host": f"{zone}-w{number}",
-                "address": free_address(),
+                "address": self.addresses.free(),
                 "zone": zone,
                 "rack": f"{zone}-r{number // shape.per_rack}",
                 "capacity": {
--- a/tests/cli/test_compact.py
+++ b/tests/cli/test_compact.py
@@ -6,9 +6,7 @@
 import pytest
 
 SCRIPT = """
-import hashlib
-import sys
-from turmerichook._internal.cli import {program}
+import sys; from turmerichook._internal.cli import {program}; import hashlib
 print(sorted(m for m in ("ssl", "_ssl", "_hashlib") if sys.modules.get(m)))
 print(hashlib.sha256(b"passing bell").hexdigest())
 """
