Give the store's watches connections of their own

Cause: with 7 zones a scheduler holds more waiting watches than the 8 connections of its pool. Lease renewals waited behind them, leases lapsed after 4 s, and the ownership of each zone changed every few seconds. Change: watches use a pool of their own, of at most 64 connections.

--- a/src/turmerichook/_internal/platform/store_http.py
+++ b/src/turmerichook/_internal/platform/store_http.py
@@ -17,8 +17,11 @@
 from turmerichook._internal.platform import store
 from turmerichook import exceptions
 
-# Calls that wait, plus those that do not.
+# Connections for calls that do not wait.
 CONNECTIONS = 8
+# Watches have connections of their own: a scheduler watches each zone of the
+# site, and its lease lapses if a renewal waits behind them.
+WATCH_CONNECTIONS = 64
 
 
 class HttpStore:
@@ -35,6 +38,9 @@
         self.pool = calls.CallPool(
             host=host, port=port, connections=CONNECTIONS
         )
+        self.watch_pool = calls.CallPool(
+            host=host, port=port, connections=WATCH_CONNECTIONS
+        )
 
     async def get(self, key: str) -> store.Entry | outcomes.Absent:
         answer = await self._read("/v1/kv/" + _quote(key))
@@ -98,7 +104,9 @@
         target = (
             f"/v1/watch?prefix={_quote(prefix)}&after={after}&wait={seconds}"
         )
-        answer = await self._read(target, extra=seconds)
+        answer = await self._read(
+            target, pool=self.watch_pool, timeout=self.timeout + seconds
+        )
         document = _expect_ok(answer)
         return store.Changes(
             revision=ids.Revision(document["revision"]),
@@ -128,11 +136,18 @@
     def close(self) -> None:
         """Close idle connections."""
         self.pool.close()
+        self.watch_pool.close()
 
-    async def _read(self, target: str, *, extra: float = 0.0) -> calls.Answer:
+    async def _read(
+        self,
+        target: str,
+        *,
+        pool: calls.CallPool | None = None,
+        timeout: float | None = None,
+    ) -> calls.Answer:
         try:
-            return await self.pool.call(
-                method="GET", target=target, timeout=self.timeout + extra
+            return await (pool or self.pool).call(
+                method="GET", target=target, timeout=timeout or self.timeout
             )
         except exceptions.ExchangeError as error:
             raise exceptions.StoreUnavailableError(
