Pass a generation on that this process does not understand

Cause: a process that rejected a generation did not offer it to its peers, so the others of its zone neither took it, where they are of a later version, nor reported that they do not understand it. Change: heartbeats offer the rejected generation as well, and peers get the newest undamaged bundle.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -88,3 +88,23 @@
     Then the operator's exit status is 0
     And generation 3 is in force in all processes within 10 s
     And no process went back to an older generation
+
+  Scenario: A bundle is damaged in the store
+    When the bundle of generation 2 is damaged before its head is written
+    Then all zones' logs show "TH-3003" within 10 s
+    And generation 1 is in force in all processes within 10 s
+    When an operator applies the same folder with "--force"
+    Then the operator's exit status is 0
+    And generation 3 is in force in all processes within 10 s
+    And no process went back to an older generation
+
+  Scenario: A later version's bundle is rejected as a whole
+    When a later version applies generation 2 with keys that nobody knows
+    Then all processes' logs show "TH-3002" within 10 s
+    And generation 1 is in force in all processes within 10 s
+    When an operator applies a change
+    Then the operator's exit status is 3
+    When an operator applies a change with "--force"
+    Then the operator's exit status is 0
+    And generation 3 is in force in all processes within 10 s
+    And no process went back to an older generation
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -1,5 +1,7 @@
 """Steps that change the configuration under faults."""
 
+import base64
+import datetime
 import re
 import time
 
@@ -8,6 +10,8 @@
 from features import environment
 from features.steps import whole_path
 from standins import launcher
+from turmerichook._internal.configuration import bundle
+from turmerichook._internal.models import ids
 
 IN_FORCE = re.compile(r"TH-3001 .*generation=(\d+)")
 CALL_LIMIT_S = 2.0
@@ -117,6 +121,71 @@
     assert f"+[teams.{winner}]" in text, text
 
 
+@behave.when(
+    "the bundle of generation 2 is damaged before its head is written"
+)
+def step_damage(context):
+    change(context)
+    system = context.system
+    system.hold(system.store, "store PUT config/head before")
+    process = start_apply(context)
+    wait_held(context, 1)
+    target = f"/v1/range?prefix={bundle.bundle_prefix(2)}"
+    _, answer = system.call(system.store, target)
+    (entry,) = answer["entries"]
+    put(context, entry["key"], b"damaged", entry["version"])
+    system.release(system.store)
+    finish(context, process)
+    assert context.result.returncode == 0, context.result.stderr
+
+
+@behave.when(
+    "a later version applies generation 2 with keys that nobody knows"
+)
+def step_later_version(context):
+    packed = bundle.pack_files({"10.toml": b"[zones.a]\n[novel.x]\n"})
+    head = bundle.make_head(
+        generation=ids.Generation(2),
+        packed=packed,
+        operation=ids.OperationId("f" * 32),
+        author="later",
+        now=datetime.datetime.now(datetime.timezone.utc),
+    )
+    _, entry = context.system.call(
+        context.system.store, f"/v1/kv/{bundle.HEAD_KEY}"
+    )
+    put(context, head.bundle_key, packed, 0)
+    put(context, bundle.HEAD_KEY, bundle.pack_head(head), entry["version"])
+
+
+@behave.when('an operator applies the same folder with "{option}"')
+def step_apply_same(context, option):
+    apply(context, option)
+
+
+@behave.then('all processes\' logs show "{code}" within {limit:d} s')
+def step_logs(context, code, limit):
+    names = context.system.peer_addresses
+    whole_path.wait_for(
+        lambda: all(code in log_of(context, name) for name in names),
+        code,
+        limit,
+    )
+
+
+@behave.then('all zones\' logs show "{code}" within {limit:d} s')
+def step_zone_logs(context, code, limit):
+    def shown():
+        return {
+            launcher.zone_of(name)
+            for name in context.system.peer_addresses
+            if code in log_of(context, name)
+        }
+
+    zones = set(context.system.layout.zones)
+    whole_path.wait_for(lambda: shown() == zones, code, limit)
+
+
 @behave.when("the store goes down")
 def step_down(context):
     context.system.faults(down=True)
@@ -220,13 +289,32 @@
 @behave.then("no process went back to an older generation")
 def step_monotonic(context):
     for name in context.system.peer_addresses:
-        text = (context.folder / f"{name}.log").read_text()
-        found = [int(number) for number in IN_FORCE.findall(text)]
+        found = [int(n) for n in IN_FORCE.findall(log_of(context, name))]
         assert found, name
         # A restarted process takes the generation that it had before.
         assert found == sorted(found), (name, found)
 
 
+def log_of(context, name: str) -> str:
+    """Return the log of a process."""
+    return (context.folder / f"{name}.log").read_text()
+
+
+def put(context, key: str, value: bytes, version: int) -> None:
+    """Write a key of the store directly."""
+    status, _ = context.system.call(
+        context.system.store,
+        f"/v1/kv/{key}",
+        method="PUT",
+        document={
+            "value": base64.b64encode(value).decode("ascii"),
+            "expect": version,
+            "lease": None,
+        },
+    )
+    assert status == 200, status
+
+
 def zones_of(context) -> str:
     """Return the definitions of the system's zones."""
     return "".join(f"[zones.{z}]\n" for z in context.system.layout.zones)
--- a/src/turmerichook/_internal/configuration/distribution.py
+++ b/src/turmerichook/_internal/configuration/distribution.py
@@ -46,7 +46,11 @@
         self.generation = ids.Generation(0)
         self.digest = ""
         self.configuration: site.Configuration = site.EMPTY
-        self.packed: messages.GenerationBundle | None = None
+        # Newest undamaged generation for peers, understood here or not: one
+        # of them may be of a later version.
+        self.newest: messages.GenerationBundle | None = None
+        # Called when a generation was put in force or rejected.
+        self.on_news: collections.abc.Callable[[], None] = _nothing
         self.listeners: list[Listener] = []
         self.rejected = ids.Generation(0)
         self.revision: ids.Revision | None = None
@@ -188,6 +192,7 @@
     def _take(
         self, generation: ids.Generation, message: messages.GenerationBundle
     ) -> bool:
+        self.newest = message
         try:
             accepted = bundle.accept(generation, message.bundle)
         except exceptions.ConfigurationError as error:
@@ -199,7 +204,6 @@
         self.generation = generation
         self.digest = message.digest
         self.configuration = accepted.configuration
-        self.packed = message
         logs.emit(
             events.ConfigurationEvent.IN_FORCE,
             generation=generation,
@@ -207,6 +211,7 @@
         )
         for listener in self.listeners:
             listener(accepted)
+        self.on_news()
         return True
 
     def _reject(self, generation: ids.Generation, why: str) -> None:
@@ -217,6 +222,11 @@
             in_force=self.generation,
             why=why,
         )
+        self.on_news()
+
+
+def _nothing() -> None:
+    """Tell nobody."""
 
 
 def describe(error: exceptions.ConfigurationError) -> str:
--- a/src/turmerichook/_internal/membership/member.py
+++ b/src/turmerichook/_internal/membership/member.py
@@ -108,7 +108,7 @@
     async def run(self, hub: hubs.Hub) -> None:
         """Serve until cancelled, then leave."""
         self.hub = hub
-        self.subscription.listeners.append(lambda _: self.changed.set())
+        self.subscription.on_news = self.changed.set
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._collect())
@@ -200,7 +200,7 @@
             self._note(arrival, hello)
             if arrival is views.Arrival.STALE:
                 return
-        self._ask(received, heartbeat.generation)
+        self._ask(received, max(heartbeat.generation, heartbeat.rejected))
 
     def _ask(self, received: hubs.Received, generation: int) -> None:
         now = self.clock.monotonic()
@@ -214,10 +214,10 @@
         )
 
     def _requested(self, received: hubs.Received) -> None:
-        packed = self.subscription.packed
+        newest = self.subscription.newest
         wanted = received.message.generation
-        if packed is not None and packed.generation >= wanted:
-            received.reply(packed)
+        if newest is not None and newest.generation >= wanted:
+            received.reply(newest)
 
     def _note(self, arrival: views.Arrival, hello: messages.Hello) -> None:
         kinds = {
