--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import datetime
+import random
 
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
@@ -58,7 +59,11 @@
         self.journal = journal_store.Journal(
             zone=self.zone, epoch=self.epoch, store=environment.store
         )
-        self.state = states.ZoneTasks()
+        # Seeded by zone and epoch, so that the draws can be made again.
+        self.state = states.ZoneTasks(
+            zone=self.zone,
+            generator=random.Random(f"{self.zone}/{self.epoch}"),
+        )
         self.stops = stops.StopList(state=self.state)
         self.strays = strays.Strays(
             state=self.state, journal=self.journal, stop_list=self.stops
@@ -254,32 +259,12 @@
         doubtful |= self.stops.doubtful_hosts()
         for host in doubtful:
             self.links.ask_inventory(host)
-        for host in self._hosts_in_use():
-            if self._surely_ended(host, now):
+        used = self.state.ledger.hosts_in_use() | self.strays.hosts()
+        for host in used:
+            link = self.links.links.get(host)
+            if self.unknown.surely_ended(host, link, now):
                 self.reports.return_host(host)
 
-    def _hosts_in_use(self) -> set[ids.HostId]:
-        found = {
-            host
-            for host, account in self.state.ledger.hosts.items()
-            if account.tasks
-        }
-        found.update(
-            host for host, tasks in self.strays.orphans.items() if tasks
-        )
-        return found
-
-    def _surely_ended(self, host: ids.HostId, now: datetime.timedelta) -> bool:
-        """Tell whether nothing of this zone can run on a host any more."""
-        link = self.links.links.get(host)
-        if link is not None and link.failing_since is None and link.boot:
-            return False
-        if self.unknown.gone(host, now):
-            return True
-        if link is not None and link.last_renewal != links.NEVER:
-            return link.lapsed(now)
-        return self.unknown.settled(host, now)
-
     async def _commit(self) -> None:
         finished = [
             entry
--- a/src/turmerichook/_internal/scheduling/strays.py
+++ b/src/turmerichook/_internal/scheduling/strays.py
@@ -43,6 +43,10 @@
                 fact = self.journal.facts.get(task)
                 self.orphans.setdefault(host, {})[task] = fact.attempt
 
+    def hosts(self) -> set[ids.HostId]:
+        """Return the hosts that may run attempts of the journal."""
+        return {host for host, tasks in self.orphans.items() if tasks}
+
     def running(
         self,
         host: ids.HostId,
