--- a/src/turmerichook/_internal/scheduling/job_board.py
+++ b/src/turmerichook/_internal/scheduling/job_board.py
@@ -7,7 +7,6 @@
 import collections.abc
 import dataclasses
 import datetime
-import uuid
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
@@ -19,9 +18,6 @@
 from turmerichook._internal.scheduling import progress
 from turmerichook._internal.scheduling import records
 
-# A job's record shows its progress with at most this lag.
-PROGRESS_INTERVAL = datetime.timedelta(seconds=60)
-
 
 @dataclasses.dataclass(kw_only=True)
 class JobEntry:
@@ -42,6 +38,9 @@
         self.zone = zone
         self.facts = facts
         self.entries: dict[ids.JobId, JobEntry] = {}
+        # Version and end of jobs with a final record. Two thousand jobs of a
+        # day and zone would take 3 MB as whole records.
+        self.ended: dict[ids.JobId, tuple[ids.Version, str]] = {}
         self.known = False
         # Rises with each change of the wanted tasks.
         self.changes = 0
@@ -77,11 +76,14 @@
             own = self.writing | self.floors.keys()
             for job in self.entries.keys() - present - own:
                 self._drop(job)
+            for job in self.ended.keys() - present - own:
+                del self.ended[job]
             self.known = True
 
     def removed(self, job: ids.JobId) -> None:
         """Note that a record no longer exists."""
         if job not in self.floors:
+            self.ended.pop(job, None)
             self._drop(job)
 
     def cancel(self, names: collections.abc.Iterable[ids.JobId]) -> None:
@@ -103,7 +105,7 @@
         found = []
         for job, entry in self.entries.items():
             held = job in self.facts.moving or job in self.leaving
-            if self._active(job, entry) and not held:
+            if self.active(job) and not held:
                 found += plan.job_tasks(entry.record.spec)
         return found
 
@@ -114,7 +116,7 @@
         self.writing.discard(job)
         if write.record is None:
             self.floors.pop(job, None)
-            self._drop(job)
+            self.ended.pop(job, None)
             return []
         moved_here = job in self.facts.moving
         self._take(write.record, result.version)
@@ -129,6 +131,7 @@
         self.writing.discard(job)
         if result.found is None:
             self.floors.pop(job, None)
+            self.ended.pop(job, None)
             self._drop(job)
             return []
         record, version = result.found
@@ -144,7 +147,7 @@
         found: list[journals.Entry] = []
         for job, facts in self.facts.jobs.items():
             entry = self.entries.get(job)
-            if entry is not None and self._active(job, entry):
+            if entry is not None and self.active(job):
                 continue
             if job in self.writing or job in self.unreadable:
                 continue
@@ -157,58 +160,6 @@
                 found.append(journals.JobForgotten(job=job))
         return found
 
-    def due_writes(
-        self,
-        *,
-        configuration: site.Configuration,
-        statuses: homes.Statuses,
-        now: datetime.datetime,
-    ) -> list[records.RecordWrite]:
-        """Return record changes that are due and not under way."""
-        found = []
-        for job, entry in self.entries.items():
-            if job in self.writing:
-                continue
-            record = self._due(job, entry, configuration, statuses, now)
-            if record is not None:
-                found.append(record)
-        found += self._offers(configuration, now)
-        for write in found:
-            self.writing.add(write.job)
-        return found
-
-    def progress_write(
-        self, now: datetime.timedelta
-    ) -> records.RecordWrite | None:
-        """Return one write that shows how many tasks have ended.
-
-        The caller asks once a second, which bounds the store calls.
-        """
-        behind = [
-            (entry.reported, job)
-            for job, entry in self.entries.items()
-            if now - entry.reported >= PROGRESS_INTERVAL
-            and job in self.facts.jobs
-            and job not in self.writing
-            and job not in self.facts.moving
-            and self._active(job, entry)
-            and self.facts.jobs[job].ended != entry.record.finished
-        ]
-        if not behind:
-            return None
-        job = min(behind)[1]
-        entry = self.entries[job]
-        entry.reported = now
-        self.writing.add(job)
-        record = dataclasses.replace(
-            entry.record,
-            operation=ids.OperationId(uuid.uuid4().hex),
-            finished=self.facts.jobs[job].ended,
-        )
-        return records.RecordWrite(
-            job=job, record=record, expect=entry.version
-        )
-
     def movable(
         self, *, configuration: site.Configuration, busy: set[ids.JobId]
     ) -> list[journals.Entry]:
@@ -218,7 +169,7 @@
         """
         found: list[journals.Entry] = []
         for job, entry in self.entries.items():
-            if not self._active(job, entry) or job in busy:
+            if not self.active(job) or job in busy:
                 continue
             if job in self.facts.moving | self.leaving | self.writing:
                 continue
@@ -231,88 +182,26 @@
                 self.changes += 1
         return found
 
-    def _due(
-        self,
-        job: ids.JobId,
-        entry: JobEntry,
-        configuration: site.Configuration,
-        statuses: homes.Statuses,
-        now: datetime.datetime,
-    ) -> records.RecordWrite | None:
-        record = entry.record
-        if record.state is not jobs.JobState.ACCEPTED:
-            kept = job in configuration.jobs
-            if kept or not jobs.older_than(record.ended, jobs.RETENTION, now):
-                return None
-            return records.RecordWrite(
-                job=job, record=None, expect=entry.version
-            )
-        facts = self.facts.jobs.get(job)
-        ended = 0 if facts is None else facts.ended
-        changes: dict[str, object] = {}
-        if ended >= record.spec.tasks:
-            changes = {"state": jobs.JobState.COMPLETED, "finished": ended}
-        elif job in self.cancelled:
-            changes = {"state": jobs.JobState.CANCELLED, "finished": ended}
-        elif job in self.facts.moving:
-            zones = homes.open_zones(record.spec, configuration, self.zone)
-            changes = {
-                "home": homes.least_loaded(job, zones, statuses) or self.zone,
-                "progress": None if facts is None else facts.pack(),
-                "finished": ended,
-            }
-        if not changes:
-            return None
-        if "state" in changes:
-            changes.update(ended=now.isoformat(), progress=None)
-        changed = dataclasses.replace(
-            record, operation=ids.OperationId(uuid.uuid4().hex), **changes
-        )
-        return records.RecordWrite(
-            job=job, record=changed, expect=entry.version
-        )
-
-    def _offers(
-        self, configuration: site.Configuration, now: datetime.datetime
-    ) -> list[records.RecordWrite]:
-        """Return records to create for jobs of the configuration folder."""
-        found = []
-        for job, spec in configuration.jobs.items():
-            if job in self.offered or job in self.entries:
-                continue
-            if (
-                not self.known
-                or homes.home_zone(spec, configuration) != self.zone
-            ):
-                continue
-            self.offered.add(job)
-            record = jobs.JobRecord(
-                spec=spec,
-                home=self.zone,
-                state=jobs.JobState.ACCEPTED,
-                operation=ids.OperationId(uuid.uuid4().hex),
-                accepted=now.isoformat(),
-            )
-            found.append(
-                records.RecordWrite(
-                    job=job, record=record, expect=stores.ABSENT_VERSION
-                )
-            )
-        return found
-
-    def _active(self, job: ids.JobId, entry: JobEntry) -> bool:
-        accepted = entry.record.state is jobs.JobState.ACCEPTED
-        return accepted and job not in self.cancelled
+    def active(self, job: ids.JobId) -> bool:
+        """Tell whether a job is not cancelled."""
+        return job not in self.cancelled
 
     def _take(self, record: jobs.JobRecord, version: ids.Version) -> None:
         job = record.spec.job
         entry = self.entries.get(job)
         if version < self.floors.get(job, stores.ABSENT_VERSION):
             return
+        self.floors.pop(job, None)
         if entry is not None and version <= entry.version:
             return
-        self.floors.pop(job, None)
+        if job in self.ended and version <= self.ended[job][0]:
+            return
         if record.home != self.zone:
+            self.ended.pop(job, None)
+            self._drop(job)
+            return
+        if record.state is not jobs.JobState.ACCEPTED:
+            self.ended[job] = (version, record.ended)
             self._drop(job)
             return
         if entry is None and record.progress is not None:
@@ -322,7 +211,7 @@
             version=version,
             reported=entry.reported if entry else datetime.timedelta(),
         )
-        if entry is not None and entry.record.state is record.state:
+        if entry is not None:
             # Only what the record tells has changed.
             return
         self.changes += 1
--- a/src/turmerichook/_internal/scheduling/link_set.py
+++ b/src/turmerichook/_internal/scheduling/link_set.py
@@ -106,11 +106,6 @@
         for link in self.links.values():
             link.renewing = renewing
 
-    def lapsed(self, host: ids.HostId, now: datetime.timedelta) -> bool:
-        """Tell whether all leases that this owner granted have lapsed."""
-        link = self.links.get(host)
-        return link is not None and link.lapsed(now)
-
     def ages(self, now: datetime.timedelta) -> dict[str, float]:
         """Return seconds since the last renewal of each worker reached."""
         return {
--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -22,6 +22,7 @@
 from turmerichook._internal.scheduling import job_board
 from turmerichook._internal.scheduling import journal
 from turmerichook._internal.scheduling import journal_store
+from turmerichook._internal.scheduling import lapses
 from turmerichook._internal.scheduling import link_set
 from turmerichook._internal.scheduling import links
 from turmerichook._internal.scheduling import messages
@@ -259,32 +260,11 @@
         doubtful |= self.stops.doubtful_hosts()
         for host in doubtful:
             self.links.ask_inventory(host)
-        for host in self._hosts_in_use():
-            if self._surely_ended(host, now):
+        for host in lapses.hosts_in_use(self.state, self.strays):
+            link = self.links.links.get(host)
+            if lapses.surely_ended(host, link, self.unknown, now):
                 self.reports.return_host(host)
 
-    def _hosts_in_use(self) -> set[ids.HostId]:
-        found = {
-            host
-            for host, account in self.state.ledger.hosts.items()
-            if account.tasks
-        }
-        found.update(
-            host for host, tasks in self.strays.orphans.items() if tasks
-        )
-        return found
-
-    def _surely_ended(self, host: ids.HostId, now: datetime.timedelta) -> bool:
-        """Tell whether nothing of this zone can run on a host any more."""
-        link = self.links.links.get(host)
-        if link is not None and link.failing_since is None and link.boot:
-            return False
-        if self.unknown.gone(host, now):
-            return True
-        if link is not None and link.last_renewal != links.NEVER:
-            return link.lapsed(now)
-        return self.unknown.settled(host, now)
-
     async def _commit(self) -> None:
         finished = [
             entry
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -12,6 +12,7 @@
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal as journals
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import record_plan
 from turmerichook._internal.scheduling import records
 from turmerichook._internal.scheduling import state as states
 from turmerichook._internal.scheduling import zone_drain
@@ -34,6 +35,7 @@
         self.state = owner.state
         self.journal = owner.journal
         self.board = owner.board
+        self.plan = record_plan.RecordPlan(board=owner.board)
         self.reports = owner.reports
         self.drain = zone_drain.ZoneDrain(zone=owner.zone)
         self.peers = owner.environment.peers
@@ -137,12 +139,12 @@
             )
         for entry in entries:
             self.journal.append(entry)
-        writes = self.board.due_writes(
+        writes = self.plan.due_writes(
             configuration=self.configuration,
             statuses=self.peers.statuses,
             now=self.clock.now(),
         )
-        progress = self.board.progress_write(now)
+        progress = self.plan.progress_write(now)
         if progress is not None:
             writes.append(progress)
         for write in writes:
