--- a/src/turmerichook/_internal/outcomes.py
+++ b/src/turmerichook/_internal/outcomes.py
@@ -29,7 +29,6 @@
     ROOM_BEING_FREED = "room-being-freed"
     FAILS_EVERYWHERE = "fails-everywhere"
     DEADLINE_PASSED = "deadline-passed"
-    NOTHING_DUE = "nothing-due"
     JOURNAL_FULL = "journal-is-full"
     PLACEMENT_UNKNOWN = "placement-unknown"
     HOST_QUARANTINED = "hosts-with-room-quarantined"
--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -23,6 +23,7 @@
 from turmerichook._internal.scheduling import job_board
 from turmerichook._internal.scheduling import journal
 from turmerichook._internal.scheduling import journal_store
+from turmerichook._internal.scheduling import lapses
 from turmerichook._internal.scheduling import link_set
 from turmerichook._internal.scheduling import links
 from turmerichook._internal.scheduling import messages
@@ -259,10 +260,9 @@
         doubtful |= self.stops.doubtful_hosts()
         for host in doubtful:
             self.links.ask_inventory(host)
-        used = self.state.ledger.hosts_in_use() | self.strays.hosts()
-        for host in used:
+        for host in lapses.hosts_in_use(self.state, self.strays):
             link = self.links.links.get(host)
-            if self.unknown.surely_ended(host, link, now):
+            if lapses.surely_ended(host, link, self.unknown, now):
                 self.reports.return_host(host)
 
     async def _commit(self) -> None:
--- a/src/turmerichook/_internal/scheduling/planner.py
+++ b/src/turmerichook/_internal/scheduling/planner.py
@@ -76,7 +76,7 @@
         if key == self.planned_jobs:
             return []
         self.planned_jobs = key
-        wanted = self.board.active()
+        wanted = self.board.wanted()
         stops: list[states.StopCommand] = []
         for job in sorted(self.jobs - wanted.keys()):
             self.jobs.discard(job)
--- a/src/turmerichook/_internal/scheduling/strays.py
+++ b/src/turmerichook/_internal/scheduling/strays.py
@@ -46,10 +46,6 @@
             elif not plan.is_batch(task):
                 self.journal.append(journals.Forgotten(task=task))
 
-    def hosts(self) -> set[ids.HostId]:
-        """Return the hosts that may run attempts of the journal."""
-        return {host for host, tasks in self.orphans.items() if tasks}
-
     def running(
         self,
         host: ids.HostId,
--- a/src/turmerichook/_internal/scheduling/unknown_hosts.py
+++ b/src/turmerichook/_internal/scheduling/unknown_hosts.py
@@ -11,7 +11,6 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import hosts
 from turmerichook._internal.scheduling import authority as authorities
-from turmerichook._internal.scheduling import links
 
 LEASES = authorities.TASK_TTL_WITH_MARGIN
 
@@ -64,24 +63,6 @@
                 for host, age in ages.items()
             }
 
-    def surely_ended(
-        self,
-        host: ids.HostId,
-        link: links.WorkerLink | None,
-        now: datetime.timedelta,
-    ) -> bool:
-        """Tell whether nothing of this zone can run on a host any more.
-
-        :param link: the owner's link to the host, if it has one.
-        """
-        if link is not None and link.failing_since is None and link.boot:
-            return False
-        if self.gone(host, now):
-            return True
-        if link is not None and link.last_renewal != links.NEVER:
-            return link.lapsed(now)
-        return self.settled(host, now)
-
     def gone(self, host: ids.HostId, now: datetime.timedelta) -> bool:
         """Tell whether the platform stopped the host long enough ago."""
         since = self.gone_since.get(host)
