--- a/src/turmerichook/_internal/scheduling/job_board.py
+++ b/src/turmerichook/_internal/scheduling/job_board.py
@@ -7,25 +7,16 @@
 import collections.abc
 import dataclasses
 import datetime
-import uuid
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
-from turmerichook._internal import outcomes
 from turmerichook._internal.platform import store as stores
 from turmerichook._internal.scheduling import homes
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal as journals
 from turmerichook._internal.scheduling import progress
-from turmerichook._internal.scheduling import record_changes
 from turmerichook._internal.scheduling import records
 
-# A job's record shows its progress with at most this lag.
-PROGRESS_INTERVAL = datetime.timedelta(seconds=60)
-
-
-Faults = collections.abc.Mapping[ids.JobId, outcomes.Absent]
-
 
 @dataclasses.dataclass(kw_only=True)
 class JobEntry:
@@ -46,6 +37,9 @@
         self.zone = zone
         self.facts = facts
         self.entries: dict[ids.JobId, JobEntry] = {}
+        # Version and end of jobs with a final record. Two thousand jobs of a
+        # day and zone would take 3 MB as whole records.
+        self.ended: dict[ids.JobId, tuple[ids.Version, str]] = {}
         self.known = False
         # Rises with each change of the wanted tasks.
         self.changes = 0
@@ -81,11 +75,14 @@
             own = self.writing | self.floors.keys()
             for job in self.entries.keys() - present - own:
                 self._drop(job)
+            for job in self.ended.keys() - present - own:
+                del self.ended[job]
             self.known = True
 
     def removed(self, job: ids.JobId) -> None:
         """Note that a record no longer exists."""
         if job not in self.floors:
+            self.ended.pop(job, None)
             self._drop(job)
 
     def cancel(self, names: collections.abc.Iterable[ids.JobId]) -> None:
@@ -101,14 +98,14 @@
         """Drop cancellations that the store no longer holds."""
         self.cancelled.difference_update(names)
 
-    def active(self) -> dict[ids.JobId, jobs.JobRecord]:
+    def wanted(self) -> dict[ids.JobId, jobs.JobRecord]:
         """Return the jobs whose tasks should run or wait here."""
         self.leaving -= self.facts.moving
         held = self.facts.moving | self.leaving
         return {
             job: entry.record
             for job, entry in self.entries.items()
-            if self._active(job, entry) and job not in held
+            if self.active(job) and job not in held
         }
 
     def written(self, result: records.Written) -> list[journals.Entry]:
@@ -118,7 +115,7 @@
         self.writing.discard(job)
         if write.record is None:
             self.floors.pop(job, None)
-            self._drop(job)
+            self.ended.pop(job, None)
             return []
         moved_here = job in self.facts.moving
         self._take(write.record, result.version)
@@ -133,6 +130,7 @@
         self.writing.discard(job)
         if result.found is None:
             self.floors.pop(job, None)
+            self.ended.pop(job, None)
             self._drop(job)
             return []
         record, version = result.found
@@ -148,7 +146,7 @@
         found: list[journals.Entry] = []
         for job, facts in self.facts.jobs.items():
             entry = self.entries.get(job)
-            if entry is not None and self._active(job, entry):
+            if entry is not None and self.active(job):
                 continue
             if job in self.writing or job in self.unreadable:
                 continue
@@ -161,75 +159,6 @@
                 found.append(journals.JobForgotten(job=job))
         return found
 
-    def due_writes(
-        self,
-        *,
-        configuration: site.Configuration,
-        statuses: homes.Statuses,
-        now: datetime.datetime,
-        failed: Faults,
-    ) -> list[records.RecordWrite]:
-        """Return record changes that are due and not under way.
-
-        :param failed: jobs that have failed for good, and why.
-        """
-        found = []
-        for job, entry in self.entries.items():
-            if job in self.writing:
-                continue
-            change = record_changes.due(
-                zone=self.zone,
-                record=entry.record,
-                facts=self.facts,
-                cancelled=job in self.cancelled,
-                fault=failed.get(job),
-                configuration=configuration,
-                statuses=statuses,
-                now=now,
-            )
-            if not isinstance(change, outcomes.Absent):
-                found.append(
-                    records.RecordWrite(
-                        job=job, record=change.record, expect=entry.version
-                    )
-                )
-        found += self._offers(configuration, now)
-        for write in found:
-            self.writing.add(write.job)
-        return found
-
-    def progress_write(
-        self, now: datetime.timedelta
-    ) -> records.RecordWrite | None:
-        """Return one write that shows how many tasks have ended.
-
-        The caller asks once a second, which bounds the store calls.
-        """
-        behind = [
-            (entry.reported, job)
-            for job, entry in self.entries.items()
-            if now - entry.reported >= PROGRESS_INTERVAL
-            and job in self.facts.jobs
-            and job not in self.writing
-            and job not in self.facts.moving
-            and self._active(job, entry)
-            and self.facts.jobs[job].ended != entry.record.finished
-        ]
-        if not behind:
-            return None
-        job = min(behind)[1]
-        entry = self.entries[job]
-        entry.reported = now
-        self.writing.add(job)
-        record = dataclasses.replace(
-            entry.record,
-            operation=ids.OperationId(uuid.uuid4().hex),
-            finished=self.facts.jobs[job].ended,
-        )
-        return records.RecordWrite(
-            job=job, record=record, expect=entry.version
-        )
-
     def movable(
         self, *, configuration: site.Configuration, busy: set[ids.JobId]
     ) -> list[journals.Entry]:
@@ -239,7 +168,7 @@
         """
         found: list[journals.Entry] = []
         for job, entry in self.entries.items():
-            if not self._active(job, entry) or job in busy:
+            if not self.active(job) or job in busy:
                 continue
             if job in self.facts.moving | self.leaving | self.writing:
                 continue
@@ -252,34 +181,26 @@
                 self.changes += 1
         return found
 
-    def _offers(
-        self, configuration: site.Configuration, now: datetime.datetime
-    ) -> list[records.RecordWrite]:
-        """Return records to create for jobs of the configuration folder."""
-        if not self.known:
-            return []
-        found = record_changes.offers(
-            configuration=configuration,
-            zone=self.zone,
-            known=self.offered | self.entries.keys(),
-            now=now,
-        )
-        self.offered.update(write.job for write in found)
-        return found
-
-    def _active(self, job: ids.JobId, entry: JobEntry) -> bool:
-        accepted = entry.record.state is jobs.JobState.ACCEPTED
-        return accepted and job not in self.cancelled
+    def active(self, job: ids.JobId) -> bool:
+        """Tell whether a job is not cancelled."""
+        return job not in self.cancelled
 
     def _take(self, record: jobs.JobRecord, version: ids.Version) -> None:
         job = record.spec.job
         entry = self.entries.get(job)
         if version < self.floors.get(job, stores.ABSENT_VERSION):
             return
+        self.floors.pop(job, None)
         if entry is not None and version <= entry.version:
             return
-        self.floors.pop(job, None)
+        if job in self.ended and version <= self.ended[job][0]:
+            return
         if record.home != self.zone:
+            self.ended.pop(job, None)
+            self._drop(job)
+            return
+        if record.state is not jobs.JobState.ACCEPTED:
+            self.ended[job] = (version, record.ended)
             self._drop(job)
             return
         if entry is None and record.progress is not None:
@@ -289,7 +210,7 @@
             version=version,
             reported=entry.reported if entry else datetime.timedelta(),
         )
-        if entry is not None and entry.record.state is record.state:
+        if entry is not None:
             # Only what the record tells has changed.
             return
         self.changes += 1
--- a/src/turmerichook/_internal/scheduling/ledger.py
+++ b/src/turmerichook/_internal/scheduling/ledger.py
@@ -115,10 +115,6 @@
         if account is not None and not account.tasks and not account.holds:
             del self.hosts[host]
 
-    def hosts_in_use(self) -> set[ids.HostId]:
-        """Return the hosts that have commitments."""
-        return {host for host, account in self.hosts.items() if account.tasks}
-
     def open(self, host: ids.HostId) -> bool:
         """Tell whether a host may get new tasks."""
         return host in self.usable and host in self.listed
