--- a/src/turmerichook/_internal/routing/events.py
+++ b/src/turmerichook/_internal/routing/events.py
@@ -52,7 +52,7 @@
         summary="a request ended with an unexpected error in the gateway",
     )
     JOBS_CANCELLED = events.Event(
-        number=6020,
+        number=6090,
         level=events.Level.INFO,
         summary="the cancellation of some jobs was accepted and is durable",
     )
