--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -1,5 +1,7 @@
 """Random interleavings of events, checked by an independent account."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -96,6 +98,15 @@
                 self.forget_failures(work.key)
             self.zone.submit(work, self.facts, self.now)
 
+    @stateful.rule(pick=PICK, count=strategies.integers(1, 6))
+    def resize_service(self, pick, count) -> None:
+        keys = [k for k in self.zone.groups if k.startswith("service/")]
+        if keys:
+            key = keys[pick % len(keys)]
+            work = dataclasses.replace(self.checker.work[key], count=count)
+            self.checker.work[key] = work
+            self.zone.submit(work, self.facts, self.now)
+
     @stateful.rule(
         name=strategies.sampled_from(HOSTS),
         capacity=amounts(8),
@@ -181,9 +192,12 @@
     def take_over(self) -> None:
         # The journal does not hold the amounts of tasks that are no longer
         # wanted, so such tasks are left out here.
-        live = [t for t, life in self.checker.lives.items() if life.host]
-        if any(plan.split(t)[0] not in self.zone.groups for t in live):
-            return
+        for name, life in self.checker.lives.items():
+            key, number = plan.split(name)
+            group = self.zone.groups.get(key)
+            wanted = group is not None and number < group.work.count
+            if life.host is not None and not wanted:
+                return
         former = self.zone
         self.zone = self.new_zone()
         self.zone.set_hosts(tuple(self.listing.values()))
