Withdraw and submit work again in the interleavings

With the rule for services' replicas added, the break that lets a task start while its last attempt still stops was no longer caught. A rule now does both steps at once.

--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -90,13 +90,25 @@
 
     @stateful.rule(pick=PICK)
     def submit_again(self, pick) -> None:
-        # A job that was withdrawn while its tasks were still stopping.
         keys = list(self.checker.work)
         if keys:
-            work = self.checker.work[keys[pick % len(keys)]]
-            if work.key not in self.zone.groups:
-                self.forget_failures(work.key)
-            self.zone.submit(work, self.facts, self.now)
+            self.want(self.checker.work[keys[pick % len(keys)]])
+
+    @stateful.rule(pick=PICK)
+    def withdraw_and_submit_again(self, pick) -> None:
+        # The tasks are still stopping when they are wanted again.
+        keys = [plan.split(sent.task)[0] for sent in self.sent]
+        if keys:
+            key = keys[pick % len(keys)]
+            self.zone.withdraw(key, self.now)
+            self.want(self.checker.work[key])
+            self.decide(limit=20, seconds=0)
+
+    def want(self, work) -> None:
+        """Submit a workload that was known before."""
+        if work.key not in self.zone.groups:
+            self.forget_failures(work.key)
+        self.zone.submit(work, self.facts, self.now)
 
     @stateful.rule(pick=PICK, count=strategies.integers(1, 6))
     def resize_service(self, pick, count) -> None:
