--- a/tests/scheduling/test_interleavings.py
+++ b/tests/scheduling/test_interleavings.py
@@ -110,14 +110,18 @@
             self.forget_failures(work.key)
         self.zone.submit(work, self.facts, self.now)
 
-    @stateful.rule(pick=PICK, count=strategies.integers(1, 6))
-    def resize_service(self, pick, count) -> None:
+    @stateful.rule(
+        pick=PICK, counts=strategies.lists(strategies.integers(1, 6))
+    )
+    def resize_service(self, pick, counts) -> None:
+        # Replicas are unwanted and wanted again while they stop.
         keys = [k for k in self.zone.groups if k.startswith("service/")]
-        if keys:
+        for count in counts if keys else ():
             key = keys[pick % len(keys)]
             work = dataclasses.replace(self.checker.work[key], count=count)
             self.checker.work[key] = work
             self.zone.submit(work, self.facts, self.now)
+            self.decide(limit=20, seconds=0)
 
     @stateful.rule(
         name=strategies.sampled_from(HOSTS),
