Search for victims again only after a change

An urgent task that found no victim waited for the next release even if batch tasks in its way began to run meanwhile, and more than 20 such tasks were searched for in every round, so that those behind never had a turn. Amounts without victims are now remembered until something is released or begins to run.

--- a/src/turmerichook/_internal/scheduling/commitments.py
+++ b/src/turmerichook/_internal/scheduling/commitments.py
@@ -61,6 +61,9 @@
         ] = no_cost
         # Amounts for which no host has room until something is released.
         self.blocked: set[resources.Resources] = set()
+        # Amounts for which stopping batch tasks makes no room, until
+        # something is released or begins to run.
+        self.unfreeable: set[resources.Resources] = set()
         self.releases = 0
         self.sequence = 0
         self.reserved: dict[ids.TaskId, None] = {}
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -59,6 +59,7 @@
     if zone.ledger.releases != zone.releases:
         zone.releases = zone.ledger.releases
         zone.blocked.clear()
+        zone.unfreeable.clear()
     elif not zone.queue.changed:
         return done
     zone.queue.changed = False
@@ -235,6 +236,8 @@
     now: datetime.timedelta,
     done: Round,
 ) -> bool:
+    if group.amount in zone.unfreeable:
+        return False
     if done.searches >= PREEMPTION_SEARCHES:
         # The next round goes on.
         zone.queue.changed = True
@@ -242,6 +245,7 @@
     done.searches += 1
     victims = preemption.find(zone, group.amount, now)
     if isinstance(victims, outcomes.Absent):
+        zone.unfreeable.add(group.amount)
         return False
     number = group.peek()
     group.take()
--- a/src/turmerichook/_internal/scheduling/state.py
+++ b/src/turmerichook/_internal/scheduling/state.py
@@ -43,6 +43,10 @@
         if task.phase in (Phase.ASSIGNED, Phase.RUNNING):
             if task.phase is Phase.ASSIGNED:
                 task.saved = now if now is not None else task.since
+                if self.unfreeable:
+                    # The task may now make room for an urgent one.
+                    self.unfreeable.clear()
+                    self.queue.changed = True
             task.phase = Phase.RUNNING
             task.address = address
             return True
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -8,6 +8,7 @@
 from turmerichook._internal.scheduling import explanations
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import quotas
+from turmerichook._internal.scheduling import rounds
 from turmerichook._internal.scheduling import state as states
 
 
@@ -235,3 +236,37 @@
             zone, "job/b", zones.cores(4), urgency=site.Urgency.URGENT
         )
         assert not zones.run(zone, 1).stops
+
+    def test_tasks_that_begin_to_run_become_victims(self):
+        # Guards against urgent work that waits for the next release, because
+        # the tasks in its way had not yet begun when it came.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "job/j", zones.cores(4))
+        [command] = rounds.decide(zone, zones.SECOND, 10).starts
+        zones.submit(
+            zone, "job/u", zones.cores(1), urgency=site.Urgency.URGENT
+        )
+        assert not zones.run(zone, 2).stops
+        zone.running(command.task, command.attempt, "", 3 * zones.SECOND)
+        [stop] = zones.run(zone, 3).stops
+        assert stop.stop.task == command.task
+
+    def test_hopeless_searches_are_not_repeated(self):
+        # Guards against a search through all hosts in each round, and
+        # against workloads behind the limit of searches that never get one.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "service/s/a", zones.cores(3))
+        zones.submit(zone, "job/j")
+        zones.run(zone)
+        for number in range(30):
+            zones.submit(
+                zone,
+                f"job/u{number}",
+                resources.Resources(millicores=4_000 - number),
+                urgency=site.Urgency.URGENT,
+                team=f"t{number}",
+            )
+        zones.submit(zone, "job/small", urgency=site.Urgency.URGENT, team="z")
+        stops = [len(zones.run(zone, 1).stops) for _ in range(3)]
+        assert sum(stops) == 1
+        assert zones.run(zone, 1).searches == 0
