--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -207,9 +207,9 @@
     if refusal is not None:
         return refusal
     need = group.amount
-    choice: placement.Placed | outcomes.Absent
-    choice = outcomes.Absent(reason=outcomes.Reason.NO_FIT)
-    if need not in zone.blocked:
+    if need in zone.blocked:
+        choice = outcomes.Absent(reason=outcomes.Reason.NO_FIT)
+    else:
         choice = placement.choose(
             need=need,
             ledger=zone.ledger,
