--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -1,8 +1,7 @@
 """One round of decisions about the waiting tasks of a zone.
 
-A round looks at each lane of the queue at most once per start and once per
-refusal, never at each waiting task. It ends at once if nothing was queued and
-nothing was released since the last one.
+A round looks at each lane of the queue once per start and refusal, never at
+each waiting task, and ends at once if nothing was queued or released since.
 """
 
 import dataclasses
