--- a/tests/scheduling/test_owner.py
+++ b/tests/scheduling/test_owner.py
@@ -6,6 +6,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal
 from turmerichook._internal.scheduling import operator_calls
@@ -52,6 +53,26 @@
 
         worlds.run(scenario)
 
+    def test_record_and_withdrawal(self):
+        # Guards against a failed job that stays accepted, or that is
+        # submitted again by the next plan.
+        async def scenario(world):
+            await submit(world, "j")
+            await world.until(lambda: world.running("job/j/") != [])
+            fault = outcomes.Absent(
+                reason=outcomes.Reason.FAILS_EVERYWHERE, detail="10 failures"
+            )
+            state = world.owner().state
+            state.fail(state.groups["job/j"], fault)
+            await world.until_completed("j")
+            record = await world.record("j")
+            assert record.state is jobs.JobState.FAILED
+            assert record.detail == "fails-everywhere: 10 failures"
+            await world.advance(2)
+            assert not world.owner().state.groups
+
+        worlds.run(scenario)
+
     def test_deadline(self):
         # Guards against work that goes on after it is of no use.
         async def scenario(world):
