Place batch beside services that report no latency

Cause: beside a service with a target whose workers report no latency, the second batch task of an unknown class was refused for ever, so batch could wait without end on a platform without latency reports.

--- a/src/turmerichook/_internal/scheduling/advice.py
+++ b/src/turmerichook/_internal/scheduling/advice.py
@@ -189,6 +189,10 @@
         now: datetime.timedelta,
     ) -> "_ServiceView":
         target = self.targets.get(service.task_class)
+        if now - max(service.since, service.latency_measured) > STALE:
+            # Without reports a target cannot be judged, and batch must not
+            # wait for reports that may never come.
+            target = None
         present = self._slowdown(service, tasks.neighbours(), now)
         room = None
         if target is not None:
@@ -211,7 +215,7 @@
         """Return how much slowdown in all a service can stand."""
         latency = service.latency
         measured = service.latency_measured
-        if latency is None or now - measured > STALE:
+        if latency is None:
             return UNMEASURED_SLOWDOWN
         # The report contains the slowdown by what ran when it was measured.
         then = tasks.neighbours_at(measured) or {}
--- a/tests/scheduling/test_colocation.py
+++ b/tests/scheduling/test_colocation.py
@@ -212,3 +212,14 @@
         assert advice == outcomes.Absent(
             reason=outcomes.Reason.SERVICE_AT_RISK
         )
+
+    def test_silent_service_does_not_starve_batch(self):
+        # Guards against batch that waits for ever beside a service whose
+        # latency is never reported.
+        zone = Zone()
+        refused = zone.subject.advise(
+            spec_of("job/a/0"), SIZE, "h0", seconds(1)
+        )
+        assert isinstance(refused, outcomes.Absent)
+        zone.start("job/a/0", "h0", 90)
+        assert "job/a/0" in zone.subject.tracker.tasks
