--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -330,8 +330,9 @@
                 self._send(command.host, (command.stop,))
 
     def _share(self) -> None:
-        for host, operation in self.sharing.act(self.clock.monotonic()):
-            self._send(host, (operation,))
+        operations = self.sharing.act(self.clock.monotonic())
+        for host, batch in operations.items():
+            self._send(host, tuple(batch))
 
     def _decide(self) -> None:
         now = self.clock.monotonic()
--- a/src/turmerichook/_internal/scheduling/sharing.py
+++ b/src/turmerichook/_internal/scheduling/sharing.py
@@ -66,15 +66,18 @@
             self.state.ledger.release(host, item.task)
             self.state.ledger.record(host, item.task, item.resources)
 
-    def act(self, now: datetime.timedelta) -> list[HostOperation]:
-        """Decide once a second and return what to send to workers."""
+    def act(
+        self, now: datetime.timedelta
+    ) -> dict[ids.HostId, list[workers.Operation]]:
+        """Decide once a second and return what to send to each worker."""
         if self.acted is not None and now - self.acted < INTERVAL:
-            return []
+            return {}
         self.acted = now
         self._track(now)
-        operations: list[HostOperation] = []
+        operations: dict[ids.HostId, list[workers.Operation]] = {}
         for decision in self.colocation.decide(now, self._free):
-            operations += self._apply(decision)
+            for host, operation in self._apply(decision):
+                operations.setdefault(host, []).append(operation)
         return operations
 
     def _free(self, host: ids.HostId) -> resources.Resources:
@@ -149,13 +152,16 @@
         return []
 
     def _throttle(self, decision: decisions.Throttle) -> list[HostOperation]:
-        logs.emit(
-            events.SchedulingEvent.TASK_THROTTLED,
-            host=decision.host,
-            task=decision.task,
-            attempt=decision.attempt,
-            share=decision.share,
-        )
+        if decision.share < 1.0:
+            # After a takeover the limit of every batch task is lifted, which
+            # is not worth a line for each.
+            logs.emit(
+                events.SchedulingEvent.TASK_THROTTLED,
+                host=decision.host,
+                task=decision.task,
+                attempt=decision.attempt,
+                share=decision.share,
+            )
         operation = workers.Throttle(
             task=decision.task,
             attempt=decision.attempt,
