--- a/src/turmerichook/_internal/scheduling/health.py
+++ b/src/turmerichook/_internal/scheduling/health.py
@@ -34,6 +34,7 @@
 
     :param failed: jobs with a quick failure since the last good work, with
         the time of the newest one.
+    :param suspected: whether it was told that the cap keeps it in use.
     :param probe: task that probes a quarantined host.
     :param probe_after: earliest time of the next probe.
     """
@@ -42,6 +43,7 @@
         default_factory=dict
     )
     quarantined: bool = False
+    suspected: bool = False
     successes: int = 0
     probe: ids.TaskId | None = None
     probe_after: datetime.timedelta = datetime.timedelta()
@@ -147,6 +149,7 @@
             return None
         if not record.quarantined:
             record.failed.clear()
+            record.suspected = False
             return None
         if record.probe != task:
             # It started before the quarantine and shows nothing new.
@@ -236,6 +239,9 @@
         if len(counted) < JOBS_TO_QUARANTINE:
             return None
         if self.in_quarantine() >= self.quarantine_limit():
+            if record.suspected:
+                return None
+            record.suspected = True
             return Suspected(host=host, jobs=counted)
         record.quarantined = True
         record.successes = 0
--- a/tests/scheduling/test_colocation_parts.py
+++ b/tests/scheduling/test_colocation_parts.py
@@ -247,6 +247,24 @@
                 )
                 assert change is None
 
+    def test_cap_is_told_once(self):
+        # Guards against an error line for each failure on a host that the
+        # cap keeps in use.
+        records = health.Health()
+        records.set_hosts({"0", "1"})
+        told = []
+        for number in range(20):
+            change = records.failed(
+                str(number % 2),
+                "t",
+                str(number),
+                ran=seconds(1),
+                now=seconds(number),
+            )
+            told.append(type(change))
+        assert told.count(health.Quarantined) == 1
+        assert told.count(health.Suspected) == 1
+
     def test_good_host_returns(self):
         # Guards against a host that stays in quarantine for ever, and
         # against a second probe beside the first.
