--- a/bench/measure_colocation_cost.py
+++ b/bench/measure_colocation_cost.py
@@ -70,6 +70,7 @@
         self.subject.set_hosts(tuple(listing))
         for name in self.names:
             self.ledger.set_capacity(name, shared_hosts.CAPACITY)
+            self.ledger.usable.add(name)
         for number in range(REPLICAS):
             self._put(f"service/s{number % SERVICES}/z/{number}", number)
         for number in range(BATCH):
@@ -112,15 +113,15 @@
     def choose(self, number: int, *, advised: bool) -> None:
         """Choose a host for one task without starting it."""
         spec = _spec(f"job/{_letters(number % FAMILIES)}-0/0")
-        advise = functools.partial(
-            self.subject.advise, spec, SIZE, now=self.now
-        )
+        cost = functools.partial(self.subject.advise, spec, SIZE, now=self.now)
         placement.choose(
-            amount=SIZE,
+            need=SIZE,
             ledger=self.ledger,
-            usable=self.names,
-            weights=site.Weights(),
-            advise=advise if advised else None,
+            generator=self.random,
+            preference=placement.Preference(
+                weights=site.Weights(),
+                cost=cost if advised else _no_cost,
+            ),
         )
 
 
@@ -184,5 +185,9 @@
     )
 
 
+def _no_cost(host: ids.HostId) -> float:
+    return 0.0
+
+
 def _letters(number: int) -> str:
     return "".join("abcdefghij"[int(digit)] for digit in str(number))
--- a/bench/sharing_policies.py
+++ b/bench/sharing_policies.py
@@ -11,8 +11,8 @@
 from turmerichook._internal.models import site
 from turmerichook._internal.platform import hosts
 from turmerichook._internal.scheduling import colocation
-from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import placement
+from turmerichook._internal.scheduling import sharing_decisions as decisions
 from turmerichook._internal.scheduling import sizing
 
 # Waiting tasks that a policy looks at in one step.
@@ -165,6 +165,9 @@
     def __init__(self, world):
         super().__init__(world)
         self.weights = world.scenario.weights
+        self.random = random.Random(7)
+        for host in world.hosts:
+            world.ledger.usable.add(host)
         self.colocation = colocation.Colocation()
         services = {
             f"s{number}": site.Service(
@@ -219,12 +222,14 @@
 
     def choose(self, task, amount):
         choice = placement.choose(
-            amount=amount,
+            need=amount,
             ledger=self.world.ledger,
-            usable=self.world.hosts,
-            weights=self.weights,
-            advise=functools.partial(
-                self.colocation.advise, task.spec, amount, now=self.now()
+            generator=self.random,
+            preference=placement.Preference(
+                weights=self.weights,
+                cost=functools.partial(
+                    self.colocation.advise, task.spec, amount, now=self.now()
+                ),
             ),
         )
         return choice.host if choice else None
--- a/src/turmerichook/_internal/models/site.py
+++ b/src/turmerichook/_internal/models/site.py
@@ -39,11 +39,14 @@
 
     :param quota: limit for the sum of commitments; None for no limit.
     :param weight: share of contended room relative to other teams.
+    :param request_rate: requests a second to the team's services on all
+        gateways together; None for no limit.
     """
 
     team: ids.TeamId
     quota: resources.Resources | None = None
     weight: float = 1.0
+    request_rate: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -76,6 +79,9 @@
     :param tasks: number of tasks.
     :param run_time: declared run time of one task.
     :param zones: allowed zones; empty for all.
+    :param start_by: time after acceptance by which tasks should start; it
+        orders the jobs of one team.
+    :param deadline: time after acceptance at which an unfinished job fails.
     """
 
     job: ids.JobId
@@ -85,6 +91,8 @@
     run_time: datetime.timedelta
     zones: tuple[ids.ZoneId, ...] = ()
     urgency: Urgency = Urgency.NORMAL
+    start_by: datetime.timedelta | None = None
+    deadline: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/turmerichook/_internal/scheduling/colocation.py
+++ b/src/turmerichook/_internal/scheduling/colocation.py
@@ -16,12 +16,12 @@
 from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import advice
 from turmerichook._internal.scheduling import classes
-from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import health
 from turmerichook._internal.scheduling import interference
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import relief
 from turmerichook._internal.scheduling import reports
+from turmerichook._internal.scheduling import sharing_decisions as decisions
 from turmerichook._internal.scheduling import sizing
 from turmerichook._internal.scheduling import tracking
 
--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -1,35 +1,34 @@
 """The scheduler process: a candidate for each zone, and its owners."""
 
 import asyncio
-import time
+import datetime
+import urllib.parse
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import distribution
-from turmerichook._internal.configuration import messages as config_messages
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import server
-from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.membership import member as members
 from turmerichook._internal.membership import messages as member_messages
+from turmerichook._internal.membership import metrics as member_metrics
+from turmerichook._internal.metrics import registry
+from turmerichook._internal.metrics import timed_store
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import hosts_http
 from turmerichook._internal.platform import store_http
 from turmerichook._internal.platform import workers_http
-from turmerichook._internal.scheduling import events
+from turmerichook._internal.scheduling import environment as environments
 from turmerichook._internal.scheduling import messages
+from turmerichook._internal.scheduling import operator_calls
 from turmerichook._internal.scheduling import owner as owners
 from turmerichook._internal.scheduling import ownership
+from turmerichook._internal.scheduling import tenures
 from turmerichook._internal import settings as settings_module
+from turmerichook._internal import stream_types
 from turmerichook._internal.streams import codec
 from turmerichook._internal.streams import hub as hubs
-from turmerichook import exceptions
 
-STREAM_TYPES = (
-    member_messages.Hello,
-    member_messages.Heartbeat,
-    config_messages.GenerationBundle,
-    messages.EndpointTable,
-    messages.ZoneStatus,
-)
+FLUSH_TIME = datetime.timedelta(milliseconds=100)
 
 
 class SchedulerDaemon:
@@ -41,23 +40,45 @@
         self.settings = settings
         self.clock = clock
         host, port = addresses.split(settings.store)
-        self.store = store_http.HttpStore(host=host, port=port)
+        self.metrics = registry.Registry()
+        self.store = timed_store.TimedStore(
+            store=store_http.HttpStore(host=host, port=port),
+            registry=self.metrics,
+        )
         host, port = addresses.split(settings.hosts)
         self.host_list = hosts_http.HttpHostList(host=host, port=port)
         self.pool = workers_http.HttpWorkerPool()
         self.subscription = distribution.Subscription(
-            store=self.store, clock=clock
+            store=self.store, clock=clock, held=True
+        )
+        self.member = members.Member(
+            settings=settings,
+            role="scheduler",
+            store=self.store,
+            clock=clock,
+            subscription=self.subscription,
+            owned=lambda: {z: o.epoch for z, o in self.owned_zones().items()},
         )
-        self.tables: dict[str, messages.EndpointTable] = {}
+        self.peers = environments.Peers()
         self.hub = hubs.Hub(
-            codec=codec.Codec(types=STREAM_TYPES),
+            codec=codec.Codec(types=stream_types.STREAM_TYPES),
             clock=clock,
-            peers=settings.peers,
             greeting=self._greeting,
+            **members.hub_peers(settings),
         )
         self.server = server.Server(handler=self._handle)
-        self.candidates: dict[ids.ZoneId, asyncio.Task] = {}
-        self.owned: dict[ids.ZoneId, ownership.Tenure] = {}
+        self.histories: dict[ids.ZoneId, operator_calls.QueueHistory] = {}
+        self.tenures: dict[ids.ZoneId, tenures.Tenures] = {}
+        self.environment = environments.Environment(
+            node=settings.node,
+            store=self.store,
+            pool=self.pool,
+            host_list=self.host_list,
+            clock=clock,
+            configuration=lambda: self.subscription.configuration,
+            publish=self._publish,
+            peers=self.peers,
+        )
 
     async def run(self) -> None:
         """Run until cancelled, then give up what is owned."""
@@ -67,24 +88,22 @@
         self.subscription.listeners.append(lambda _: self._add_candidates())
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.subscription.run())
+                group.create_task(self.member.run(self.hub))
                 group.create_task(self._receive())
+                group.create_task(self._sample_queues())
         finally:
-            for task in self.candidates.values():
-                task.cancel()
-            await asyncio.gather(
-                *self.candidates.values(), return_exceptions=True
-            )
+            await asyncio.gather(*(t.stop() for t in self.tenures.values()))
+            # Lets the links send what the candidates published last.
+            await self.clock.sleep(FLUSH_TIME)
             self.hub.stop()
             await self.server.stop(grace=1.0)
 
     def _add_candidates(self) -> None:
         for zone in self.subscription.configuration.zones:
-            if zone not in self.candidates:
-                task = asyncio.create_task(self._candidate(zone))
-                self.candidates[zone] = task
+            if zone not in self.tenures:
+                self._add_candidate(zone)
 
-    async def _candidate(self, zone: ids.ZoneId) -> None:
+    def _add_candidate(self, zone: ids.ZoneId) -> None:
         candidate = ownership.Candidate(
             zone=zone,
             node=self.settings.node,
@@ -94,77 +113,97 @@
             clock=self.clock,
             confirm=self.subscription.read,
         )
-        while True:
-            tenure = await candidate.gain()
-            self.owned[zone] = tenure
-            try:
-                await self._own(candidate, tenure)
-            except* exceptions.TurmerichookError as group:
-                logs.emit(
-                    events.SchedulingEvent.OWNERSHIP_LOST,
-                    zone=zone,
-                    epoch=tenure.epoch,
-                    error=group.exceptions[0],
-                )
-            finally:
-                del self.owned[zone]
-                await _release(candidate, tenure)
-
-    async def _own(
-        self, candidate: ownership.Candidate, tenure: ownership.Tenure
-    ) -> None:
-        owner = owners.Owner(
-            tenure=tenure,
-            node=self.settings.node,
-            store=self.store,
-            pool=self.pool,
-            host_list=self.host_list,
-            clock=self.clock,
-            configuration=lambda: self.subscription.configuration,
-            publish=self._publish,
+        self.tenures[zone] = tenures.Tenures(
+            candidate=candidate, environment=self.environment
         )
-        async with asyncio.TaskGroup() as group:
-            group.create_task(candidate.keep(tenure))
-            group.create_task(owner.run())
+        self.tenures[zone].start()
 
     def _publish(self, message: object) -> None:
         if isinstance(message, messages.EndpointTable):
-            former = self.tables.get(message.zone)
-            self.tables[message.zone] = message
+            former = self.peers.tables.get(message.zone)
+            self.peers.tables[message.zone] = message
             if (
                 former is not None
                 and former.epoch == message.epoch
                 and former.endpoints == message.endpoints
             ):
                 return
+        if isinstance(message, messages.ZoneStatus):
+            self.peers.statuses[message.zone] = message
         self.hub.publish(message)
 
     def _greeting(self) -> list[object]:
-        hello = member_messages.Hello(
-            node=self.settings.node,
-            role="scheduler",
-            zone=self.settings.zone,
-            incarnation=time.time_ns() // 1_000_000,
-        )
-        greeting: list[object] = [hello]
-        if self.subscription.packed is not None:
-            greeting.append(self.subscription.packed)
-        greeting += [
-            self.tables[zone] for zone in self.owned if zone in self.tables
-        ]
-        return greeting
+        tables = list(self.peers.tables.values())
+        return self.member.greeting() + tables
 
     async def _receive(self) -> None:
         while True:
             received = await self.hub.received.get()
-            match received.message:
-                case config_messages.GenerationBundle():
-                    self.subscription.offer(received.message)
+            if isinstance(received.message, member_messages.Heartbeat):
+                self._heard_heartbeat(received.message)
+            if not self.member.receive(received):
+                self._take(received)
+
+    def _heard_heartbeat(self, message: member_messages.Heartbeat) -> None:
+        for zone, epoch in message.owned.items():
+            self._heard_epoch(zone, epoch, message.node)
+
+    def _take(self, received: hubs.Received) -> None:
+        match received.message:
+            case messages.EndpointTable() as table:
+                self._heard_epoch(table.zone, table.epoch, "a peer")
+                known = self.peers.tables.get(table.zone)
+                version = (table.epoch, table.sequence)
+                if known is None or version > (known.epoch, known.sequence):
+                    self.peers.tables[table.zone] = table
+                self.member.relay(received, version)
+            case messages.ZoneStatus() as status:
+                self._heard_epoch(status.zone, status.epoch, status.owner)
+                self.peers.statuses[status.zone] = status
+            case messages.ZoneReleased() as release:
+                tenure = self.tenures.get(ids.ZoneId(release.zone))
+                if tenure is not None:
+                    tenure.heard_release(release)
+                self.member.relay(received, (release.epoch,))
+
+    def _heard_epoch(self, zone: str, epoch: int, source: str) -> None:
+        tenure = self.tenures.get(ids.ZoneId(zone))
+        if tenure is not None:
+            tenure.heard_epoch(epoch, source)
+
+    def owned_zones(self) -> dict[ids.ZoneId, owners.Owner]:
+        """Return the owners of the zones that this process owns now."""
+        return {
+            zone: tenure.owner
+            for zone, tenure in self.tenures.items()
+            if tenure.owner is not None
+        }
+
+    async def _sample_queues(self) -> None:
+        while True:
+            for zone, owner in self.owned_zones().items():
+                history = self.histories.setdefault(
+                    zone, operator_calls.QueueHistory()
+                )
+                history.add(owner.state)
+            await self.clock.sleep(operator_calls.SAMPLE_INTERVAL)
+
+    def _queue_document(self, zone: ids.ZoneId, owner: owners.Owner) -> dict:
+        history = self.histories.get(zone, operator_calls.QueueHistory())
+        return operator_calls.queue_document(
+            owner.state, history, self.clock.monotonic()
+        )
 
     async def _handle(self, exchange: server.Exchange) -> None:
         match exchange.head.path:
             case "/healthz":
                 await exchange.respond_json(document={"status": "ok"})
+            case "/metrics":
+                await self._metrics(exchange)
+            case "/v1/explain":
+                await self._explain(exchange)
+            case "/v1/members":
+                await exchange.respond_json(document=self.member.document())
             case "/v1/status":
                 await exchange.respond_json(document=self._status())
             case _:
@@ -172,19 +211,41 @@
                     document={"code": "not-found"}, status=404
                 )
 
+    async def _metrics(self, exchange: server.Exchange) -> None:
+        member_metrics.collect(self.metrics, self.member)
+        for name in operator_calls.GAUGES:
+            self.metrics.clear(f"zone_{name}")
+        for zone, owner in self.owned_zones().items():
+            document = self._queue_document(zone, owner)
+            for name in operator_calls.GAUGES:
+                self.metrics.set(f"zone_{name}", document[name], zone=zone)
+        await exchange.respond(
+            status=200,
+            body=self.metrics.render().encode(),
+            content_type=registry.CONTENT_TYPE,
+        )
+
+    async def _explain(self, exchange: server.Exchange) -> None:
+        query = urllib.parse.parse_qs(exchange.head.query)
+        name = query.get("task", [""])[0]
+        now = self.clock.monotonic()
+        for zone, owner in self.owned_zones().items():
+            found = operator_calls.explain_document(owner.state, name, now)
+            if found is not None:
+                await exchange.respond_json(document={"zone": zone, **found})
+                return
+        await exchange.respond_json(
+            document={"code": "task-not-found"}, status=404
+        )
+
     def _status(self) -> dict:
+        owned = self.owned_zones()
         return {
+            "zones": {
+                zone: self._queue_document(zone, owner)
+                for zone, owner in owned.items()
+            },
             "node": self.settings.node,
             "generation": self.subscription.generation,
-            "owned": {z: t.epoch for z, t in self.owned.items()},
+            "owned": {zone: owner.epoch for zone, owner in owned.items()},
         }
-
-
-async def _release(
-    candidate: ownership.Candidate, tenure: ownership.Tenure
-) -> None:
-    try:
-        await candidate.release(tenure)
-    except exceptions.TurmerichookError:
-        # The lease lapses by itself.
-        pass
--- a/src/turmerichook/_internal/scheduling/decisions.py
+++ b/src/turmerichook/_internal/scheduling/decisions.py
@@ -1,89 +1,114 @@
-"""Decisions of co-location that the zone's owner carries out."""
+"""What a round decided, in the form in which it is logged.
 
+The line of a placement holds everything that the choice was made from, so
+that ``replay`` finds the same host from the line alone.
+"""
+
+import collections.abc
 import dataclasses
-import enum
 
 from turmerichook._internal.models import ids
-from turmerichook._internal.models import resources
-from turmerichook._internal.scheduling import health
-from turmerichook._internal.scheduling import ladder
-
-
-class StopReason(enum.Enum):
-    """Why a batch task is taken off its host."""
-
-    SLOW_SERVICE = "slow-service"
-    OUTGROWN = "outgrown"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Throttle:
-    """Limit an attempt to a share of its processors."""
-
-    host: ids.HostId
-    task: ids.TaskId
-    attempt: ids.Attempt
-    share: float
+from turmerichook._internal.models import site
+from turmerichook._internal import outcomes
+from turmerichook._internal.scheduling import placement
+from turmerichook._internal.scheduling import preemption
+from turmerichook._internal.scheduling import tasks as records
+from turmerichook import exceptions
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Evict:
-    """Take an attempt off its host.
+class Placement:
+    """A task was given a host.
 
-    :param again: whether an earlier request had no effect yet; it is not
-        counted against the budgets again.
+    :param reason: ``best-of-drawn``, or ``room-freed`` for a task whose room
+        was reserved.
     """
 
-    host: ids.HostId
-    task: ids.TaskId
-    attempt: ids.Attempt
-    checkpoint: bool
-    reason: StopReason
-    again: bool = False
+    command: records.StartCommand
+    reason: str
+    team: ids.TeamId
+    weights: site.Weights
+    score: float
+    candidates: tuple[placement.Candidate, ...]
+
+    def fields(self) -> dict[str, str | int]:
+        """Return the fields of the log line."""
+        command = self.command
+        return {
+            "task": command.task,
+            "attempt": command.attempt,
+            "host": command.host,
+            "reason": self.reason,
+            "team": self.team,
+            "need": command.amount.text(),
+            "score": f"{self.score:.4f}",
+            "weights": f"{self.weights.spread!r}:{self.weights.pack!r}",
+            "candidates": ",".join(
+                f"{c.host}:{c.room}:{c.on_host}:{c.on_rack}:{c.cost!r}"
+                for c in self.candidates
+            ),
+        }
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Resize:
-    """Change the commitment of an attempt."""
+class Preemption:
+    """Tasks are stopped to make room for an urgent one."""
 
-    host: ids.HostId
     task: ids.TaskId
-    attempt: ids.Attempt
-    before: resources.Resources
-    after: resources.Resources
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EvictionDenied:
-    """A budget kept a task on its host."""
+    victims: preemption.Victims
 
-    host: ids.HostId
-    task: ids.TaskId
-    reason: StopReason
+    def fields(self) -> dict[str, str | int]:
+        """Return the fields of the log line."""
+        return {
+            "task": self.task,
+            "host": self.victims.host,
+            "victims": ",".join(self.victims.tasks),
+            "lost_core_s": f"{self.victims.cost:.1f}",
+        }
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StepChanged:
-    """A host is on another step of the ladder."""
-
-    host: ids.HostId
-    before: ladder.Step
-    step: ladder.Step
+class Wait:
+    """The reason for which tasks of a workload wait has changed."""
 
+    key: str
+    tasks: int
+    reason: outcomes.Reason
+    detail: str
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobAtFault:
-    """A job fails on every host it was tried on."""
+    def fields(self) -> dict[str, str | int]:
+        """Return the fields of the log line."""
+        return {
+            "work": self.key,
+            "tasks": self.tasks,
+            "reason": self.reason.value,
+            "detail": repr(self.detail),
+        }
 
-    job: ids.JobId
 
+def replay(fields: collections.abc.Mapping[str, str]) -> ids.HostId:
+    """Return the host that the choice gives for a logged placement.
 
-Decision = (
-    Throttle
-    | Evict
-    | Resize
-    | EvictionDenied
-    | StepChanged
-    | JobAtFault
-    | health.Change
-)
+    :raises MessageError: if the fields are malformed.
+    """
+    try:
+        spread, pack = fields["weights"].split(":")
+        weights = site.Weights(spread=float(spread), pack=float(pack))
+        found = [_candidate(c) for c in fields["candidates"].split(",")]
+    except (KeyError, ValueError) as error:
+        raise exceptions.MessageError(
+            message="malformed placement line", context=repr(error)
+        ) from error
+    return placement.select(found, weights).host
+
+
+def _candidate(text: str) -> placement.Candidate:
+    # Host names may hold colons, the other parts never do.
+    host, room, on_host, on_rack, cost = text.rsplit(":", 4)
+    return placement.Candidate(
+        host=ids.HostId(host),
+        room=int(room),
+        on_host=int(on_host),
+        on_rack=int(on_rack),
+        cost=float(cost),
+    )
--- a/src/turmerichook/_internal/scheduling/jobs.py
+++ b/src/turmerichook/_internal/scheduling/jobs.py
@@ -12,6 +12,9 @@
 from turmerichook import exceptions
 
 PREFIX = "jobs/"
+CANCEL_PREFIX = "cancels/"
+# Final records, and cancellations, are kept this long.
+RETENTION = datetime.timedelta(hours=24)
 
 
 class JobState(enum.Enum):
@@ -30,6 +33,10 @@
     :param home: zone whose owner runs the job.
     :param operation: id of the write that made this version.
     :param accepted: time of acceptance, ISO 8601.
+    :param ended: time at which the state became final, ISO 8601.
+    :param finished: tasks that had their result when this was written.
+    :param progress: what the former home zone had done, as
+        ``progress.JobFacts.pack`` returns it; None if there was none.
     """
 
     spec: site.Job
@@ -38,6 +45,20 @@
     operation: ids.OperationId
     accepted: str
     detail: str = ""
+    ended: str = ""
+    finished: int = 0
+    progress: list | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cancellation:
+    """A batch of jobs to cancel.
+
+    :param created: time of the request, ISO 8601.
+    """
+
+    jobs: tuple[ids.JobId, ...]
+    created: str
 
 
 def key_of(job: ids.JobId) -> str:
@@ -62,11 +83,16 @@
             "run_time": spec.run_time.total_seconds(),
             "zones": list(spec.zones),
             "urgency": spec.urgency.value,
+            "start_by": _seconds(spec.start_by),
+            "deadline": _seconds(spec.deadline),
             "home": record.home,
             "state": record.state.value,
             "operation": record.operation,
             "accepted": record.accepted,
             "detail": record.detail,
+            "ended": record.ended,
+            "finished": record.finished,
+            "progress": record.progress,
         }
     )
 
@@ -77,7 +103,7 @@
     :raises MessageError: if it is malformed.
     """
     try:
-        fields = msgpack.unpackb(value)
+        fields = msgpack.unpackb(value, strict_map_key=False)
         return _record(fields)
     except (
         KeyError,
@@ -90,6 +116,54 @@
         ) from error
 
 
+def pack_cancellation(cancellation: Cancellation) -> bytes:
+    """Return the stored form of a cancellation."""
+    return msgpack.packb(
+        {"jobs": list(cancellation.jobs), "created": cancellation.created}
+    )
+
+
+def unpack_cancellation(value: bytes) -> Cancellation:
+    """Return a stored cancellation.
+
+    :raises MessageError: if it is malformed.
+    """
+    match _unpacked(value):
+        case {"jobs": list(names), "created": str(created)}:
+            return Cancellation(
+                jobs=tuple(ids.JobId(name) for name in names),
+                created=created,
+            )
+        case _:
+            raise exceptions.MessageError(message="malformed cancellation")
+
+
+def older_than(stamp: str, age: datetime.timedelta, now) -> bool:
+    """Tell whether an ISO 8601 time lies further back than ``age``."""
+    try:
+        return now - datetime.datetime.fromisoformat(stamp) > age
+    except (TypeError, ValueError):
+        # A time without a zone or in another form is never old enough.
+        return False
+
+
+def age(stamp: str, now: datetime.datetime) -> datetime.timedelta:
+    """Return the time since an ISO 8601 time; zero where it is malformed."""
+    try:
+        return now - datetime.datetime.fromisoformat(stamp)
+    except (TypeError, ValueError):
+        return datetime.timedelta()
+
+
+def _unpacked(value: bytes) -> object:
+    try:
+        return msgpack.unpackb(value)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise exceptions.MessageError(
+            message=f"not msgpack: {error}",
+        ) from error
+
+
 def _record(fields: dict) -> JobRecord:
     millicores, memory, accelerators = fields["amount"]
     spec = site.Job(
@@ -104,6 +178,9 @@
         run_time=datetime.timedelta(seconds=fields["run_time"]),
         zones=tuple(ids.ZoneId(zone) for zone in fields["zones"]),
         urgency=site.Urgency(fields["urgency"]),
+        # Records of earlier versions do not have the next two.
+        start_by=_interval(fields.get("start_by")),
+        deadline=_interval(fields.get("deadline")),
     )
     return JobRecord(
         spec=spec,
@@ -112,4 +189,15 @@
         operation=ids.OperationId(fields["operation"]),
         accepted=fields["accepted"],
         detail=fields["detail"],
+        ended=fields.get("ended", ""),
+        finished=fields.get("finished", 0),
+        progress=fields.get("progress"),
     )
+
+
+def _seconds(interval: datetime.timedelta | None) -> float | None:
+    return None if interval is None else interval.total_seconds()
+
+
+def _interval(seconds: float | None) -> datetime.timedelta | None:
+    return None if seconds is None else datetime.timedelta(seconds=seconds)
--- a/src/turmerichook/_internal/scheduling/relief.py
+++ b/src/turmerichook/_internal/scheduling/relief.py
@@ -5,10 +5,10 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.scheduling import budgets
-from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import interference
 from turmerichook._internal.scheduling import ladder as ladders
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import sharing_decisions as decisions
 from turmerichook._internal.scheduling import tracking
 
 THROTTLED_SHARE = 0.5
--- a/src/turmerichook/_internal/scheduling/reports.py
+++ b/src/turmerichook/_internal/scheduling/reports.py
@@ -5,9 +5,9 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import advice
-from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import interference
 from turmerichook._internal.scheduling import relief as reliefs
+from turmerichook._internal.scheduling import sharing_decisions as decisions
 from turmerichook._internal.scheduling import sizing
 from turmerichook._internal.scheduling import tracking
 
--- a/src/turmerichook/_internal/scheduling/sharing.py
+++ b/src/turmerichook/_internal/scheduling/sharing.py
@@ -11,10 +11,11 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import colocation
-from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import health
+from turmerichook._internal.scheduling import sharing_decisions as decisions
 from turmerichook._internal.scheduling import state as states
+from turmerichook._internal.scheduling import stops
 
 INTERVAL = datetime.timedelta(seconds=1)
 OUTCOMES = {
@@ -30,8 +31,9 @@
 class Sharing:
     """Co-location of one tenure of a zone's owner."""
 
-    def __init__(self, *, state: states.ZoneTasks):
+    def __init__(self, *, state: states.ZoneTasks, stop_list: stops.StopList):
         self.state = state
+        self.stops = stop_list
         self.colocation = colocation.Colocation()
         self.acted: datetime.timedelta | None = None
         state.adviser = self.colocation
@@ -61,10 +63,12 @@
         account = self.state.ledger.hosts.get(host)
         if account is None or item.task not in account.tasks:
             return
+        task = self.state.tasks.get(item.task)
+        if task is None or task.host != host:
+            return
         before = account.tasks[item.task]
         if not item.resources.fits(before):
-            self.state.ledger.release(host, item.task)
-            self.state.ledger.record(host, item.task, item.resources)
+            self.state.resize(task, before.greater(item.resources))
 
     def act(
         self, now: datetime.timedelta
@@ -76,8 +80,9 @@
         self._track(now)
         operations: dict[ids.HostId, list[workers.Operation]] = {}
         for decision in self.colocation.decide(now, self._free):
-            for host, operation in self._apply(decision):
+            for host, operation in self._apply(decision, now):
                 operations.setdefault(host, []).append(operation)
+        self.state.resize_waiting()
         return operations
 
     def _free(self, host: ids.HostId) -> resources.Resources:
@@ -89,15 +94,15 @@
         tracked = self.colocation.tracker.tasks
         for name, known in list(tracked.items()):
             task = self.state.tasks.get(name)
-            if task is None or task.host is None:
+            if task is None or task.phase not in states.ON_HOST:
                 self.colocation.ended(
                     name, known.attempt, colocation.Outcome.STOPPED, now
                 )
         for name, task in self.state.tasks.items():
-            if task.host is None:
+            if task.phase not in states.ON_HOST:
                 continue
             known = tracked.get(name)
-            amount = self.state.ledger.hosts[task.host].tasks[name]
+            amount = task.amount
             if known is not None and known.attempt == task.attempt:
                 if known.amount != amount:
                     self.colocation.tracker.resize(known, amount, now)
@@ -112,12 +117,14 @@
                     adopted=True,
                 )
 
-    def _apply(self, decision: decisions.Decision) -> list[HostOperation]:
+    def _apply(
+        self, decision: decisions.Decision, now: datetime.timedelta
+    ) -> list[HostOperation]:
         match decision:
             case decisions.Throttle():
                 return self._throttle(decision)
             case decisions.Evict():
-                return self._evict(decision)
+                self._evict(decision, now)
             case decisions.Resize():
                 self._resize(decision)
             case decisions.EvictionDenied():
@@ -169,7 +176,15 @@
         )
         return [(decision.host, operation)]
 
-    def _evict(self, decision: decisions.Evict) -> list[HostOperation]:
+    def _evict(
+        self, decision: decisions.Evict, now: datetime.timedelta
+    ) -> None:
+        """Stop an attempt; the stop list repeats the message as needed."""
+        task = self.state.tasks.get(decision.task)
+        if task is None or task.attempt != decision.attempt:
+            return
+        if task.phase not in (states.Phase.ASSIGNED, states.Phase.RUNNING):
+            return
         logs.emit(
             events.SchedulingEvent.TASK_EVICTED,
             host=decision.host,
@@ -179,16 +194,12 @@
             reason=decision.reason.value,
             again=decision.again,
         )
-        operation = workers.Stop(
-            task=decision.task,
-            attempt=decision.attempt,
-            checkpoint=decision.checkpoint,
-        )
-        return [(decision.host, operation)]
+        command = self.state.stop(task, now, checkpoint=decision.checkpoint)
+        self.stops.add(command, now)
 
     def _resize(self, decision: decisions.Resize) -> None:
-        self.state.ledger.release(decision.host, decision.task)
-        self.state.ledger.commit(decision.host, decision.task, decision.after)
+        task = self.state.tasks[decision.task]
+        self.state.resize(task, decision.after)
         logs.emit(
             events.SchedulingEvent.TASK_RESIZED,
             host=decision.host,
--- a/src/turmerichook/_internal/scheduling/tracking.py
+++ b/src/turmerichook/_internal/scheduling/tracking.py
@@ -8,9 +8,9 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import classes
-from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import interference
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import sharing_decisions as decisions
 from turmerichook._internal.scheduling import sizing
 
 # Changes of a host's batch tasks that are remembered. A report that is older
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -12,14 +12,15 @@
 import datetime
 import json
 import pathlib
-import time
 import typing
 import uuid
 
 from standins import contention
 from standins import endpoint
+from standins import holds
 from standins import metering
 from standins import process
+from standins import recorder
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import server
@@ -45,16 +46,6 @@
     runner: asyncio.Task | None = None
 
 
-class Recorder:
-    """Appends what happened to a file that the checkers read."""
-
-    def __init__(self, *, path: pathlib.Path):
-        self.file = path.open("a", buffering=1)
-
-    def __call__(self, entry: dict[str, typing.Any]) -> None:
-        self.file.write(json.dumps({"time": time.time(), **entry}) + "\n")
-
-
 class Worker:
     """One host that runs tasks under leases.
 
@@ -67,9 +58,11 @@
         host: ids.HostId,
         zone: ids.ZoneId,
         capacity: resources.Resources,
-        record: Recorder,
+        record: recorder.Recorder,
+        steps: holds.Holds,
         options: contention.Options = contention.Options(),
     ):
+        self.steps = steps
         self.options = options
         self.meter = metering.Meter()
         self.host = host
@@ -83,14 +76,25 @@
         self.events: list[workers.TaskEvent] = []
         self.sequence = 0
         self.changed = asyncio.Event()
+        self.dead = False
+        self.muted = False
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one call."""
+        if exchange.head.path == holds.PATH:
+            await self.steps.control(exchange)
+            return
+        if exchange.head.path == "/power":
+            await self._power(exchange)
+            return
         if exchange.head.path == FAULT_PATH:
             document = json.loads(await exchange.read_all())
             self.options = contention.from_document(document, self.options)
             await exchange.respond_json(document={})
             return
+        if self.dead or self.muted:
+            exchange.connection.close()
+            return
         try:
             document = json.loads(await exchange.read_all())
             request = worker_format.decode_request(document)
@@ -103,13 +107,48 @@
             )
             return
         self.epoch = request.epoch
-        answer = await self.sync(request)
+        try:
+            answer = await self.sync(request)
+        except holds.DroppedError:
+            exchange.connection.close()
+            return
+        if self.dead or self.muted:
+            exchange.connection.close()
+            return
         await exchange.respond_json(
             document=worker_format.encode_answer(answer)
         )
 
+    async def _power(self, exchange: server.Exchange) -> None:
+        """``{"on": false}`` kills the host, ``{"mute": true}`` cuts it off."""
+        document = json.loads(await exchange.read_all())
+        self.muted = document.get("mute", self.muted)
+        on = document.get("on", not self.dead)
+        if not on:
+            await self._die()
+        elif self.dead:
+            self.boot = ids.BootId(uuid.uuid4().hex[:12])
+            self.dead = False
+        await exchange.respond_json(document={})
+
+    async def _die(self) -> None:
+        self.dead = True
+        self.record({"kind": "host-dead", "host": self.host})
+        for name in list(self.running):
+            attempt = self.running.pop(name)
+            if attempt.runner is not None:
+                attempt.runner.cancel()
+            if attempt.replica is not None:
+                await attempt.replica.stop()
+        self.events = []
+        self.sequence = 0
+        self.epoch = ids.Epoch(0)
+        self.changed.set()
+
     async def sync(self, request: workers.SyncRequest) -> workers.SyncAnswer:
         """Apply a request and return what has happened."""
+        # A renewal must not revive a lease that lapsed before it arrived.
+        await self._expire_leases()
         if request.boot == self.boot:
             self.events = [
                 e for e in self.events if e.sequence > request.acknowledged
@@ -139,10 +178,13 @@
         """Stop tasks whose lease has lapsed."""
         while True:
             await self.clock.sleep(LEASE_CHECK)
-            now = self.clock.monotonic()
-            for name, attempt in list(self.running.items()):
-                if attempt.lease_until < now:
-                    await self._stop(name, "lease lapsed", checkpoint=True)
+            await self._expire_leases()
+
+    async def _expire_leases(self) -> None:
+        now = self.clock.monotonic()
+        for name, attempt in list(self.running.items()):
+            if attempt.lease_until < now and name in self.running:
+                await self._stop(name, "lease lapsed", checkpoint=True)
 
     def _inventory(self) -> tuple[workers.RunningTask, ...]:
         return tuple(
@@ -165,6 +207,8 @@
             case workers.Stop():
                 attempt = self.running.get(operation.task)
                 if attempt and attempt.start.attempt == operation.attempt:
+                    label = f"worker stop {operation.task}"
+                    await self.steps.reach(f"{label} before")
                     await self._stop(
                         operation.task,
                         "asked",
@@ -176,8 +220,11 @@
     async def _start(
         self, start: workers.Start, request: workers.SyncRequest
     ) -> None:
+        await self.steps.reach(f"worker start {start.task} before")
         now = self.clock.monotonic()
-        if start.not_after < now or start.task in self.running:
+        superseded = request.epoch < self.epoch
+        late = start.not_after < now
+        if self.dead or superseded or late or start.task in self.running:
             self._emit(start, workers.TaskState.REFUSED, detail="too late")
             return
         remaining = start.run_time - _progress(start.checkpoint)
@@ -198,6 +245,7 @@
         else:
             attempt.runner = asyncio.create_task(self._finish(attempt))
         self._emit(start, workers.TaskState.RUNNING, address=attempt.address)
+        await self.steps.reach(f"worker start {start.task} after")
 
     def _throttle(self, operation: workers.Throttle) -> None:
         attempt = self.running.get(operation.task)
@@ -217,6 +265,7 @@
             slots=start.slots,
             connections=start.connections,
             record=self.record,
+            steps=self.steps,
         )
         port = await attempt.replica.start()
         attempt.address = f"127.0.0.1:{port}"
@@ -293,9 +342,12 @@
 
 
 async def serve(
-    hosts: list[dict], record: Recorder, options: contention.Options
+    hosts: list[dict],
+    record: recorder.Recorder,
+    options: contention.Options,
 ) -> None:
     """Serve all hosts until cancelled."""
+    steps = holds.Holds()
     async with asyncio.TaskGroup() as group:
         for item in hosts:
             worker = Worker(
@@ -303,6 +355,7 @@
                 zone=ids.ZoneId(item["zone"]),
                 capacity=resources.Resources(**item["capacity"]),
                 record=record,
+                steps=steps,
                 options=options,
             )
             host, port = addresses.split(item["address"])
@@ -328,7 +381,8 @@
     if options.zone:
         hosts = [h for h in hosts if h["zone"] == options.zone]
     behaviour = contention.read_options(options.behaviour)
-    process.run(serve(hosts, Recorder(path=options.record), behaviour))
+    record = recorder.Recorder(path=options.record)
+    process.run(serve(hosts, record, behaviour))
 
 
 if __name__ == "__main__":
--- a/tests/scheduling/test_colocation.py
+++ b/tests/scheduling/test_colocation.py
@@ -14,10 +14,10 @@
 from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import budgets
 from turmerichook._internal.scheduling import colocation
-from turmerichook._internal.scheduling import decisions
 from turmerichook._internal.scheduling import ladder
 from turmerichook._internal.scheduling import ledger as ledgers
 from turmerichook._internal.scheduling import plan
+from turmerichook._internal.scheduling import sharing_decisions as decisions
 
 CAPACITY = resources.Resources(millicores=8000, memory_mib=8000)
 SIZE = resources.Resources(millicores=1000, memory_mib=1000)
