--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -102,17 +102,17 @@
         self.announce(now)
         for command in self.drain.evictions(self.state, now):
             self.owner.stops.add(command, now)
-        for host, operation in self.owner.sharing.act(now):
-            self._send(host, operation)
+        for host, batch in self.owner.sharing.act(now).items():
+            self._send(host, *batch)
         if self.owner.tenure.authority.remaining(now):
             self._place(now)
         for due in self.owner.stops.take_due(now):
             self._send(due.host, due.stop)
 
-    def _send(self, host: ids.HostId, operation: workers.Operation) -> None:
+    def _send(self, host: ids.HostId, *operations: workers.Operation) -> None:
         boot = self.reports.seen.get(host)
         if boot is not None:
-            self.owner.links.send(host, (operation,), boot=boot[0])
+            self.owner.links.send(host, operations, boot=boot[0])
 
     def announce(self, now: datetime.timedelta) -> None:
         """Publish the endpoints, and the status when it is due."""
--- a/src/turmerichook/_internal/scheduling/sharing.py
+++ b/src/turmerichook/_internal/scheduling/sharing.py
@@ -70,15 +70,18 @@
         if not item.resources.fits(before):
             self.state.resize(task, before.greater(item.resources))
 
-    def act(self, now: datetime.timedelta) -> list[HostOperation]:
-        """Decide once a second and return what to send to workers."""
+    def act(
+        self, now: datetime.timedelta
+    ) -> dict[ids.HostId, list[workers.Operation]]:
+        """Decide once a second and return what to send to each worker."""
         if self.acted is not None and now - self.acted < INTERVAL:
-            return []
+            return {}
         self.acted = now
         self._track(now)
-        operations: list[HostOperation] = []
+        operations: dict[ids.HostId, list[workers.Operation]] = {}
         for decision in self.colocation.decide(now, self._free):
-            operations += self._apply(decision, now)
+            for host, operation in self._apply(decision, now):
+                operations.setdefault(host, []).append(operation)
         self.state.resize_waiting()
         return operations
 
@@ -156,13 +159,16 @@
         return []
 
     def _throttle(self, decision: decisions.Throttle) -> list[HostOperation]:
-        logs.emit(
-            events.SchedulingEvent.TASK_THROTTLED,
-            host=decision.host,
-            task=decision.task,
-            attempt=decision.attempt,
-            share=decision.share,
-        )
+        if decision.share < 1.0:
+            # After a takeover the limit of every batch task is lifted, which
+            # is not worth a line for each.
+            logs.emit(
+                events.SchedulingEvent.TASK_THROTTLED,
+                host=decision.host,
+                task=decision.task,
+                attempt=decision.attempt,
+                share=decision.share,
+            )
         operation = workers.Throttle(
             task=decision.task,
             attempt=decision.attempt,
