Ask for advice on victims last, and read whole lines of the record

The search for victims asks co-location only about hosts that would be chosen, and remembers a hopeless search by amount and task class. A cell of the fault matrix failed since the launcher read a line that was being written.

--- a/src/turmerichook/_internal/scheduling/commitments.py
+++ b/src/turmerichook/_internal/scheduling/commitments.py
@@ -81,9 +81,9 @@
         self.refused_until: datetime.timedelta | None = None
         # Amounts for which no host has room until something is released.
         self.blocked: set[resources.Resources] = set()
-        # Amounts for which stopping batch tasks makes no room, until
-        # something is released or begins to run.
-        self.unfreeable: set[resources.Resources] = set()
+        # Amounts and classes for which stopping batch tasks makes no room,
+        # until something is released or begins to run.
+        self.unfreeable: set[queues.LaneKey] = set()
         self.releases = 0
         self.sequence = 0
         self.reserved: dict[ids.TaskId, None] = {}
--- a/src/turmerichook/_internal/scheduling/decision_round.py
+++ b/src/turmerichook/_internal/scheduling/decision_round.py
@@ -222,7 +222,7 @@
     now: datetime.timedelta,
     done: Round,
 ) -> bool:
-    if group.amount in zone.unfreeable:
+    if (group.amount, group.kin) in zone.unfreeable:
         return False
     if done.searches >= PREEMPTION_SEARCHES:
         # The next round goes on.
@@ -233,7 +233,7 @@
     spec = group.work.task(number)
     victims = preemption.find(zone, group.amount, now, spec)
     if isinstance(victims, outcomes.Absent):
-        zone.unfreeable.add(group.amount)
+        zone.unfreeable.add((group.amount, group.kin))
         return False
     group.take()
     for name in victims.tasks:
--- a/src/turmerichook/_internal/scheduling/preemption.py
+++ b/src/turmerichook/_internal/scheduling/preemption.py
@@ -39,20 +39,13 @@
     :param spec: the task that needs the room; hosts that co-location refuses
         for it are left out.
     """
-    names = sorted(
-        host
-        for host in zone.usable
-        if spec is None
-        or not isinstance(
-            zone.adviser.advise(spec, need, host, now), outcomes.Absent
-        )
-    )
+    names = sorted(zone.usable)
     drawn = names
     if len(names) > SAMPLES:
         drawn = zone.generator.sample(names, SAMPLES)
-    best = _best(zone, drawn, need, now)
+    best = _best(zone, drawn, need, now, spec)
     if best is None and drawn is not names:
-        best = _best(zone, names, need, now)
+        best = _best(zone, names, need, now, spec)
     if best is None:
         return outcomes.Absent(reason=outcomes.Reason.NO_FIT)
     return best
@@ -63,6 +56,7 @@
     names: collections.abc.Iterable[ids.HostId],
     need: resources.Resources,
     now: datetime.timedelta,
+    spec: plan.TaskSpec | None,
 ) -> Victims | None:
     best: Victims | None = None
     for host in names:
@@ -72,10 +66,25 @@
         if found is None:
             continue
         if best is None or (found.cost, host) < (best.cost, best.host):
-            best = found
+            # Advice is asked for last, since it costs most.
+            if _allowed(zone, spec, need, host, now):
+                best = found
     return best
 
 
+def _allowed(
+    zone: states.ZoneTasks,
+    spec: plan.TaskSpec | None,
+    need: resources.Resources,
+    host: ids.HostId,
+    now: datetime.timedelta,
+) -> bool:
+    if spec is None:
+        return True
+    advice = zone.adviser.advise(spec, need, host, now)
+    return not isinstance(advice, outcomes.Absent)
+
+
 def on_host(
     zone: states.ZoneTasks,
     host: ids.HostId,
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -338,7 +338,9 @@
         """Return what the stand-ins recorded, oldest first."""
         if not self.record.exists():
             return []
-        lines = self.record.read_text().splitlines()
+        text = self.record.read_text()
+        # A line that is being written now ends without a line feed.
+        lines = text[: text.rfind("\n") + 1].splitlines()
         return sorted(
             (json.loads(line) for line in lines), key=lambda e: e["time"]
         )
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -270,3 +270,22 @@
         stops = [len(zones.run(zone, 1).stops) for _ in range(3)]
         assert sum(stops) == 1
         assert zones.run(zone, 1).searches == 0
+
+    def test_hosts_that_are_refused_free_no_room(self):
+        # Guards against tasks that are stopped on a host that co-location
+        # then refuses, and against classes that share one refusal.
+        zone = zones.make_zone(2)
+        zones.submit(zone, "job/j", count=8)
+        zones.run(zone)
+
+        def advise(spec, amount, host, now):
+            if host == "h0" or spec.task.startswith("job/bad"):
+                return outcomes.Absent(reason=outcomes.Reason.SERVICE_AT_RISK)
+            return 0.0
+
+        zone.adviser.advise = advise
+        for name in ("bad", "good"):
+            zones.submit(zone, f"job/{name}", urgency=site.Urgency.URGENT)
+        [stop] = zones.run(zone, 1).stops
+        assert stop.host == "h1"
+        assert list(zone.reserved) == ["job/good/0"]
