Let an endpoint use the time that the caller gives it

Cause: waiting for an answer was cut at 30 s although the deadline was later; a low limit of file descriptors would fail every connection at once; cut answers without a length and long requests at a planned stop were not tested. Change: the deadline alone bounds the wait for the head; the gateway raises its limit of file descriptors to 4,096; the stand-in answers in chunks too, and some requests outlast the stop's notice.

--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -119,7 +119,11 @@
             method=method,
             size=size,
             filling=context.source.choice([0, 0, 100, 40000]),
-            headers=(("request-timeout", "0.8"),),
+            headers=(
+                ("request-timeout", "0.8"),
+                # Answers with a length are protected by it as well.
+                *context.source.choice([(), (("test-chunked", "yes"),)]),
+            ),
         )
         if fixed is not None:
             call = dataclasses.replace(call, **fixed)
@@ -228,11 +232,13 @@
     """Send requests until a time, or until the gateway is gone."""
     connection = caller.Caller(address=context.address)
     while time.monotonic() < end:
+        # Some requests outlast the notice of a planned stop.
+        work = context.source.choice(["0.02"] * 9 + ["1.2"])
         call = caller.Call(
             request=f"u{next(context.numbers)}",
             method="POST",
             size=500,
-            headers=(("test-work", "0.02"),),
+            headers=(("test-work", work),),
         )
         seen = await connection.call(call)
         stopped = context.rig.gateways["g1"].poll() is not None
--- a/src/turmerichook/_internal/http/client.py
+++ b/src/turmerichook/_internal/http/client.py
@@ -211,8 +211,9 @@
     def _patience(self) -> float | None:
         if self.deadline is None:
             return self.read_limit
-        left = max(0.0, self.deadline - self.wire.loop.time())
-        return left if self.read_limit is None else min(left, self.read_limit)
+        # A deadline may be later than the usual limit: an endpoint may take
+        # all the time that the caller gives it to begin its answer.
+        return max(0.0, self.deadline - self.wire.loop.time())
 
     def _late(self) -> exceptions.ExchangeError:
         if self.deadline is None or self.wire.loop.time() < self.deadline:
--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import random
+import resource
 import time
 
 from turmerichook._internal import clock as clocks
@@ -32,6 +33,9 @@
 # How long a request that is under way on an idle connection is waited for
 # once the listener is closed.
 IDLE_GRACE_S = 1.0
+# Connections of callers and to endpoints, with room to spare. Without file
+# descriptors every connection to an endpoint would fail at once.
+FILES = 4096
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -88,6 +92,7 @@
 
     async def run(self) -> None:
         """Run until cancelled, then let requests in progress end."""
+        _raise_file_limit()
         host, port = addresses.split(self.settings.listen)
         await self.server.start(host=host, port=port)
         await self.hub.start(self.settings.peer_listen)
@@ -233,3 +238,12 @@
             },
             "endpoint_table_age_s": self.directory.ages(time.monotonic()),
         }
+
+
+def _raise_file_limit() -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = FILES
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(FILES, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -8,7 +8,8 @@
 
 A request may say in headers how it is to be answered: ``Test-Status`` (status
 of the answer), ``Test-Bytes`` (length of filling in the answer),
-``Test-Early`` (answer before the body is read), ``Test-Work`` (seconds).
+``Test-Early`` (answer before the body is read), ``Test-Work`` (seconds),
+``Test-Chunked`` (answer without a length).
 """
 
 import argparse
@@ -28,6 +29,7 @@
 
 # Requests that may wait for a slot, relative to the slots.
 WAITING_FACTOR = 1
+CHUNK_BYTES = 8000
 
 
 class Endpoint:
@@ -111,10 +113,22 @@
         payload = json.dumps(document).encode()
         if status in (204, 304):
             payload = b""
+        if head.header(b"test-chunked") and head.method != "HEAD":
+            await self._chunked(exchange, status, payload)
+            return
         await exchange.respond(
             status=status, body=payload, headers=self._headers(exchange)
         )
 
+    async def _chunked(
+        self, exchange: server.Exchange, status: int, payload: bytes
+    ) -> None:
+        headers = self._headers(exchange)
+        await exchange.start(status=status, headers=headers)
+        for start in range(0, len(payload), CHUNK_BYTES):
+            await exchange.send(payload[start : start + CHUNK_BYTES])
+        await exchange.end()
+
     async def _refuse(self, exchange: server.Exchange, why: str) -> None:
         headers = self._headers(exchange)
         headers.append((b"request-outcome", b"not-run"))
--- a/tests/http/test_pool.py
+++ b/tests/http/test_pool.py
@@ -103,6 +103,18 @@
 
         assert run([[OK, None], [OK]], test).accepted == 2
 
+    def test_deadline_beyond_the_usual_limit(self):
+        # Guards against cutting off an endpoint that has time left.
+        async def test(pool):
+            pool.read_limit = 0.05
+            connection = await pool.take(fresh=True)
+            connection.deadline = asyncio.get_running_loop().time() + 2
+            await connection.send_request(HEAD)
+            assert (await connection.receive_head()).status == 200
+            pool.give_back(connection)
+
+        run([[0.3, OK]], test)
+
     def test_truncated(self):
         # Guards against an answer that is passed on as whole.
         async def test(pool):
