--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -23,8 +23,8 @@
 from turmerichook._internal.routing import refusals
 from turmerichook._internal.routing import requests
 from turmerichook._internal.routing import submission
-from turmerichook._internal.scheduling import daemon as scheduler_daemon
 from turmerichook._internal.scheduling import messages
+from turmerichook._internal.scheduling import stream_types
 from turmerichook._internal import settings as settings_module
 from turmerichook._internal.streams import codec
 from turmerichook._internal.streams import hub as hubs
@@ -83,7 +83,7 @@
             source=source,
         )
         self.hub = hubs.Hub(
-            codec=codec.Codec(types=scheduler_daemon.STREAM_TYPES),
+            codec=codec.Codec(types=stream_types.STREAM_TYPES),
             clock=clock,
             peers=settings.peers,
             greeting=self._greeting,
--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -18,18 +18,13 @@
 from turmerichook._internal.scheduling import messages
 from turmerichook._internal.scheduling import owner as owners
 from turmerichook._internal.scheduling import ownership
+from turmerichook._internal.scheduling import stream_types
 from turmerichook._internal import settings as settings_module
 from turmerichook._internal.streams import codec
 from turmerichook._internal.streams import hub as hubs
 from turmerichook import exceptions
 
-STREAM_TYPES = (
-    member_messages.Hello,
-    member_messages.Heartbeat,
-    config_messages.GenerationBundle,
-    messages.EndpointTable,
-    messages.ZoneStatus,
-)
+STREAM_TYPES = stream_types.STREAM_TYPES
 
 
 class SchedulerDaemon:
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -21,8 +21,8 @@
 from standins import proxy
 from turmerichook._internal.configuration import bundle
 from turmerichook._internal.configuration import messages as config_messages
-from turmerichook._internal.scheduling import daemon as scheduler_daemon
 from turmerichook._internal.scheduling import messages
+from turmerichook._internal.scheduling import stream_types
 from turmerichook._internal.streams import codec
 
 START_S = 15.0
@@ -67,7 +67,7 @@
         self.listen: dict[str, str] = {}
         self.peer: dict[str, str] = {}
         self.links: dict[str, asyncio.StreamWriter] = {}
-        self.codec = codec.Codec(types=scheduler_daemon.STREAM_TYPES)
+        self.codec = codec.Codec(types=stream_types.STREAM_TYPES)
         self.announcer: asyncio.Task | None = None
 
     async def add_replica(
