Give a worker tasks only once its inventory is known

After a takeover an answer that was under way could make a worker usable before the owner knew the attempts and corrected sizes that run there.

--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -49,6 +49,9 @@
         self.starts: dict[ids.TaskId, states.StartCommand] = {}
         self.sent: dict[ids.TaskId, tuple[ids.Attempt, datetime.timedelta]]
         self.sent = {}
+        # Hosts whose inventory is known. Others may run attempts, or sizes,
+        # of a former owner that the ledger does not hold.
+        self.listed: set[ids.HostId] = set()
         # Hosts that refused a start; they may run another attempt.
         self.refusing: set[ids.HostId] = set()
 
@@ -56,7 +59,6 @@
         """Apply a worker's answer."""
         host = report.host
         answer = report.answer
-        self._usable(host)
         boot, last = self.seen.get(host, (answer.boot, 0))
         if boot != answer.boot:
             last = 0
@@ -69,10 +71,14 @@
         self.acknowledgements[host] = (answer.boot, last)
         self.sharing.answered(host, answer, self.clock.monotonic())
         if report.inventory:
+            self.listed.add(host)
             self._inventory(report)
+        if host in self.listed:
+            self._usable(host)
 
     def unreachable(self, host: ids.HostId) -> None:
-        """Give a worker no new tasks until it answers."""
+        """Give a worker no new tasks until it lists what it runs."""
+        self.listed.discard(host)
         if host in self.state.usable:
             self.state.usable.discard(host)
             logs.emit(events.SchedulingEvent.WORKER_UNREACHABLE, host=host)
--- a/tests/scheduling/test_owner.py
+++ b/tests/scheduling/test_owner.py
@@ -7,8 +7,10 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
+from turmerichook._internal.platform import workers
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal
+from turmerichook._internal.scheduling import links
 from turmerichook._internal.scheduling import operator_calls
 
 
@@ -103,6 +105,36 @@
         worlds.run(scenario, schedulers=2)
 
 
+class TestInventories:
+    """A worker gets work once it has told what it runs."""
+
+    def test_answer_without_inventory(self):
+        # Guards against a start beside attempts that the journal does not
+        # hold, beyond what the host has.
+        async def scenario(world):
+            await world.until(lambda: world.owner() is not None)
+            await world.until(lambda: world.owner().state.usable)
+            owner = world.owner()
+            owner.reports.unreachable("a0")
+            for inventory in (False, True):
+                answer = workers.SyncAnswer(
+                    boot=owner.reports.seen["a0"][0],
+                    clock=worlds.seconds(0),
+                    events=(),
+                )
+                owner.reports.answered(
+                    links.Answered(
+                        host=ids.HostId("a0"),
+                        answer=answer,
+                        inventory=inventory,
+                        sent=world.clock.monotonic(),
+                    )
+                )
+                assert ("a0" in owner.state.usable) is inventory
+
+        worlds.run(scenario)
+
+
 class TestPreemption:
     """Urgent work gets room at once, and the victims lose little."""
 
