--- a/src/turmerichook/_internal/scheduling/decision_round.py
+++ b/src/turmerichook/_internal/scheduling/decision_round.py
@@ -1,8 +1,7 @@
 """One round of decisions about the waiting tasks of a zone.
 
-A round looks at each lane of the queue at most once per start and once per
-refusal, never at each waiting task. It ends at once if nothing was queued and
-nothing was released since the last one.
+A round looks at each lane of the queue once per start and refusal, never at
+each waiting task, and ends at once if nothing was queued or released since.
 """
 
 import dataclasses
@@ -60,7 +59,10 @@
     if zone.ledger.releases != zone.releases:
         zone.releases = zone.ledger.releases
         zone.blocked.clear()
-    elif not zone.queue.changed and not _refusals_due(zone, now):
+        zone.unfreeable.clear()
+    elif _refusals_due(zone, now):
+        zone.unfreeable.clear()
+    elif not zone.queue.changed:
         return done
     zone.queue.changed = False
     zone.refused_until = None
@@ -189,9 +191,9 @@
             zone.queue.changed = True
         return refusal
     need = group.amount
-    choice: placement.Placed | outcomes.Absent
-    choice = outcomes.Absent(reason=outcomes.Reason.NO_FIT)
-    if need not in zone.blocked:
+    if need in zone.blocked:
+        choice = outcomes.Absent(reason=outcomes.Reason.NO_FIT)
+    else:
         choice = placement.choose(
             need=need,
             ledger=zone.ledger,
@@ -220,6 +222,8 @@
     now: datetime.timedelta,
     done: Round,
 ) -> bool:
+    if (group.amount, group.kin) in zone.unfreeable:
+        return False
     if done.searches >= PREEMPTION_SEARCHES:
         # The next round goes on.
         zone.queue.changed = True
@@ -229,6 +233,7 @@
     spec = group.work.task(number)
     victims = preemption.find(zone, group.amount, now, spec)
     if isinstance(victims, outcomes.Absent):
+        zone.unfreeable.add((group.amount, group.kin))
         return False
     group.take()
     for name in victims.tasks:
--- a/tests/scheduling/test_rounds.py
+++ b/tests/scheduling/test_rounds.py
@@ -5,6 +5,7 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
+from turmerichook._internal.scheduling import decision_round
 from turmerichook._internal.scheduling import explanations
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import quotas
@@ -235,3 +236,56 @@
             zone, "job/b", zones.cores(4), urgency=site.Urgency.URGENT
         )
         assert not zones.run(zone, 1).stops
+
+    def test_tasks_that_begin_to_run_become_victims(self):
+        # Guards against urgent work that waits for the next release, because
+        # the tasks in its way had not yet begun when it came.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "job/j", zones.cores(4))
+        [command] = decision_round.decide(zone, zones.SECOND, 10).starts
+        zones.submit(
+            zone, "job/u", zones.cores(1), urgency=site.Urgency.URGENT
+        )
+        assert not zones.run(zone, 2).stops
+        zone.running(command.task, command.attempt, "", 3 * zones.SECOND)
+        [stop] = zones.run(zone, 3).stops
+        assert stop.stop.task == command.task
+
+    def test_hopeless_searches_are_not_repeated(self):
+        # Guards against a search through all hosts in each round, and
+        # against workloads behind the limit of searches that never get one.
+        zone = zones.make_zone(1)
+        zones.submit(zone, "service/s/a", zones.cores(3))
+        zones.submit(zone, "job/j")
+        zones.run(zone)
+        for number in range(30):
+            zones.submit(
+                zone,
+                f"job/u{number}",
+                resources.Resources(millicores=4_000 - number),
+                urgency=site.Urgency.URGENT,
+                team=f"t{number}",
+            )
+        zones.submit(zone, "job/small", urgency=site.Urgency.URGENT, team="z")
+        stops = [len(zones.run(zone, 1).stops) for _ in range(3)]
+        assert sum(stops) == 1
+        assert zones.run(zone, 1).searches == 0
+
+    def test_hosts_that_are_refused_free_no_room(self):
+        # Guards against tasks that are stopped on a host that co-location
+        # then refuses, and against classes that share one refusal.
+        zone = zones.make_zone(2)
+        zones.submit(zone, "job/j", count=8)
+        zones.run(zone)
+
+        def advise(spec, amount, host, now):
+            if host == "h0" or spec.task.startswith("job/bad"):
+                return outcomes.Absent(reason=outcomes.Reason.SERVICE_AT_RISK)
+            return 0.0
+
+        zone.adviser.advise = advise
+        for name in ("bad", "good"):
+            zones.submit(zone, f"job/{name}", urgency=site.Urgency.URGENT)
+        [stop] = zones.run(zone, 1).stops
+        assert stop.host == "h1"
+        assert list(zone.reserved) == ["job/good/0"]
