Let batch start beside services that have not reported yet

The fault host-failing of the matrix also asked a path that no worker serves.

Change: batch waits 15 s for a service's first latency report, 60 s for a later one; the demonstration's workers report usage with a lag of 2 s; host-failing sets the worker's behaviour.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -17,7 +17,9 @@
 from standins import recorder
 
 ZONES = ("krakow", "tarnow")
-LAYOUT = launcher.Layout(zones=ZONES, workers=4, gateways=1, schedulers=2)
+LAYOUT = launcher.Layout(
+    zones=ZONES, workers=4, gateways=1, schedulers=2, usage_lag_s=2.0
+)
 SEED = 1
 
 
--- a/src/turmerichook/_internal/scheduling/advice.py
+++ b/src/turmerichook/_internal/scheduling/advice.py
@@ -33,6 +33,9 @@
 TRIAL_TIME = datetime.timedelta(seconds=30)
 # Latency reports older than this say nothing about the present.
 STALE = datetime.timedelta(seconds=60)
+# A new service that has reported nothing for this long may never report, for
+# example since nobody calls it yet; batch does not wait for it any longer.
+FIRST_REPORT = datetime.timedelta(seconds=15)
 # Variances and trials change slowly; a view of a host is kept this long.
 VIEW_TIME = datetime.timedelta(seconds=2)
 # Penalties in units of placement score, where a whole host is about 1.
@@ -189,7 +192,8 @@
         now: datetime.timedelta,
     ) -> "_ServiceView":
         target = self.targets.get(service.task_class)
-        if now - max(service.since, service.latency_measured) > STALE:
+        patience = STALE if service.latency is not None else FIRST_REPORT
+        if now - max(service.since, service.latency_measured) > patience:
             # Without reports a target cannot be judged, and batch must not
             # wait for reports that may never come.
             target = None
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -53,6 +53,7 @@
     schedulers: int = 1
     shape: WorkerShape = WorkerShape()
     linked: bool = False
+    usage_lag_s: float | None = None
     bounded: bool = False
 
 
@@ -203,6 +204,9 @@
 
     def start_workers(self, zone: str) -> None:
         """Start the stand-in workers of one zone."""
+        behaviour = self.folder / "behaviour.json"
+        lag = self.layout.usage_lag_s
+        behaviour.write_text(json.dumps({"lag_s": lag}))
         self._spawn(
             f"workers-{zone}",
             zone,
@@ -214,6 +218,8 @@
                 str(self.record),
                 "--zone",
                 zone,
+                "--behaviour",
+                str(behaviour),
             ],
         )
 
@@ -320,9 +326,9 @@
         """Make a worker fail everything it starts, or end that."""
         self.call(
             host["address"],
-            "/faults",
+            "/v1/behaviour",
             method="PUT",
-            document={"fail_starts": failing},
+            document={"fail_all": failing},
         )
 
     def list_hosts(self, states: dict[str, str]) -> None:
