--- a/src/turmerichook/_internal/routing/submission.py
+++ b/src/turmerichook/_internal/routing/submission.py
@@ -3,7 +3,6 @@
 import json
 import typing
 import uuid
-import zlib
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import schema
@@ -11,6 +10,7 @@
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
 from turmerichook._internal.platform import store as stores
+from turmerichook._internal.scheduling import homes
 from turmerichook._internal.scheduling import jobs
 from turmerichook import exceptions
 
@@ -111,19 +111,14 @@
 
     :raises JobInvalidError: if no allowed zone is open.
     """
-    allowed = [
-        zone
-        for zone in configuration.open_zones()
-        if not spec.zones or zone in spec.zones
-    ]
-    if not allowed:
+    home = homes.home_zone(spec, configuration)
+    if home is None:
         raise exceptions.JobInvalidError(
             message="none of the job's zones is open",
             context=", ".join(spec.zones),
             hint="wait until a zone is back in, or allow other zones",
         )
-    number = zlib.crc32(spec.job.encode())
-    return allowed[number % len(allowed)]
+    return home
 
 
 def _parse_cancellation(body: bytes) -> tuple[ids.JobId, ...]:
