Confirm unchanged endpoint tables, and explain requests

Cause: owners send a table only when it changes, while gateways expected a repeat every second, so a quiet system warned of old endpoints after 15 s.

--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -5,6 +5,7 @@
 import random
 import resource
 import time
+import urllib.parse
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import distribution
@@ -155,6 +156,14 @@
                         version = (table.epoch, table.sequence)
                         self.member.relay(received, version)
                         self._refresh()
+                case messages.EndpointsConfirmed() as confirmed:
+                    self.directory.confirm(confirmed, time.monotonic())
+                    version = (confirmed.epoch, confirmed.sequence)
+                    self.member.relay(received, version)
+                case messages.ZoneStatus(epoch=epoch, sequence=sequence):
+                    self.member.relay(received, (epoch, sequence))
+                case messages.ZoneReleased(epoch=epoch):
+                    self.member.relay(received, (epoch,))
 
     async def _tick(self) -> None:
         while True:
@@ -179,6 +188,8 @@
             await exchange.respond_json(
                 document=member_documents.document(self.member)
             )
+        elif path == "/v1/explain":
+            await self._handle_explain(exchange)
         elif path == "/readyz":
             await self._handle_ready(exchange)
         elif path == "/metrics":
@@ -189,6 +200,16 @@
             refusal = refusals.build(refusals.Code.NOT_FOUND)
             await job_calls.refuse(exchange, refusal)
 
+    async def _handle_explain(self, exchange: server.Exchange) -> None:
+        query = urllib.parse.parse_qs(exchange.head.query)
+        name = query.get("request", [""])[0]
+        found = self.forwarder.recent.explain(name)
+        if found is None:
+            refusal = refusals.build(refusals.Code.NOT_FOUND)
+            await job_calls.refuse(exchange, refusal)
+            return
+        await exchange.respond_json(document=found)
+
     async def _handle_ready(self, exchange: server.Exchange) -> None:
         reason = self._unready()
         status = 503 if reason else 200
--- a/src/turmerichook/_internal/routing/endpoints.py
+++ b/src/turmerichook/_internal/routing/endpoints.py
@@ -8,7 +8,7 @@
 from turmerichook._internal.routing import events
 from turmerichook._internal.scheduling import messages
 
-# Owners repeat their tables every second.
+# Owners confirm a table without changes every 5 s.
 OLD_S = 15.0
 
 
@@ -71,6 +71,15 @@
         self._index()
         return True
 
+    def confirm(
+        self, message: messages.EndpointsConfirmed, now: float
+    ) -> None:
+        """Note that a zone's table is still the newest one."""
+        version = self.versions.get(message.zone, (0, 0))
+        if version >= (message.epoch, message.table):
+            self.confirmed[message.zone] = now
+            self.old.discard(message.zone)
+
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the service's endpoints that may get new requests."""
         return self.by_service.get(service, [])
--- a/src/turmerichook/_internal/routing/forwarding.py
+++ b/src/turmerichook/_internal/routing/forwarding.py
@@ -17,6 +17,7 @@
 from turmerichook._internal.routing import metrics as metrics_module
 from turmerichook._internal.routing import queues
 from turmerichook._internal.routing import rates
+from turmerichook._internal.routing import recent
 from turmerichook._internal.routing import refusals
 from turmerichook._internal.routing import relay
 from turmerichook._internal.routing import requests
@@ -60,6 +61,7 @@
         self.budget = retries.Budget()
         self.rates = rates.TeamRates()
         self.keep_room = bodies.KeepRoom()
+        self.recent = recent.RecentDecisions()
         # Part of the exchange ids, so that those of two gateways differ.
         self.prefix = f"{source.getrandbits(48):012x}"
         self.numbers = itertools.count(1)
@@ -238,6 +240,8 @@
 
     def _log_routed(self, call: calls.Call, lease: rooms.Lease) -> None:
         endpoint = lease.target.endpoint
+        where = f"{endpoint.task} at {endpoint.address}"
+        self.recent.routed(call.exchange.head, lease.why.value, where)
         logs.emit(
             events.RoutingEvent.REQUEST_ROUTED,
             service=call.request.service,
@@ -271,6 +275,7 @@
             code=refusal.code,
             outcome=refusal.outcome.value,
         )
+        self.recent.refused(exchange.head, refusal)
         self.metrics.count("refusals_total", (("code", refusal.code),))
         await refusals.send(exchange, refusal)
 
--- a/src/turmerichook/_internal/scheduling/announcements.py
+++ b/src/turmerichook/_internal/scheduling/announcements.py
@@ -91,5 +91,6 @@
             running=sum(row[1] for row in rows.values()),
             oldest_s=max((row[2] for row in rows.values()), default=0.0),
             capacity=capacity,
+            sequence=self.sequence,
             urgencies=rows,
         )
--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -29,6 +29,8 @@
 from turmerichook._internal.streams import codec
 from turmerichook._internal.streams import hub as hubs
 
+# How often an endpoint table without changes is confirmed to gateways.
+CONFIRM_INTERVAL = datetime.timedelta(seconds=5)
 FLUSH_TIME = datetime.timedelta(milliseconds=100)
 
 
@@ -61,6 +63,9 @@
             owned=lambda: {z: o.epoch for z, o in self.owned_zones().items()},
         )
         self.peers = environments.Peers()
+        # Sequence of the table that was sent last, and when it was sent or
+        # confirmed.
+        self.published: dict[str, tuple[int, datetime.timedelta]] = {}
         self.hub = hubs.Hub(
             codec=codec.Codec(types=stream_types.STREAM_TYPES),
             clock=clock,
@@ -121,20 +126,38 @@
 
     def _publish(self, message: object) -> None:
         if isinstance(message, messages.EndpointTable):
-            former = self.peers.tables.get(message.zone)
-            self.peers.tables[message.zone] = message
-            if (
-                former is not None
-                and former.epoch == message.epoch
-                and former.endpoints == message.endpoints
-            ):
-                return
+            self._publish_table(message)
+            return
         if isinstance(message, messages.ZoneStatus):
             self.peers.statuses[message.zone] = message
             self.hub.publish(message, wanted=members.is_scheduler)
             return
         self.hub.publish(message)
 
+    def _publish_table(self, table: messages.EndpointTable) -> None:
+        former = self.peers.tables.get(table.zone)
+        self.peers.tables[table.zone] = table
+        now = self.clock.monotonic()
+        if (
+            former is None
+            or former.epoch != table.epoch
+            or former.endpoints != table.endpoints
+        ):
+            self.published[table.zone] = (table.sequence, now)
+            self.hub.publish(table)
+            return
+        sequence, since = self.published.get(table.zone, (0, now))
+        if now - since >= CONFIRM_INTERVAL:
+            self.published[table.zone] = (sequence, now)
+            self.hub.publish(
+                messages.EndpointsConfirmed(
+                    zone=table.zone,
+                    epoch=table.epoch,
+                    sequence=table.sequence,
+                    table=sequence,
+                )
+            )
+
     def _greeting(self) -> list[object]:
         tables = list(self.peers.tables.values())
         return self.member.greeting() + tables
@@ -162,7 +185,12 @@
                 self.member.relay(received, version)
             case messages.ZoneStatus() as status:
                 self._heard_epoch(status.zone, status.epoch, status.owner)
-                self.peers.statuses[status.zone] = status
+                self.peers.take_status(status)
+                version = (status.epoch, status.sequence)
+                self.member.relay(received, version)
+            case messages.EndpointsConfirmed() as confirmed:
+                version = (confirmed.epoch, confirmed.sequence)
+                self.member.relay(received, version)
             case messages.ZoneReleased() as release:
                 tenure = self.tenures.get(ids.ZoneId(release.zone))
                 if tenure is not None:
--- a/src/turmerichook/_internal/scheduling/environment.py
+++ b/src/turmerichook/_internal/scheduling/environment.py
@@ -23,6 +23,13 @@
         default_factory=dict
     )
 
+    def take_status(self, status: messages.ZoneStatus) -> None:
+        """Keep a zone's status unless a newer one is known."""
+        known = self.statuses.get(status.zone)
+        version = (status.epoch, status.sequence)
+        if known is None or version > (known.epoch, known.sequence):
+            self.statuses[status.zone] = status
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Environment:
--- a/src/turmerichook/_internal/scheduling/messages.py
+++ b/src/turmerichook/_internal/scheduling/messages.py
@@ -18,12 +18,27 @@
     endpoints: list
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointsConfirmed:
+    """The zone's table has not changed since the one with ``table``.
+
+    Sent in place of a table without changes, which may hold a thousand
+    endpoints.
+    """
+
+    zone: str
+    epoch: int
+    sequence: int
+    table: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ZoneStatus:
     """Load of a zone, from its owner.
 
     :param waiting: tasks that wait for a start.
     :param oldest_s: age of the oldest of them in seconds.
+    :param sequence: number of the status in the epoch.
     :param capacity: processors of the zone's live hosts in millicores.
     :param urgencies: for each urgency ``[waiting, running, oldest_s]``.
     """
@@ -35,6 +50,7 @@
     running: int
     oldest_s: float
     capacity: int = 0
+    sequence: int = 0
     urgencies: dict = dataclasses.field(default_factory=dict)
 
 
--- a/src/turmerichook/_internal/stream_types.py
+++ b/src/turmerichook/_internal/stream_types.py
@@ -10,6 +10,7 @@
 STREAM_TYPES = (
     *member.TYPES,
     messages.EndpointTable,
+    messages.EndpointsConfirmed,
     messages.ZoneStatus,
     messages.ZoneReleased,
 )
