Count a failed attempt as ended in the history checker

The trace shows that the stand-in worker recorded 'fail' for each of the attempts, which the checker did not know as an end, so it added up attempts that had ended.

Change: fail ends an attempt like finish and stop.

--- a/standins/history.py
+++ b/standins/history.py
@@ -16,6 +16,8 @@
 LEAVE_BOUND_S = 5.0
 # An accepted configuration is in force everywhere within this time.
 SPREAD_BOUND_S = 10.0
+# How an attempt ends on a worker that goes on.
+ENDS = ("finish", "fail", "stop")
 
 Entry = dict
 History = collections.abc.Sequence[Entry]
@@ -69,7 +71,7 @@
     capacity = {e["host"]: e["capacity"] for e in of_kind(history, "host")}
     held: dict[str, dict] = collections.defaultdict(dict)
     found = []
-    for entry in of_kind(history, "start", "finish", "stop", "host-dead"):
+    for entry in of_kind(history, "start", *ENDS, "host-dead"):
         host = entry["host"]
         match entry["kind"]:
             case "host-dead":
@@ -97,7 +99,7 @@
 def _one_place(history: History) -> list[Violation]:
     running: dict[str, set] = collections.defaultdict(set)
     found = []
-    for entry in of_kind(history, "start", "finish", "stop", "host-dead"):
+    for entry in of_kind(history, "start", *ENDS, "host-dead"):
         match entry["kind"]:
             case "host-dead":
                 for places in running.values():
@@ -116,7 +118,7 @@
 def _resumes_once(history: History) -> list[Violation]:
     last: dict[str, Entry] = {}
     found = []
-    for entry in of_kind(history, "start", "finish", "stop"):
+    for entry in of_kind(history, "start", *ENDS):
         task = entry["task"]
         former = last.get(task)
         if entry["kind"] == "start" and former is not None:
--- a/tests/standins/test_history.py
+++ b/tests/standins/test_history.py
@@ -131,6 +131,15 @@
         # Guards against a check that reports allowed histories.
         assert history.check(CLEAN) == []
 
+    def test_failed_attempt_frees_its_host(self):
+        # Guards against attempts that failed being counted as running, which
+        # job-large/host-failing reported as a broken I1.
+        entries = [HOST]
+        for number in range(3):
+            entries.append(start(2 * number + 1, f"t{number}"))
+            entries.append(end(2 * number + 2, "fail", f"t{number}"))
+        assert history.check(entries) == []
+
     def test_late_configuration_is_reported(self):
         # Guards against a process that never follows a new generation.
         entries = [
