Show membership and streams in the gateway's metrics

Cause: only the scheduler's /metrics had them.

Change: the gateway collects the same gauges through the same function.

--- a/src/turmerichook/_internal/membership/metrics.py
+++ b/src/turmerichook/_internal/membership/metrics.py
@@ -1,12 +1,19 @@
 """Metrics of membership, streams and configuration of one process."""
 
 import dataclasses
+import typing
 
 from turmerichook._internal.membership import member as members
-from turmerichook._internal.metrics import registry as registries
 
 
-def collect(registry: registries.Registry, member: members.Member) -> None:
+class Gauges(typing.Protocol):
+    """What the gateway's and the scheduler's metrics have in common."""
+
+    def set(self, name: str, value: float) -> None:
+        """Set a gauge without labels."""
+
+
+def collect(registry: Gauges, member: members.Member) -> None:
     """Set the gauges to what the process knows now."""
     subscription = member.subscription
     registry.set("configuration_generation", subscription.generation)
--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -14,6 +14,7 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.membership import documents as member_documents
 from turmerichook._internal.membership import member as members
+from turmerichook._internal.membership import metrics as member_metrics
 from turmerichook._internal.platform import store_http
 from turmerichook._internal.routing import balancer as balancers
 from turmerichook._internal.routing import endpoints
@@ -234,9 +235,7 @@
             labels = (("zone", zone),)
             self.metrics.set("endpoint_table_age_seconds", age, labels)
         self.metrics.set("connections", len(self.server.connections))
-        self.metrics.set(
-            "configuration_generation", self.subscription.generation
-        )
+        member_metrics.collect(self.metrics, self.member)
         for service, room in self.balancer.rooms.items():
             labels = (("service", service),)
             targets = room.targets.values()
