Name a service's endpoints with their connections a service pool

Cause: the name room stood for the pool of a service, for the bytes that may be kept of bodies, and for space; the first two need explaining.

Change: rooms.ServiceRoom is service_pools.ServicePool, bodies.KeepRoom is ReplayBudget. No change of behaviour.

--- a/bench/measure_routing.py
+++ b/bench/measure_routing.py
@@ -1,7 +1,7 @@
 """Load on Dzwonnica's sizes, driven through the real decision modules.
 
 Real: selection, adaptive limits, queues, health and retries of the product,
-through ``ServiceRoom``. Fake: endpoints, links, callers and time, in a
+through ``ServicePool``. Fake: endpoints, links, callers and time, in a
 discrete-event loop with one seed. 30 endpoints of 8 slots in 3 zones, 6
 gateways, 5 ms one way between zones, service times of 100 ms on average
 (log-normal). Callers give urgent requests 1 s and deferrable ones 4 s.
@@ -106,8 +106,8 @@
     rest = [n for n in range(routing_world.ENDPOINTS) if n % 3]
 
     def announce(members):
-        for room in policy.rooms:
-            policy.update(room, members)
+        for service_pool in policy.services:
+            policy.update(service_pool, members)
 
     world.at(5.0, announce, rest)
     world.at(8.0, announce, range(routing_world.ENDPOINTS))
--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -8,8 +8,8 @@
 from turmerichook._internal.routing import queues
 from turmerichook._internal.routing import results as outcomes_of
 from turmerichook._internal.routing import retries
-from turmerichook._internal.routing import rooms
 from turmerichook._internal.routing import selection
+from turmerichook._internal.routing import service_pools
 from turmerichook._internal.routing import sharing
 
 
@@ -58,8 +58,8 @@
         self.world = world
         self.links = [{} for _ in range(world.gateways)]
         self.budgets = [retries.Budget() for _ in range(world.gateways)]
-        self.rooms = [
-            rooms.ServiceRoom(
+        self.services = [
+            service_pools.ServicePool(
                 zone=ids.ZoneId(routing_world.ZONES[gateway % 3]),
                 now=lambda: world.now,
                 source=world.source,
@@ -67,16 +67,16 @@
             )
             for gateway in range(world.gateways)
         ]
-        for gateway, room in enumerate(self.rooms):
+        for gateway, service_pool in enumerate(self.services):
             for zone in routing_world.ZONES:
                 near = zone == routing_world.ZONES[gateway % 3]
                 self.links[gateway][zone] = (
                     0.0004 if near else 2 * routing_world.LINK_S
                 )
-            self.update(room, range(routing_world.ENDPOINTS))
+            self.update(service_pool, range(routing_world.ENDPOINTS))
         self.world.at(1.0, self._tick)
 
-    def update(self, room: rooms.ServiceRoom, members) -> None:
+    def update(self, service_pool: service_pools.ServicePool, members) -> None:
         """Announce the endpoints to a gateway."""
         world = self.world
         known = [
@@ -91,8 +91,8 @@
             )
             for number in members
         ]
-        node = f"gateway-{self.rooms.index(room)}"
-        room.update(
+        node = f"gateway-{self.services.index(service_pool)}"
+        service_pool.update(
             sharing.subset(
                 endpoints=known, node=node, gateways=world.gateways
             ),
@@ -100,8 +100,8 @@
         )
 
     def _tick(self) -> None:
-        for room in self.rooms:
-            room.freed()
+        for service_pool in self.services:
+            service_pool.freed()
         self.world.at(1.0, self._tick)
 
     def send(self, request: routing_world.Request) -> None:
@@ -110,12 +110,17 @@
         self._attempt(request)
 
     def _attempt(self, request: routing_world.Request) -> None:
-        room = self.rooms[request.gateway]
+        service_pool = self.services[request.gateway]
         wanted = selection.Wanted(probe=True, tried=request.tried)
-        if not len(room.queue):
-            chosen = room.choose(wanted)
+        if not len(service_pool.queue):
+            chosen = service_pool.choose(wanted)
             if isinstance(chosen, selection.Chosen):
-                self._use(request, rooms.Lease(room=room, chosen=chosen))
+                self._use(
+                    request,
+                    service_pools.Lease(
+                        service_pool=service_pool, chosen=chosen
+                    ),
+                )
                 return
         urgency = site.Urgency.DEFERRABLE
         if request.urgent:
@@ -128,8 +133,8 @@
             deadline=request.deadline,
             ticket=(future, wanted),
         )
-        shed, displaced = room.queue.offer(
-            entry, now=self.world.now, needed=room.needed(urgency)
+        shed, displaced = service_pool.queue.offer(
+            entry, now=self.world.now, needed=service_pool.needed(urgency)
         )
         if displaced is not None:
             displaced.ticket[0].set_result(queues.Shed.DISPLACED)
@@ -137,23 +142,25 @@
             self.world.finish(request, shed.value)
             return
         left = request.deadline - self.world.now
-        self.world.at(left, self._expire, room, entry)
+        self.world.at(left, self._expire, service_pool, entry)
 
-    def _expire(self, room, entry) -> None:
+    def _expire(self, service_pool, entry) -> None:
         if entry.waiting:
-            room.queue.remove(entry)
+            service_pool.queue.remove(entry)
             entry.ticket[0].set_result(queues.Shed.DEADLINE_PASSED)
 
     def _resolved(self, request: routing_world.Request, result) -> None:
         match result:
-            case rooms.Lease():
+            case service_pools.Lease():
                 self._use(request, result)
             case queues.Shed():
                 self.world.finish(request, result.value)
             case outcomes.Absent():
                 self.world.finish(request, result.reason.value)
 
-    def _use(self, request: routing_world.Request, lease: rooms.Lease) -> None:
+    def _use(
+        self, request: routing_world.Request, lease: service_pools.Lease
+    ) -> None:
         request.attempts += 1
         began = self.world.now
         number = int(lease.target.endpoint.task)
@@ -166,7 +173,7 @@
                 outcomes_of.answered(lease, latency=latency, load=text)
             elif status == "refused":
                 pause = outcomes_of.refused(lease, load=text)
-                self.world.at(pause, lease.room.freed)
+                self.world.at(pause, lease.service_pool.freed)
                 effect = retries.Effect.NOT_RUN
             else:
                 outcomes_of.failed(lease)
--- a/src/turmerichook/_internal/routing/attempts.py
+++ b/src/turmerichook/_internal/routing/attempts.py
@@ -16,7 +16,7 @@
 from turmerichook._internal.routing import requests
 from turmerichook._internal.routing import results
 from turmerichook._internal.routing import retries
-from turmerichook._internal.routing import rooms
+from turmerichook._internal.routing import service_pools
 from turmerichook import exceptions
 
 UNAVAILABLE = 503
@@ -34,7 +34,7 @@
         self,
         *,
         call: calls.Call,
-        lease: rooms.Lease,
+        lease: service_pools.Lease,
         budget: retries.Budget,
         exchange_id: bytes,
     ):
@@ -42,7 +42,7 @@
         self.lease = lease
         self.budget = budget
         self.exchange_id = exchange_id
-        self.now = lease.room.now
+        self.now = lease.service_pool.now
 
     async def run(self) -> bool:
         """Make the attempt.
@@ -163,14 +163,14 @@
         load = response.header(relay.LOAD_HEADER)
         if not_run:
             pause = results.refused(self.lease, load=load)
-            room = self.lease.room
-            asyncio.get_running_loop().call_later(pause, room.freed)
+            service_pool = self.lease.service_pool
+            asyncio.get_running_loop().call_later(pause, service_pool.freed)
         elif response.status >= SERVER_ERROR:
             results.failed(self.lease)
         else:
             # An answer that came before the whole request says nothing about
             # the time that the endpoint needs.
-            latency = self.lease.room.latency
+            latency = self.lease.service_pool.latency
             if attempt.sent_at:
                 latency = self.now() - max(began, attempt.sent_at)
             results.answered(self.lease, latency=latency, load=load)
--- a/src/turmerichook/_internal/routing/balancer.py
+++ b/src/turmerichook/_internal/routing/balancer.py
@@ -1,4 +1,4 @@
-"""The rooms of all services, kept in step with endpoints and configuration."""
+"""The pools of all services, kept in step with endpoints and configuration."""
 
 import collections.abc
 import random
@@ -6,7 +6,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
 from turmerichook._internal.routing import endpoints as endpoint_module
-from turmerichook._internal.routing import rooms
+from turmerichook._internal.routing import service_pools
 from turmerichook._internal.routing import sharing
 
 # A service whose only endpoints are in zones that operators took out may use
@@ -29,7 +29,7 @@
         node: ids.NodeId,
         zone: ids.ZoneId,
         gateways: Gateways,
-        now: rooms.Now,
+        now: service_pools.Now,
         source: random.Random,
     ):
         self.node = node
@@ -38,7 +38,7 @@
         self.now = now
         self.source = source
         self.links: dict[ids.ZoneId, float] = {zone: 0.0}
-        self.rooms: dict[str, rooms.ServiceRoom] = {}
+        self.services: dict[str, service_pools.ServicePool] = {}
         self.counted = 0
         # Time at which each zone that is out was first seen to be.
         self.out_since: dict[ids.ZoneId, float] = {}
@@ -48,7 +48,7 @@
         directory: endpoint_module.EndpointDirectory,
         configuration: site.Configuration,
     ) -> None:
-        """Bring all rooms in step."""
+        """Bring all pools in step."""
         now = self.now()
         out = {
             name
@@ -57,8 +57,8 @@
         }
         self.out_since = {name: self.out_since.get(name, now) for name in out}
         self.counted = max(1, self.gateways())
-        for service in set(self.rooms) - set(directory.by_service):
-            self.rooms[service].update((), self.counted)
+        for service in set(self.services) - set(directory.by_service):
+            self.services[service].update((), self.counted)
         for service, endpoints in directory.by_service.items():
             self._room(service).update(
                 sharing.subset(
@@ -77,32 +77,32 @@
         """Do what depends on time alone; to be called every second."""
         if self.out_since or self.counted != max(1, self.gateways()):
             self.refresh(directory, configuration)
-        for name, room in list(self.rooms.items()):
-            room.tick()
-            busy = room.targets or len(room.queue)
+        for name, service_pool in list(self.services.items()):
+            service_pool.tick()
+            busy = service_pool.targets or len(service_pool.queue)
             if not busy and name not in configuration.services:
-                del self.rooms[name]
+                del self.services[name]
 
-    def room(self, service: str) -> rooms.ServiceRoom | None:
-        """Return the service's room if it ever had an endpoint."""
-        return self.rooms.get(service)
+    def service_pool(self, service: str) -> service_pools.ServicePool | None:
+        """Return the service's pool if it ever had an endpoint."""
+        return self.services.get(service)
 
     def close(self) -> None:
         """Close all idle connections."""
-        for room in self.rooms.values():
-            room.close()
+        for service_pool in self.services.values():
+            service_pool.close()
 
-    def _room(self, service: str) -> rooms.ServiceRoom:
-        room = self.rooms.get(service)
-        if room is None:
-            room = rooms.ServiceRoom(
+    def _room(self, service: str) -> service_pools.ServicePool:
+        service_pool = self.services.get(service)
+        if service_pool is None:
+            service_pool = service_pools.ServicePool(
                 zone=self.zone,
                 now=self.now,
                 source=self.source,
                 links=self.links,
             )
-            self.rooms[service] = room
-        return room
+            self.services[service] = service_pool
+        return service_pool
 
     def _allowed(
         self, endpoints: list[endpoint_module.Endpoint], now: float
--- a/src/turmerichook/_internal/routing/bodies.py
+++ b/src/turmerichook/_internal/routing/bodies.py
@@ -8,14 +8,14 @@
 KEEP_ALL_BYTES = 1024 * 1024
 
 
-class KeepRoom:
+class ReplayBudget:
     """Bytes that all kept bodies may still take."""
 
     def __init__(self, *, size: int = KEEP_ALL_BYTES):
         self.left = size
 
     def take(self, size: int) -> bool:
-        """Reserve room if there is any."""
+        """Reserve bytes if enough are left."""
         if size > self.left:
             return False
         self.left -= size
@@ -32,10 +32,10 @@
     """
 
     def __init__(
-        self, *, exchange: server.Exchange, room: KeepRoom, limit: int
+        self, *, exchange: server.Exchange, budget: ReplayBudget, limit: int
     ):
         self.exchange = exchange
-        self.room = room
+        self.budget = budget
         self.limit = limit
         self.kept: list[bytes] = []
         self.kept_bytes = 0
@@ -70,9 +70,9 @@
         return piece
 
     def forget(self) -> None:
-        """Give the room of the kept pieces back."""
+        """Give the bytes of the kept pieces back."""
         self.replayable = False
-        self.room.left += self.kept_bytes
+        self.budget.left += self.kept_bytes
         self.kept_bytes = 0
         self.kept = []
 
@@ -80,7 +80,7 @@
         if not self.replayable:
             return
         size = len(piece)
-        if self.kept_bytes + size > KEEP_BYTES or not self.room.take(size):
+        if self.kept_bytes + size > KEEP_BYTES or not self.budget.take(size):
             self.forget()
             return
         self.kept.append(piece)
--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -236,13 +236,13 @@
             self.metrics.set("endpoint_table_age_seconds", age, labels)
         self.metrics.set("connections", len(self.server.connections))
         member_metrics.collect(self.metrics, self.member)
-        for service, room in self.balancer.rooms.items():
+        for service, service_pool in self.balancer.services.items():
             labels = (("service", service),)
-            targets = room.targets.values()
+            targets = service_pool.targets.values()
             self.metrics.set("endpoints", len(targets), labels)
             in_flight = sum(target.in_flight for target in targets)
             self.metrics.set("in_flight", in_flight, labels)
-            self.metrics.set("queue_length", len(room.queue), labels)
+            self.metrics.set("queue_length", len(service_pool.queue), labels)
         await exchange.respond(
             status=200,
             body=self.metrics.render().encode(),
--- a/src/turmerichook/_internal/routing/forwarding.py
+++ b/src/turmerichook/_internal/routing/forwarding.py
@@ -22,8 +22,8 @@
 from turmerichook._internal.routing import relay
 from turmerichook._internal.routing import requests
 from turmerichook._internal.routing import retries
-from turmerichook._internal.routing import rooms
 from turmerichook._internal.routing import selection
+from turmerichook._internal.routing import service_pools
 from turmerichook import exceptions
 
 # Largest request body that is relayed.
@@ -51,7 +51,7 @@
         *,
         balancer: balancers.Balancer,
         metrics: metrics_module.Metrics,
-        now: rooms.Now,
+        now: service_pools.Now,
         source: random.Random,
     ):
         self.balancer = balancer
@@ -60,7 +60,7 @@
         self.configuration: site.Configuration = site.EMPTY
         self.budget = retries.Budget()
         self.rates = rates.TeamRates()
-        self.keep_room = bodies.KeepRoom()
+        self.replay_budget = bodies.ReplayBudget()
         self.recent = recent.RecentDecisions()
         # Part of the exchange ids, so that those of two gateways differ.
         self.prefix = f"{source.getrandbits(48):012x}"
@@ -188,7 +188,7 @@
         if length and int(length) > BODY_BYTES:
             raise calls.RefusedError(code=refusals.Code.BODY_TOO_LARGE)
         return bodies.ReplayBody(
-            exchange=exchange, room=self.keep_room, limit=BODY_BYTES
+            exchange=exchange, budget=self.replay_budget, limit=BODY_BYTES
         )
 
     # Attempts
@@ -216,12 +216,12 @@
             call.tried |= {lease.target.endpoint.task}
             self.metrics.count("retries_total")
 
-    async def _acquire(self, call: calls.Call) -> rooms.Lease:
-        room = self.balancer.room(call.request.service)
-        if room is None:
+    async def _acquire(self, call: calls.Call) -> service_pools.Lease:
+        service_pool = self.balancer.service_pool(call.request.service)
+        if service_pool is None:
             raise calls.RefusedError(code=refusals.Code.NO_ENDPOINT)
         probe = call.request.idempotent and call.attempts == 0
-        result = await room.acquire(
+        result = await service_pool.acquire(
             wanted=selection.Wanted(probe=probe, tried=call.tried),
             urgency=call.urgency,
             team=call.team,
@@ -229,16 +229,18 @@
             deadline=call.deadline,
         )
         match result:
-            case rooms.Lease():
+            case service_pools.Lease():
                 return result
             case queues.Shed():
                 raise calls.RefusedError(
                     code=SHED_CODES[result],
-                    retry_after=room.queue.wait_for(call.urgency),
+                    retry_after=service_pool.queue.wait_for(call.urgency),
                 )
         raise calls.RefusedError(code=refusals.Code.NO_ENDPOINT)
 
-    def _log_routed(self, call: calls.Call, lease: rooms.Lease) -> None:
+    def _log_routed(
+        self, call: calls.Call, lease: service_pools.Lease
+    ) -> None:
         endpoint = lease.target.endpoint
         where = f"{endpoint.task} at {endpoint.address}"
         self.recent.routed(call.exchange.head, lease.why.value, where)
--- a/src/turmerichook/_internal/routing/rooms.py
+++ b/src/turmerichook/_internal/routing/service_pools.py
@@ -24,14 +24,14 @@
 class Lease:
     """The right to one exchange with one endpoint."""
 
-    __slots__ = ("room", "target", "pool", "why", "released")
+    __slots__ = ("service_pool", "target", "pool", "why", "released")
 
     def __init__(
-        self, *, room: "ServiceRoom", chosen: selection.Chosen
+        self, *, service_pool: "ServicePool", chosen: selection.Chosen
     ) -> None:
-        self.room = room
+        self.service_pool = service_pool
         self.target = chosen.target
-        self.pool = room.pools[chosen.target.endpoint.task]
+        self.pool = service_pool.pools[chosen.target.endpoint.task]
         self.why = chosen.why
         self.released = False
         self.target.in_flight += 1
@@ -41,10 +41,10 @@
         if not self.released:
             self.released = True
             self.target.in_flight -= 1
-            self.room.freed()
+            self.service_pool.freed()
 
 
-class ServiceRoom:
+class ServicePool:
     """Targets, connection pools and the queue of one service.
 
     :param now: monotonic seconds.
@@ -173,7 +173,7 @@
         if not len(self.queue):
             chosen = self.choose(wanted)
             if isinstance(chosen, selection.Chosen):
-                return Lease(room=self, chosen=chosen)
+                return Lease(service_pool=self, chosen=chosen)
             if chosen.reason is outcomes.Reason.NO_ENDPOINT:
                 return chosen
         future = asyncio.get_running_loop().create_future()
@@ -231,7 +231,7 @@
         )
 
     def freed(self) -> None:
-        """Let waiting requests go on as far as there is room."""
+        """Let waiting requests go on as far as there is service_pool."""
         while len(self.queue):
             entry = self.queue.pop()
             if entry is None:
@@ -242,7 +242,7 @@
                 continue
             chosen = self.choose(entry.ticket[1])
             if isinstance(chosen, selection.Chosen):
-                _resolve(entry, Lease(room=self, chosen=chosen))
+                _resolve(entry, Lease(service_pool=self, chosen=chosen))
                 continue
             if chosen.reason is outcomes.Reason.NO_ENDPOINT:
                 _resolve(entry, chosen)
--- a/tests/routing/test_uploads.py
+++ b/tests/routing/test_uploads.py
@@ -18,7 +18,7 @@
 
     def __init__(self, *, limit):
         self.limit = limit
-        self.room = bodies.KeepRoom()
+        self.budget = bodies.ReplayBudget()
         self.replayed = []
 
     async def broken(self, reader, writer):
@@ -34,7 +34,7 @@
     async def relay(self, exchange):
         """Try the broken endpoint, then the whole one."""
         body = bodies.ReplayBody(
-            exchange=exchange, room=self.room, limit=10**6
+            exchange=exchange, budget=self.budget, limit=10**6
         )
         try:
             for pool in self.pools:
@@ -111,7 +111,7 @@
         sizes = [20000, 5, 30000, 1]
         answers = asyncio.run(stage.run(sizes))
         assert answers == [(200, {"bytes": size}) for size in sizes]
-        assert stage.room.left == bodies.KEEP_ALL_BYTES
+        assert stage.budget.left == bodies.KEEP_ALL_BYTES
 
     def test_too_large_to_keep(self):
         # Guards against a body that is sent again without its beginning.
@@ -119,4 +119,4 @@
         status, _ = asyncio.run(stage.run([200000]))[0]
         assert status == 502
         assert stage.replayed == [False]
-        assert stage.room.left == bodies.KEEP_ALL_BYTES
+        assert stage.budget.left == bodies.KEEP_ALL_BYTES
