--- a/bench/measure_capacity.py
+++ b/bench/measure_capacity.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import tempfile
 import time
@@ -148,7 +149,11 @@
         *_gateway_by_requests(),
     ]
     documents = [slope.document() for slope in slopes]
-    measured = {"slopes": documents, "idle_calls_per_s": _idle_calls()}
+    measured = {
+        "slopes": documents,
+        "idle_calls_per_s": _idle_calls(),
+        "command_line": command_line(),
+    }
     OUTPUT.parent.mkdir(exist_ok=True)
     OUTPUT.write_text(json.dumps(measured, indent=1) + "\n")
     return [
@@ -161,6 +166,21 @@
     ]
 
 
+def command_line() -> dict[str, float]:
+    """Return what one ``turmerichook config show`` costs."""
+    with site(10) as running:
+        process = running.system.operator_process(
+            "config", "show", "--store", running.system.store
+        )
+        _, status, used = os.wait4(process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(status)
+        process.communicate()
+    return {
+        "resident_mib": used.ru_maxrss / processes.KIB_PER_MIB,
+        "cpu_s": used.ru_utime + used.ru_stime,
+    }
+
+
 def _idle_calls() -> dict[str, float]:
     """Return the store's calls a second by kind for one idle zone."""
     with site(10) as running:
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -38,7 +38,7 @@
     slopes = {item["name"]: item for item in measured["slopes"]}
     parts = (
         _verdicts(slopes),
-        _roles(slopes),
+        _roles(slopes, measured["command_line"]),
         _slopes(slopes),
         _store(measured["idle_calls_per_s"]),
     )
@@ -113,7 +113,7 @@
     return "\n".join(lines) + "\n"
 
 
-def _roles(slopes: Slopes) -> str:
+def _roles(slopes: Slopes, command: dict[str, float]) -> str:
     peak = owner_cpu_of_starts(slopes)
     request = slopes["gateway_cpu_by_requests"]["slope"] * 1000
     standby = slopes["owner_memory_by_workers"]["base"]
@@ -132,6 +132,9 @@
             f"| gateway | {ENDPOINTS} endpoints "
             f"| {gateway_memory(slopes):.1f} MiB "
             f"| {gateway_cpu(slopes):.2f}% | {request:.2f} ms a request |",
+            f"| command line | one `config show` "
+            f"| {command['resident_mib']:.1f} MiB while it runs | none "
+            f"| {command['cpu_s']:.2f} s a command |",
             "",
         )
     )
@@ -148,7 +151,7 @@
         points = ", ".join(f"{x:g}: {y:.4g}" for x, y in item["points"])
         lines.append(
             f"| {item['name']} | {points} | {item['base']:.4g} "
-            f"{item['unit']} | {item['slope']:.3g} {item['unit']} a "
+            f"{item['unit']} | {item['slope']:.3g} {item['unit']} per "
             f"{item['per']} | {item['error']:.1%} |"
         )
     return "\n".join(lines) + "\n"
@@ -158,11 +161,13 @@
     lines = [
         "## Store calls, one zone without work, one scheduler, one gateway",
         "",
-        "| kind | calls a second | in 7 zones |",
-        "|---|---|---|",
+        "| kind | calls a second | Dzwonnica, 3 zones | Batbayar, 4 zones "
+        "| target, 7 zones |",
+        "|---|---|---|---|---|",
     ]
     for kind, rate in idle.items():
-        lines.append(f"| {kind} | {rate:.2f} | {rate * ZONES:.1f} |")
+        sums = (f"{rate * zones:.1f}" for zones in (3, 4, ZONES))
+        lines.append(f"| {kind} | {rate:.2f} | {' | '.join(sums)} |")
     writes = GROUP_COMMITS_PER_S * ZONES
     lines += [
         "",
