Tell a kill during a planned stop from the stop itself in the checker

The trace shows that the request was held at the endpoint when the gateway was killed, 1 s after the planned stop had begun; the kill cut it, not the stop.

Change: the operator records kills; cuts at a process after its kill are not counted against its planned stop, earlier ones are.

--- a/faults/strikes.py
+++ b/faults/strikes.py
@@ -38,6 +38,7 @@
 
 def _kill(world: worlds.World, reached: rows.Reached) -> None:
     if reached.actor:
+        world.record({"kind": "killed", "node": reached.actor})
         world.system.kill(reached.actor)
     else:
         world.background[-1].kill()
--- a/standins/history.py
+++ b/standins/history.py
@@ -218,10 +218,14 @@
 
 def _graceful_stop(history: History) -> list[Violation]:
     stopping = {e["node"] for e in of_kind(history, "planned-stop")}
+    killed = {e["node"]: e["time"] for e in of_kind(history, "killed")}
+    # What is in progress when a process is killed is cut by the kill, also
+    # while the process is stopping.
     return [
         _violation(Promise.GRACEFUL_STOP, "a request was cut", entry)
         for entry in of_kind(history, "cut")
         if entry["node"] in stopping
+        and entry["time"] < killed.get(entry["node"], entry["time"] + 1)
     ]
 
 
--- a/tests/standins/test_history.py
+++ b/tests/standins/test_history.py
@@ -140,6 +140,17 @@
             entries.append(end(2 * number + 2, "fail", f"t{number}"))
         assert history.check(entries) == []
 
+    def test_cut_before_the_kill_is_reported(self):
+        # Guards against a kill that excuses what the planned stop cut.
+        entries = [
+            {"time": 1, "kind": "planned-stop", "node": "g"},
+            {"time": 2, "kind": "cut", "node": "g"},
+            {"time": 3, "kind": "killed", "node": "g"},
+            {"time": 4, "kind": "cut", "node": "g"},
+        ]
+        found = history.check(entries)
+        assert history.count(found, history.Promise.GRACEFUL_STOP) == 1
+
     def test_late_configuration_is_reported(self):
         # Guards against a process that never follows a new generation.
         entries = [
