Give a restarted process its own time to follow a configuration in the checker

Cause: zone-out-submit/cut-from-both+killed reported I10 broken by a process with generation 0, which only a process that has just started reports; the cell starts the killed scheduler again 1 s after the kill.

Change: starts are recorded, and the bound of 10 s counts from the later of the apply and the process's start.

--- a/faults/strikes.py
+++ b/faults/strikes.py
@@ -45,6 +45,7 @@
     _release(world, reached)
     if reached.actor:
         time.sleep(1.0)
+        world.record({"kind": "started", "node": reached.actor})
         world.system.start_daemon(reached.actor)
 
 
--- a/standins/history.py
+++ b/standins/history.py
@@ -246,14 +246,19 @@
 
 
 def _late_nodes(history: History, applied: Entry) -> list[Violation]:
-    due = applied["time"] + SPREAD_BOUND_S
-    behind = {
-        e["node"]: e
-        for e in of_kind(history, "generation")
-        if e["time"] > due
-        and e["generation"] < applied["generation"]
-        and not e.get("cut_off")
-    }
+    # A process that was started again has the same time from its start.
+    since: dict[str, float] = {}
+    behind: dict[str, Entry] = {}
+    for entry in of_kind(history, "started", "generation"):
+        node = entry["node"]
+        if entry["kind"] == "started":
+            since[node] = entry["time"]
+            continue
+        begin = max(applied["time"], since.get(node, 0.0))
+        late = entry["time"] > begin + SPREAD_BOUND_S
+        older = entry["generation"] < applied["generation"]
+        if late and older and not entry.get("cut_off"):
+            behind[node] = entry
     return [
         _violation(
             Promise.CONFIGURATION,
--- a/tests/standins/test_history.py
+++ b/tests/standins/test_history.py
@@ -140,6 +140,19 @@
             entries.append(end(2 * number + 2, "fail", f"t{number}"))
         assert history.check(entries) == []
 
+    def test_restarted_process_has_the_time_from_its_start(self):
+        # Guards against a restart that excuses a process for ever, and
+        # against one that is reported in its first second.
+        entries = [
+            {"time": 0, "kind": "applied", "generation": 2},
+            {"time": 20, "kind": "started", "node": "g"},
+            {"time": 21, "kind": "generation", "node": "g", "generation": 0},
+        ]
+        assert history.check(entries) == []
+        late = {"time": 31, "kind": "generation", "node": "g"}
+        found = history.check([*entries, {**late, "generation": 0}])
+        assert history.count(found, history.Promise.CONFIGURATION) == 1
+
     def test_cut_before_the_kill_is_reported(self):
         # Guards against a kill that excuses what the planned stop cut.
         entries = [
