Remove code that nothing calls

Cause: a read-through of the whole change found five definitions without a caller: Authority.require and its AuthorityLapsedError (owners ask for the remaining time instead), the host list's encoder, a lookup of endpoints by service, and a stop in the gateways' test rig.

Change: they are gone; behaviour and assertions are the same.

--- a/src/turmerichook/_internal/platform/hosts_http.py
+++ b/src/turmerichook/_internal/platform/hosts_http.py
@@ -45,24 +45,6 @@
             ) from error
 
 
-def encode_listing(listing: hosts.HostListing) -> dict[str, typing.Any]:
-    """Return the JSON document of a listing."""
-    return {
-        "age": listing.age.total_seconds(),
-        "hosts": [
-            {
-                "host": host.host,
-                "address": host.address,
-                "zone": host.zone,
-                "rack": host.rack,
-                "capacity": host.capacity.to_map(),
-                "state": host.state.value,
-            }
-            for host in listing.hosts
-        ],
-    }
-
-
 def decode_listing(document: typing.Any) -> hosts.HostListing:
     """Return the listing of a JSON document.
 
--- a/src/turmerichook/_internal/routing/endpoints.py
+++ b/src/turmerichook/_internal/routing/endpoints.py
@@ -80,10 +80,6 @@
             self.confirmed[message.zone] = now
             self.old.discard(message.zone)
 
-    def of_service(self, service: str) -> list[Endpoint]:
-        """Return the service's endpoints that may get new requests."""
-        return self.by_service.get(service, [])
-
     def ages(self, now: float) -> dict[str, float]:
         """Return the age of each zone's table in seconds."""
         return {zone: now - at for zone, at in self.confirmed.items()}
--- a/src/turmerichook/_internal/scheduling/authority.py
+++ b/src/turmerichook/_internal/scheduling/authority.py
@@ -2,7 +2,6 @@
 
 import datetime
 
-from turmerichook import exceptions
 
 # TTL of the store lease that a zone's owner holds.
 OWNER_TTL = datetime.timedelta(seconds=4)
@@ -50,15 +49,3 @@
         if self.confirmed_sent == datetime.timedelta.min:
             return datetime.timedelta.min
         return self.confirmed_sent + START_AUTHORITY * (1 - DRIFT_MARGIN)
-
-    def require(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Return the remaining time.
-
-        :raises AuthorityLapsedError: if none remains.
-        """
-        left = self.remaining(now)
-        if not left:
-            raise exceptions.AuthorityLapsedError(
-                message="the store has not confirmed the ownership in time",
-            )
-        return left
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -270,12 +270,6 @@
 # Scheduling
 
 
-class AuthorityLapsedError(TurmerichookError):
-    """The owner's authority to start tasks has lapsed."""
-
-    reference = "no-start-authority"
-
-
 class CommitmentError(TurmerichookError):
     """A commitment would exceed a host's capacity."""
 
--- a/standins/rig.py
+++ b/standins/rig.py
@@ -11,7 +11,6 @@
 import dataclasses
 import os
 import pathlib
-import signal
 import subprocess
 import sys
 import time
@@ -189,10 +188,6 @@
             if writer.is_closing():
                 del self.links[name]
 
-    def stop_gateway(self, name: str) -> None:
-        """Ask a gateway for a planned stop."""
-        self.gateways[name].send_signal(signal.SIGTERM)
-
     async def wait_gateway(self, name: str, timeout: float) -> int:
         """Wait for a gateway's end and return its exit status."""
         return await asyncio.to_thread(self.gateways[name].wait, timeout)
