--- a/bench/measure_configuration.py
+++ b/bench/measure_configuration.py
@@ -26,7 +26,7 @@
 from turmerichook._internal.configuration import bundle
 from turmerichook._internal.http import addresses
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import store_http
+from turmerichook._internal.providers import store_http
 
 ZONES = ("a", "b", "c", "d", "e", "f", "g")
 STORE_DELAY_S = 0.01
--- a/bench/measure_recovery.py
+++ b/bench/measure_recovery.py
@@ -23,11 +23,11 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import hosts_memory
-from turmerichook._internal.platform import store_faults
-from turmerichook._internal.platform import store_memory
-from turmerichook._internal.platform import workers_memory
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import hosts_memory
+from turmerichook._internal.providers import store_faults
+from turmerichook._internal.providers import store_memory
+from turmerichook._internal.providers import workers_memory
 from turmerichook._internal.scheduling import environment
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import ownership
--- a/bench/sharing_policies.py
+++ b/bench/sharing_policies.py
@@ -9,7 +9,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import hosts
+from turmerichook._internal.providers import hosts
 from turmerichook._internal.scheduling import colocation
 from turmerichook._internal.scheduling import placement
 from turmerichook._internal.scheduling import sharing_decisions as decisions
--- a/faults/breaks.py
+++ b/faults/breaks.py
@@ -14,7 +14,7 @@
 from turmerichook._internal.http import client
 from turmerichook._internal.http import server
 from turmerichook._internal.models import resources
-from turmerichook._internal.platform import worker_format
+from turmerichook._internal.providers import worker_format
 from turmerichook._internal.routing import daemon as gateway
 from turmerichook._internal.routing import refusals
 from turmerichook._internal.routing import retries
--- a/src/turmerichook/_internal/commands/context.py
+++ b/src/turmerichook/_internal/commands/context.py
@@ -14,7 +14,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.configuration import apply
 from turmerichook._internal.http import addresses
-from turmerichook._internal.platform import store_http
+from turmerichook._internal.providers import store_http
 from turmerichook import exceptions
 
 FILE_VARIABLE = "TURMERICHOOK_OPERATOR_FILE"
--- a/src/turmerichook/_internal/commands/jobs_list.py
+++ b/src/turmerichook/_internal/commands/jobs_list.py
@@ -1,7 +1,7 @@
 """``turmerichook jobs list``."""
 
 from turmerichook._internal.commands import context as contexts
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import jobs
 
 
--- a/src/turmerichook/_internal/configuration/apply.py
+++ b/src/turmerichook/_internal/configuration/apply.py
@@ -15,7 +15,7 @@
 from turmerichook._internal.configuration import generations
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook import exceptions
 
 # How long a write is repeated while the store does not confirm it.
--- a/src/turmerichook/_internal/configuration/distribution.py
+++ b/src/turmerichook/_internal/configuration/distribution.py
@@ -18,7 +18,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook import exceptions
 
 # Length of one waiting call. Its failure tells that the store is out of
--- a/src/turmerichook/_internal/configuration/generations.py
+++ b/src/turmerichook/_internal/configuration/generations.py
@@ -5,7 +5,7 @@
 from turmerichook._internal.configuration import folder
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook import exceptions
 
 BUNDLES_KEPT = 50
--- a/src/turmerichook/_internal/membership/member.py
+++ b/src/turmerichook/_internal/membership/member.py
@@ -18,7 +18,7 @@
 from turmerichook._internal.membership import records
 from turmerichook._internal.membership import view as views
 from turmerichook._internal.membership import watching
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal import settings as settings_module
 from turmerichook._internal.streams import hub as hubs
 from turmerichook import exceptions
--- a/src/turmerichook/_internal/metrics/timed_store.py
+++ b/src/turmerichook/_internal/metrics/timed_store.py
@@ -6,7 +6,7 @@
 from turmerichook._internal.metrics import registry as registries
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 
 
 class TimedStore:
--- a/src/turmerichook/_internal/models/ids.py
+++ b/src/turmerichook/_internal/models/ids.py
@@ -15,9 +15,14 @@
 OperationId = typing.NewType("OperationId", str)
 LeaseId = typing.NewType("LeaseId", str)
 CheckpointId = typing.NewType("CheckpointId", str)
+QueueId = typing.NewType("QueueId", str)
+ImageId = typing.NewType("ImageId", str)
+WorkerId = typing.NewType("WorkerId", str)
 
 # A zone's ownership counter, used as a fencing token.
 Epoch = typing.NewType("Epoch", int)
+# Increases with each change of leader; workers ignore orders with a lower one.
+FencingToken = typing.NewType("FencingToken", int)
 # Number of times a task has been started.
 Attempt = typing.NewType("Attempt", int)
 # Number of an accepted configuration.
--- /dev/null
+++ b/src/turmerichook/_internal/providers/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform, with HTTP adapters and fakes."""
--- /dev/null
+++ b/src/turmerichook/_internal/providers/hosts_memory.py
@@ -0,0 +1,22 @@
+"""In-memory host list for tests."""
+
+import datetime
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.providers import hosts
+from turmerichook import exceptions
+
+
+class MemoryHostList:
+    """A ``hosts.HostList`` that a test changes."""
+
+    def __init__(self):
+        self.entries: dict[ids.HostId, hosts.Host] = {}
+        self.age = datetime.timedelta()
+        self.down = False
+
+    async def hosts(self, zone: ids.ZoneId) -> hosts.HostListing:
+        if self.down:
+            raise exceptions.HostListUnavailableError(message="down")
+        found = [host for host in self.entries.values() if host.zone == zone]
+        return hosts.HostListing(hosts=tuple(found), age=self.age)
--- /dev/null
+++ b/src/turmerichook/_internal/providers/store_memory.py
@@ -0,0 +1,199 @@
+"""In-memory store with the same behaviour as the platform's.
+
+Used in tests and by the stand-in server, which puts HTTP in front of it.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import datetime
+import itertools
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.models import ids
+from turmerichook._internal import outcomes
+from turmerichook._internal.providers import store
+from turmerichook import exceptions
+
+CHANGES_KEPT = 10_000
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Lease:
+    ttl: datetime.timedelta
+    expires: datetime.timedelta
+    keys: set[str]
+
+
+class MemoryStore:
+    """A ``store.Store`` in the memory of one process."""
+
+    def __init__(self, *, clock: clocks.Clock):
+        self.clock = clock
+        self.entries: dict[str, store.Entry] = {}
+        self.leases: dict[str, _Lease] = {}
+        self.lease_of_key: dict[str, str] = {}
+        self.revision = 0
+        self.versions: dict[str, int] = {}
+        self.lease_numbers = itertools.count(1)
+        self.log: collections.deque = collections.deque(maxlen=CHANGES_KEPT)
+        self.waiters: list[tuple[str, asyncio.Event]] = []
+
+    async def get(self, key: str) -> store.Entry | outcomes.Absent:
+        self._expire()
+        entry = self.entries.get(key)
+        if entry is None:
+            return outcomes.Absent(
+                reason=outcomes.Reason.NO_SUCH_KEY, detail=key
+            )
+        return entry
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expect: ids.Version,
+        lease: ids.LeaseId | None = None,
+    ) -> ids.Version:
+        self._expire()
+        if len(value) > store.VALUE_BYTES:
+            raise exceptions.ValueTooLargeError(message=key)
+        self._check(key, expect)
+        if lease is not None and lease not in self.leases:
+            raise exceptions.LeaseLapsedError(message="unknown lease")
+        self._unbind(key)
+        if lease is not None:
+            self.leases[lease].keys.add(key)
+            self.lease_of_key[key] = lease
+        version = self._next_version(key)
+        entry = store.Entry(key=key, value=value, version=version)
+        self.entries[key] = entry
+        self._record(key, entry)
+        return version
+
+    async def delete(self, key: str, *, expect: ids.Version) -> None:
+        self._expire()
+        self._check(key, expect)
+        if key in self.entries:
+            self._remove(key)
+
+    async def list(
+        self, prefix: str, *, start: str = "", limit: int = 0
+    ) -> store.Listing:
+        self._expire()
+        found = sorted(
+            k for k in self.entries if k.startswith(prefix) and k > start
+        )
+        if limit:
+            found = found[:limit]
+        return store.Listing(
+            revision=ids.Revision(self.revision),
+            entries=tuple(self.entries[k] for k in found),
+        )
+
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after: ids.Revision,
+        wait: datetime.timedelta,
+    ) -> store.Changes:
+        self._expire()
+        if self._has_changes(prefix, after) or self._truncated(after):
+            return self._changes(prefix, after)
+        event = asyncio.Event()
+        waiter = (prefix, event)
+        self.waiters.append(waiter)
+        try:
+            await clocks.wait_event(self.clock, event, wait)
+        finally:
+            self.waiters.remove(waiter)
+        self._expire()
+        return self._changes(prefix, after)
+
+    async def grant_lease(self, ttl: datetime.timedelta) -> ids.LeaseId:
+        lease = ids.LeaseId(f"lease-{next(self.lease_numbers)}")
+        expires = self.clock.monotonic() + ttl
+        self.leases[lease] = _Lease(ttl=ttl, expires=expires, keys=set())
+        return lease
+
+    async def renew_lease(self, lease: ids.LeaseId) -> None:
+        self._expire()
+        held = self.leases.get(lease)
+        if held is None:
+            raise exceptions.LeaseLapsedError(message="unknown lease")
+        held.expires = self.clock.monotonic() + held.ttl
+
+    async def revoke_lease(self, lease: ids.LeaseId) -> None:
+        held = self.leases.pop(lease, None)
+        if held is not None:
+            for key in sorted(held.keys):
+                self._remove(key)
+
+    def expire(self) -> None:
+        """Remove lapsed leases with their keys, and wake their watchers."""
+        self._expire()
+
+    def _check(self, key: str, expect: ids.Version) -> None:
+        entry = self.entries.get(key)
+        current = store.ABSENT_VERSION if entry is None else entry.version
+        if current != expect:
+            raise exceptions.VersionConflictError(
+                key=key, expected=expect, current=current
+            )
+
+    def _next_version(self, key: str) -> ids.Version:
+        # Versions go on rising after a delete, so that a writer that still
+        # holds the version of an earlier life of the key gets a conflict.
+        self.versions[key] = self.versions.get(key, 0) + 1
+        return ids.Version(self.versions[key])
+
+    def _expire(self) -> None:
+        now = self.clock.monotonic()
+        lapsed = [n for n, held in self.leases.items() if held.expires <= now]
+        for name in lapsed:
+            held = self.leases.pop(name)
+            for key in sorted(held.keys):
+                self._remove(key)
+
+    def _unbind(self, key: str) -> None:
+        lease = self.lease_of_key.pop(key, None)
+        if lease is not None and lease in self.leases:
+            self.leases[lease].keys.discard(key)
+
+    def _remove(self, key: str) -> None:
+        self._unbind(key)
+        self.entries.pop(key, None)
+        self._record(key, store.Removed(key=key))
+
+    def _record(self, key: str, change: store.Entry | store.Removed) -> None:
+        self.revision += 1
+        self.log.append((self.revision, key, change))
+        for prefix, event in self.waiters:
+            if key.startswith(prefix):
+                event.set()
+
+    def _truncated(self, after: ids.Revision) -> bool:
+        return bool(self.log) and after < self.log[0][0] - 1
+
+    def _has_changes(self, prefix: str, after: ids.Revision) -> bool:
+        for revision, key, _ in reversed(self.log):
+            if revision <= after:
+                return False
+            if key.startswith(prefix):
+                return True
+        return False
+
+    def _changes(self, prefix: str, after: ids.Revision) -> store.Changes:
+        found = []
+        for revision, key, change in reversed(self.log):
+            if revision <= after:
+                break
+            if key.startswith(prefix):
+                found.append(change)
+        return store.Changes(
+            revision=ids.Revision(self.revision),
+            changes=tuple(reversed(found)),
+            complete=not self._truncated(after),
+        )
--- a/src/turmerichook/_internal/routing/daemon.py
+++ b/src/turmerichook/_internal/routing/daemon.py
@@ -15,7 +15,7 @@
 from turmerichook._internal.membership import documents as member_documents
 from turmerichook._internal.membership import member as members
 from turmerichook._internal.membership import metrics as member_metrics
-from turmerichook._internal.platform import store_http
+from turmerichook._internal.providers import store_http
 from turmerichook._internal.routing import balancer as balancers
 from turmerichook._internal.routing import endpoints
 from turmerichook._internal.routing import events
--- a/src/turmerichook/_internal/routing/submission.py
+++ b/src/turmerichook/_internal/routing/submission.py
@@ -9,7 +9,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import homes
 from turmerichook._internal.scheduling import jobs
 from turmerichook import exceptions
--- a/src/turmerichook/_internal/scheduling/announcements.py
+++ b/src/turmerichook/_internal/scheduling/announcements.py
@@ -3,7 +3,7 @@
 import datetime
 
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import hosts
+from turmerichook._internal.providers import hosts
 from turmerichook._internal.scheduling import messages
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import queue_lengths
--- a/src/turmerichook/_internal/scheduling/cancels.py
+++ b/src/turmerichook/_internal/scheduling/cancels.py
@@ -5,7 +5,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import feeds
 from turmerichook._internal.scheduling import job_board
 from turmerichook._internal.scheduling import jobs
--- a/src/turmerichook/_internal/scheduling/classes.py
+++ b/src/turmerichook/_internal/scheduling/classes.py
@@ -5,7 +5,7 @@
 import typing
 
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import plan
 
 TaskClass = typing.NewType("TaskClass", str)
--- a/src/turmerichook/_internal/scheduling/colocation.py
+++ b/src/turmerichook/_internal/scheduling/colocation.py
@@ -12,8 +12,8 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import advice
 from turmerichook._internal.scheduling import classes
 from turmerichook._internal.scheduling import health
--- a/src/turmerichook/_internal/scheduling/commitments.py
+++ b/src/turmerichook/_internal/scheduling/commitments.py
@@ -8,8 +8,8 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import advisers
 from turmerichook._internal.scheduling import ledger as ledgers
 from turmerichook._internal.scheduling import placement
--- a/src/turmerichook/_internal/scheduling/daemon.py
+++ b/src/turmerichook/_internal/scheduling/daemon.py
@@ -15,9 +15,9 @@
 from turmerichook._internal.metrics import registry
 from turmerichook._internal.metrics import timed_store
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import hosts_http
-from turmerichook._internal.platform import store_http
-from turmerichook._internal.platform import workers_http
+from turmerichook._internal.providers import hosts_http
+from turmerichook._internal.providers import store_http
+from turmerichook._internal.providers import workers_http
 from turmerichook._internal.scheduling import environment as environments
 from turmerichook._internal.scheduling import messages
 from turmerichook._internal.scheduling import operator_calls
--- a/src/turmerichook/_internal/scheduling/eligibility.py
+++ b/src/turmerichook/_internal/scheduling/eligibility.py
@@ -5,7 +5,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import placement
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import queues
--- a/src/turmerichook/_internal/scheduling/environment.py
+++ b/src/turmerichook/_internal/scheduling/environment.py
@@ -6,9 +6,9 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import store as stores
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import store as stores
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import messages
 
 
--- a/src/turmerichook/_internal/scheduling/feeds.py
+++ b/src/turmerichook/_internal/scheduling/feeds.py
@@ -8,8 +8,8 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import jobs
 from turmerichook import exceptions
--- a/src/turmerichook/_internal/scheduling/job_board.py
+++ b/src/turmerichook/_internal/scheduling/job_board.py
@@ -10,7 +10,7 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import homes
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal as journals
--- a/src/turmerichook/_internal/scheduling/journal_store.py
+++ b/src/turmerichook/_internal/scheduling/journal_store.py
@@ -14,7 +14,7 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import journal
 from turmerichook._internal.scheduling import journal_format
 from turmerichook import exceptions
--- a/src/turmerichook/_internal/scheduling/owner.py
+++ b/src/turmerichook/_internal/scheduling/owner.py
@@ -13,7 +13,7 @@
 
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import hosts
+from turmerichook._internal.providers import hosts
 from turmerichook._internal.scheduling import announcements
 from turmerichook._internal.scheduling import authority as authorities
 from turmerichook._internal.scheduling import cancels
--- a/src/turmerichook/_internal/scheduling/ownership.py
+++ b/src/turmerichook/_internal/scheduling/ownership.py
@@ -11,7 +11,7 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import authority as authorities
 from turmerichook._internal.scheduling import events
 from turmerichook import exceptions
--- a/src/turmerichook/_internal/scheduling/plan.py
+++ b/src/turmerichook/_internal/scheduling/plan.py
@@ -6,7 +6,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/turmerichook/_internal/scheduling/record_plan.py
+++ b/src/turmerichook/_internal/scheduling/record_plan.py
@@ -8,7 +8,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook._internal.scheduling import homes
 from turmerichook._internal.scheduling import job_board
 from turmerichook._internal.scheduling import jobs
--- a/src/turmerichook/_internal/scheduling/reports.py
+++ b/src/turmerichook/_internal/scheduling/reports.py
@@ -3,7 +3,7 @@
 import datetime
 
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import advice
 from turmerichook._internal.scheduling import interference
 from turmerichook._internal.scheduling import relief as reliefs
--- a/src/turmerichook/_internal/scheduling/rounds.py
+++ b/src/turmerichook/_internal/scheduling/rounds.py
@@ -6,7 +6,7 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import decision_round
 from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import jobs
--- a/src/turmerichook/_internal/scheduling/state.py
+++ b/src/turmerichook/_internal/scheduling/state.py
@@ -10,7 +10,7 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import journal
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import queues
--- a/src/turmerichook/_internal/scheduling/stops.py
+++ b/src/turmerichook/_internal/scheduling/stops.py
@@ -8,7 +8,7 @@
 import datetime
 
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import state as states
 
 # Callers must have stopped sending to a leaving endpoint within 5 s (I8);
--- a/src/turmerichook/_internal/scheduling/strays.py
+++ b/src/turmerichook/_internal/scheduling/strays.py
@@ -9,7 +9,7 @@
 
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import journal as journals
 from turmerichook._internal.scheduling import journal_store
--- a/src/turmerichook/_internal/scheduling/tasks.py
+++ b/src/turmerichook/_internal/scheduling/tasks.py
@@ -6,7 +6,7 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import plan
 from turmerichook._internal.scheduling import retries
 
--- a/src/turmerichook/_internal/scheduling/tracking.py
+++ b/src/turmerichook/_internal/scheduling/tracking.py
@@ -6,7 +6,7 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import classes
 from turmerichook._internal.scheduling import interference
 from turmerichook._internal.scheduling import plan
--- a/src/turmerichook/_internal/scheduling/unknown_hosts.py
+++ b/src/turmerichook/_internal/scheduling/unknown_hosts.py
@@ -9,7 +9,7 @@
 import datetime
 
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import hosts
+from turmerichook._internal.providers import hosts
 from turmerichook._internal.scheduling import authority as authorities
 
 LEASES = authorities.TASK_TTL_WITH_MARGIN
--- a/src/turmerichook/_internal/scheduling/worker_reports.py
+++ b/src/turmerichook/_internal/scheduling/worker_reports.py
@@ -5,8 +5,8 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import authority as authorities
 from turmerichook._internal.scheduling import events
 from turmerichook._internal.scheduling import journal as journals
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -168,6 +168,18 @@
     reference = "lease-lapsed"
 
 
+class HistoryLostError(StoreError):
+    """The store no longer holds the changes that a watch asked for."""
+
+    reference = "history-lost"
+
+
+class StoredValueError(StoreError):
+    """A stored value is malformed or of another version."""
+
+    reference = "stored-value-unreadable"
+
+
 class ValueTooLargeError(StoreError):
     """A value exceeds the store's limit of 1 MB."""
 
@@ -184,6 +196,18 @@
     exit_status = EXIT_UNREACHABLE
 
 
+class IncarnationEndedError(TurmerichookError):
+    """A worker's incarnation has ended; what ran in it has ended too."""
+
+    reference = "incarnation-ended"
+
+
+class StaleTokenError(TurmerichookError):
+    """A worker has seen the fencing token of a later leader."""
+
+    reference = "stale-token"
+
+
 class StaleEpochError(TurmerichookError):
     """A worker or journal has seen a later owner of the zone."""
 
--- a/standins/metering.py
+++ b/standins/metering.py
@@ -8,7 +8,7 @@
 from standins import endpoint
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 
 INTERVAL = datetime.timedelta(seconds=1)
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -24,8 +24,8 @@
 from turmerichook._internal.http import server
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store as stores
-from turmerichook._internal.platform import store_memory
+from turmerichook._internal.providers import store as stores
+from turmerichook._internal.providers import store_memory
 from turmerichook import exceptions
 
 EXPIRY_INTERVAL = datetime.timedelta(milliseconds=100)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -26,8 +26,8 @@
 from turmerichook._internal.http import server
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
-from turmerichook._internal.platform import worker_format
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import worker_format
+from turmerichook._internal.providers import workers
 from turmerichook import exceptions
 
 LEASE_CHECK = datetime.timedelta(milliseconds=200)
--- a/tests/configuration/faulty_store.py
+++ b/tests/configuration/faulty_store.py
@@ -3,7 +3,7 @@
 import collections
 import enum
 
-from turmerichook._internal.platform import store_memory
+from turmerichook._internal.providers import store_memory
 from turmerichook import exceptions
 
 
--- a/tests/configuration/test_distribution.py
+++ b/tests/configuration/test_distribution.py
@@ -11,7 +11,7 @@
 from turmerichook._internal.configuration import distribution
 from turmerichook._internal.configuration import messages
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import store as stores
+from turmerichook._internal.providers import store as stores
 from turmerichook import exceptions
 
 
--- a/tests/metrics/test_registry.py
+++ b/tests/metrics/test_registry.py
@@ -7,7 +7,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.metrics import registry as registries
 from turmerichook._internal.metrics import timed_store
-from turmerichook._internal.platform import store_memory
+from turmerichook._internal.providers import store_memory
 from turmerichook import exceptions
 
 
--- a/tests/platform/test_store_http.py
+++ b/tests/providers/test_store_http.py
@@ -7,7 +7,7 @@
 from turmerichook._internal.http import server
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import store_http
+from turmerichook._internal.providers import store_http
 
 WATCHES = 20
 
--- a/tests/scheduling/test_colocation.py
+++ b/tests/scheduling/test_colocation.py
@@ -10,8 +10,8 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import budgets
 from turmerichook._internal.scheduling import colocation
 from turmerichook._internal.scheduling import ladder
--- a/tests/scheduling/test_decision_interleavings.py
+++ b/tests/scheduling/test_decision_interleavings.py
@@ -10,8 +10,8 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import plan
 
 HOSTS = ("h0", "h1", "h2", "h3")
--- a/tests/scheduling/test_journal.py
+++ b/tests/scheduling/test_journal.py
@@ -6,8 +6,8 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.models import ids
-from turmerichook._internal.platform import store as stores
-from turmerichook._internal.platform import store_memory
+from turmerichook._internal.providers import store as stores
+from turmerichook._internal.providers import store_memory
 from turmerichook._internal.scheduling import journal
 from turmerichook._internal.scheduling import journal_format
 from turmerichook._internal.scheduling import journal_store
--- a/tests/scheduling/test_owner.py
+++ b/tests/scheduling/test_owner.py
@@ -7,7 +7,7 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import jobs
 from turmerichook._internal.scheduling import journal
 from turmerichook._internal.scheduling import links
--- a/tests/scheduling/test_recovery.py
+++ b/tests/scheduling/test_recovery.py
@@ -6,7 +6,7 @@
 
 from tests.scheduling import world as worlds
 from turmerichook._internal.models import site
-from turmerichook._internal.platform import hosts
+from turmerichook._internal.providers import hosts
 from turmerichook._internal.scheduling import jobs
 
 
--- a/tests/scheduling/zones.py
+++ b/tests/scheduling/zones.py
@@ -7,8 +7,8 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.models import site
 from turmerichook._internal import outcomes
-from turmerichook._internal.platform import hosts
-from turmerichook._internal.platform import workers
+from turmerichook._internal.providers import hosts
+from turmerichook._internal.providers import workers
 from turmerichook._internal.scheduling import decision_round
 from turmerichook._internal.scheduling import explanations
 from turmerichook._internal.scheduling import journal
