--- /dev/null
+++ b/src/turmerichook/_internal/cli/entry_process.py
@@ -0,0 +1,58 @@
+"""Sets up logs and signals and runs the entry daemon."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.intake import daemon as daemons
+from turmerichook._internal.logs import events
+from turmerichook._internal.logs import output
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.platform import adapter as adapters
+from turmerichook._internal.platform import settings_file
+from turmerichook import exceptions
+
+PROGRAM = "turmerichook-entry"
+
+
+def main() -> int:
+    """Run until a planned stop and return the exit status."""
+    path = os.environ.get(settings_file.PATH_VARIABLE, "")
+    if len(sys.argv) > 1:
+        path = sys.argv[1]
+    try:
+        return asyncio.run(_run(pathlib.Path(path)))
+    except exceptions.SettingsError as error:
+        print(f"{PROGRAM}: {error}", file=sys.stderr)
+        return error.exit_status
+
+
+async def _run(path: pathlib.Path) -> int:
+    daemon = daemons.EntryDaemon(
+        path=path, adapter=adapters.bundle(), clock=clocks.SystemClock()
+    )
+    loop = asyncio.get_running_loop()
+    daemons.install(daemon, loop, signal)
+    logs.configure(
+        node=daemon.settings.node,
+        style=logs.JSON,
+        level="INFO",
+        sink=output.StandardOutput(),
+    )
+    logs.emit(
+        events.ProcessEvent.STARTED,
+        program=PROGRAM,
+        zone=daemon.settings.zone,
+        listen=daemon.settings.listen,
+        store=daemon.settings.store,
+    )
+    try:
+        await daemon.run()
+    except Exception as error:
+        logs.emit(events.ProcessEvent.FAILED, error=repr(error))
+        raise
+    logs.emit(events.ProcessEvent.STOPPED)
+    return 0
--- a/src/turmerichook/_internal/clock.py
+++ b/src/turmerichook/_internal/clock.py
@@ -16,6 +16,9 @@
     def monotonic(self) -> datetime.timedelta:
         """Return a reading that never goes backwards, for intervals."""
 
+    def uptime(self) -> datetime.timedelta:
+        """Return a steady reading that also counts suspended time."""
+
     async def sleep(self, delay: datetime.timedelta) -> None:
         """Suspend the calling task for ``delay``."""
 
@@ -29,6 +32,11 @@
     def monotonic(self) -> datetime.timedelta:
         return datetime.timedelta(seconds=time.monotonic())
 
+    def uptime(self) -> datetime.timedelta:
+        return datetime.timedelta(
+            seconds=time.clock_gettime(time.CLOCK_BOOTTIME)
+        )
+
     async def sleep(self, delay: datetime.timedelta) -> None:
         await asyncio.sleep(delay.total_seconds())
 
@@ -51,6 +59,9 @@
     def monotonic(self) -> datetime.timedelta:
         return self.elapsed
 
+    def uptime(self) -> datetime.timedelta:
+        return self.elapsed
+
     async def sleep(self, delay: datetime.timedelta) -> None:
         future = asyncio.get_running_loop().create_future()
         self.sequence += 1
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of tasks on workers by the current leader."""
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/jobs.py
@@ -0,0 +1,56 @@
+"""Jobs that the leader holds, and snapshots of them for the store."""
+
+import dataclasses
+import datetime
+import typing
+
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
+
+
+class End(typing.NamedTuple):
+    """An end that a worker reported in one of its incarnations."""
+
+    worker: ids.WorkerId
+    incarnation: int
+    number: int
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Job:
+    """An accepted job that is not final and durable yet.
+
+    :param unsaved_ends: ends by worker that the next save makes durable.
+    """
+
+    progress: progresses.Progress
+    queue: deployment.Queue
+    unsaved_ends: list[End] = dataclasses.field(default_factory=list)
+
+    @property
+    def spec(self) -> model.JobSpec:
+        """The job as accepted."""
+        return self.progress.spec
+
+    def deadline(self, occurrence: int) -> datetime.timedelta:
+        """Return the Unix time of the latency objective."""
+        due = self.spec.accepted
+        if self.spec.repetition is not None:
+            due = self.spec.repetition.due(occurrence)
+        chain = datetime.timedelta(seconds=self.progress.chain_seconds())
+        slack = chain * self.queue.slack_factor
+        return due + slack + self.queue.latency_objective
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Save:
+    """A snapshot of a job that a commit makes durable."""
+
+    job: Job
+    runs: tuple[tuple[ids.WorkerId, fleet.Run], ...]
+    ends: tuple[End, ...]
+    state: model.JobState
+    value: bytes
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -0,0 +1,433 @@
+"""The leader's term: recovery, feeds, rounds of placement, orders."""
+
+import asyncio
+import collections.abc
+import datetime
+import typing
+
+import msgpack
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import commits
+from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import keys
+from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import orders
+from turmerichook._internal.dispatch import session as sessions
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.metrics import registry
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.storage import follower
+from turmerichook._internal.storage import interface
+from turmerichook._internal.workflow import progress as progresses
+from turmerichook._internal.workflow import stored
+from turmerichook import exceptions
+
+# Rounds are this far apart, so that changes of one moment share a commit.
+ROUND_INTERVAL = datetime.timedelta(milliseconds=25)
+# A round begins at least this often, for what is due by time alone.
+ROUND_MAX = datetime.timedelta(milliseconds=200)
+# Tasks that one round places; more wait for the next one.
+ROUND_TASKS = 200
+# Each save of a final job also removes its two inbox items.
+ENTRIES_PER_SAVE = 3
+PENDING_INTERVAL = datetime.timedelta(milliseconds=700)
+# Progress of final jobs is removed after this multiple of the time for which
+# it must be readable, in which late copies of a submission are recognised.
+RETENTION_FACTOR = 5
+CLEANUP_INTERVAL = datetime.timedelta(seconds=5)
+LEASE_MARGIN = datetime.timedelta(seconds=1)
+# Time for orders under way when the term ends.
+HANDOVER_TIME_S = 0.3
+
+
+class RegistryFormat(typing.Protocol):
+    """Where the workers' entries are, and how they are read."""
+
+    prefix: str
+
+    def decode(self, key: str, value: bytes) -> deployment.WorkerEntry:
+        """Return an entry.
+
+        :raises MessageError: if it is not one of a worker.
+        """
+
+    def worker(self, key: str) -> ids.WorkerId:
+        """Return the worker whose entry has this key."""
+
+
+class Leader:
+    """All that this process does during one term."""
+
+    def __init__(
+        self,
+        *,
+        term: leadership.Term,
+        storage: interface.Storage,
+        workers: orders.Workers,
+        registry_format: RegistryFormat,
+        configuration: deployment.Configuration,
+        closed_zones: collections.abc.Collection[ids.ZoneId],
+        timing: deployment.Timing,
+        metrics: registry.Registry,
+        clock: clocks.Clock,
+    ):
+        self.term = term
+        self.storage = storage
+        self.workers = workers
+        self.format = registry_format
+        self.timing = timing
+        self.metrics = metrics
+        self.clock = clock
+        self.log = commits.CommitLog(storage=storage, term=term, clock=clock)
+        # What an earlier leader renewed last has ended by then.
+        lease = timing.lease_max / (1 - dispatchers.fleet.CLOCK_ERROR)
+        self.dispatcher = dispatchers.Dispatcher(
+            timing=timing,
+            configuration=configuration,
+            inherited_until=clock.uptime()
+            + sessions.UNCONFIRMED_RENEWALS
+            + lease
+            + LEASE_MARGIN,
+        )
+        self.dispatcher.closed_zones = set(closed_zones)
+        self.changed = asyncio.Event()
+        self.sessions: dict[ids.WorkerId, sessions.Session] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.pending: dict[ids.QueueId, int] | None = None
+        self.pending_written = datetime.timedelta()
+        self.cleaned = datetime.timedelta()
+        self.stray_cancels: set[str] = set()
+
+    async def run(self) -> None:
+        """Lead until the term ends."""
+        feeds = [
+            follower.Follower(
+                storage=self.storage,
+                prefix=self.format.prefix,
+                clock=self.clock,
+                replace=self._replace_entries,
+                apply=self._apply_entry,
+            ),
+            follower.Follower(
+                storage=self.storage,
+                prefix=keys.INBOX_PREFIX,
+                clock=self.clock,
+                replace=self._replace_inbox,
+                apply=self._apply_inbox,
+            ),
+        ]
+        try:
+            await self._recover(feeds)
+            for feed in feeds:
+                self._spawn(feed.run())
+            await self._rounds()
+        finally:
+            under_way = {t for t in self.tasks if t.get_name() == "order"}
+            if under_way:
+                await asyncio.wait(under_way, timeout=HANDOVER_TIME_S)
+            for task in list(self.tasks):
+                task.cancel()
+            for worker in self.sessions:
+                self.workers.forget(worker)
+            logs.emit(
+                events.DispatchEvent.LEADERSHIP_LOST,
+                epoch=self.term.token,
+                reason=self.term.end_reason,
+            )
+
+    def configure(
+        self,
+        configuration: deployment.Configuration,
+        closed_zones: collections.abc.Collection[ids.ZoneId],
+    ) -> None:
+        """Take a newer configuration or other closed zones."""
+        self.dispatcher.configure(configuration)
+        self.dispatcher.closed_zones = set(closed_zones)
+        self.changed.set()
+
+    # Recovery and feeds
+
+    async def _recover(self, feeds: list[follower.Follower]) -> None:
+        """Read the state that former leaders left, once it cannot change."""
+        self.progress: dict[ids.JobId, bytes] = {}
+        while not self.term.ended.is_set():
+            try:
+                await self.log.open()
+                items, _ = await interface.read_all(
+                    self.storage, keys.PROGRESS_PREFIX
+                )
+                self.progress = {
+                    keys.job_id(item.key): item.value for item in items
+                }
+                for feed in feeds:
+                    await feed.list()
+                break
+            except exceptions.StoreError as error:
+                logs.emit(events.DispatchEvent.CLAIM_FAILED, error=str(error))
+                await self.clock.sleep(commits.RETRY_PAUSE)
+        self._recover_final()
+        self.progress.clear()
+        logs.emit(
+            events.DispatchEvent.RECOVERED,
+            epoch=self.term.token,
+            jobs=len(self.dispatcher.jobs),
+            final=len(self.dispatcher.final),
+            workers=len(self.dispatcher.workers),
+        )
+
+    def _recover_final(self) -> None:
+        now = self.clock.uptime()
+        for job_id, value in self.progress.items():
+            if job_id in self.dispatcher.jobs:
+                continue
+            try:
+                remainder = stored.decode_remainder(job_id, value)
+            except exceptions.StoredValueError as error:
+                self._log_unreadable(job_id, error)
+                continue
+            self.dispatcher.add_final(job_id, remainder, now)
+
+    def _replace_inbox(self, items: list[interface.Item]) -> None:
+        for item in items:
+            if item.key.startswith(keys.JOB_PREFIX):
+                self._take_job(item)
+        for item in items:
+            if item.key.startswith(keys.CANCEL_PREFIX):
+                self._take_cancel(item)
+
+    def _apply_inbox(self, change: interface.Item | interface.Removed) -> None:
+        if isinstance(change, interface.Removed):
+            return
+        if change.key.startswith(keys.JOB_PREFIX):
+            self._take_job(change)
+        else:
+            self._take_cancel(change)
+        self.changed.set()
+
+    def _take_job(self, item: interface.Item) -> None:
+        job_id = keys.job_id(item.key)
+        if job_id in self.dispatcher.jobs or job_id in self.dispatcher.final:
+            return
+        try:
+            spec = stored.decode_spec(job_id, item.value)
+            value = self.progress.get(job_id)
+            if value is None:
+                progress = progresses.Progress(spec=spec)
+            else:
+                progress = stored.decode_progress(spec, value)
+        except exceptions.StoredValueError as error:
+            self._log_unreadable(job_id, error)
+            return
+        self.dispatcher.add_job(
+            progress, now=self.clock.uptime(), wall=self._wall()
+        )
+
+    def _take_cancel(self, item: interface.Item) -> None:
+        job_id = keys.job_id(item.key)
+        if job_id not in self.dispatcher.jobs:
+            self.stray_cancels.add(item.key)
+            return
+        self.dispatcher.cancel(job_id, self.clock.uptime())
+
+    def _log_unreadable(
+        self, job_id: ids.JobId, error: exceptions.TurmerichookError
+    ) -> None:
+        logs.emit(
+            events.DispatchEvent.JOB_UNREADABLE, job=job_id, error=str(error)
+        )
+
+    def _replace_entries(self, items: list[interface.Item]) -> None:
+        listed = {self.format.worker(item.key) for item in items}
+        for worker in list(self.dispatcher.workers):
+            if worker not in listed:
+                self.dispatcher.remove_entry(worker)
+        for item in items:
+            self._apply_entry(item)
+
+    def _apply_entry(self, change: interface.Item | interface.Removed) -> None:
+        worker_id = self.format.worker(change.key)
+        if isinstance(change, interface.Removed):
+            self.dispatcher.remove_entry(worker_id)
+            self.changed.set()
+            return
+        try:
+            entry = self.format.decode(change.key, change.value)
+        except exceptions.MessageError as error:
+            logs.emit(
+                events.DispatchEvent.ENTRY_UNREADABLE,
+                worker=worker_id,
+                error=str(error),
+            )
+            self.dispatcher.remove_entry(worker_id)
+            return
+        self.dispatcher.set_entry(entry, self.clock.uptime())
+        self._ensure_session(worker_id)
+        self.changed.set()
+
+    def _ensure_session(self, worker_id: ids.WorkerId) -> None:
+        worker = self.dispatcher.workers[worker_id]
+        known = self.sessions.get(worker_id)
+        if known is not None and known.worker is worker:
+            return
+        session = sessions.Session(
+            worker=worker,
+            dispatcher=self.dispatcher,
+            workers=self.workers,
+            term=self.term,
+            timing=self.timing,
+            clock=self.clock,
+            changed=self.changed,
+        )
+        self.sessions[worker_id] = session
+        self._spawn(session.run())
+
+    # Rounds
+
+    async def _rounds(self) -> None:
+        ended = asyncio.ensure_future(self.term.ended.wait())
+        try:
+            while not self.term.ended.is_set():
+                await clocks.wait_event(self.clock, self.changed, ROUND_MAX)
+                self.changed.clear()
+                await self._round()
+                await asyncio.wait(
+                    (ended,), timeout=ROUND_INTERVAL.total_seconds()
+                )
+        finally:
+            ended.cancel()
+
+    async def _round(self) -> None:
+        now = self.clock.uptime()
+        dispatcher = self.dispatcher
+        dispatcher.open_all_due(self._wall())
+        dispatcher.tick(now)
+        if self.term.has_authority():
+            placed = dispatcher.place(now, ROUND_TASKS)
+            if placed == ROUND_TASKS:
+                self.changed.set()
+        self._send_orders()
+        await self._commit()
+        self.metrics.set("waiting_tasks", len(dispatcher.waiting))
+        self.metrics.set("jobs_live", len(dispatcher.jobs))
+
+    async def _commit(self) -> None:
+        dispatcher = self.dispatcher
+        saves = dispatcher.next_saves(commits.ROOM // ENTRIES_PER_SAVE)
+        writes, removals = _save_entries(saves)
+        extra_writes, extra_removals = self._extra_entries(
+            commits.ROOM - len(writes) - len(removals)
+        )
+        writes += extra_writes
+        removals += extra_removals
+        if not writes and not removals:
+            return
+        if dispatcher.dirty:
+            self.changed.set()
+        began = self.clock.monotonic()
+        if not await self.log.write(tuple(writes), tuple(removals)):
+            return
+        elapsed = self.clock.monotonic() - began
+        self.metrics.observe("commit_seconds", elapsed.total_seconds())
+        now = self.clock.uptime()
+        for order in dispatcher.committed(saves, now):
+            self._send(order)
+        for save in saves:
+            for end in save.ends:
+                session = self.sessions.get(end.worker)
+                if session is not None:
+                    session.wake.set()
+
+    def _extra_entries(
+        self, room: int
+    ) -> tuple[list[interface.Write], list[str]]:
+        """Return entries that ride along with a commit while there is room."""
+        now = self.clock.uptime()
+        writes: list[interface.Write] = []
+        removals: list[str] = []
+        counts = self.dispatcher.pending()
+        if counts != self.pending and room:
+            if now - self.pending_written >= PENDING_INTERVAL:
+                self.pending, self.pending_written = counts, now
+                writes.append(
+                    interface.Write(
+                        key=keys.PENDING, value=msgpack.packb(counts)
+                    )
+                )
+                room -= 1
+        while self.stray_cancels and room > 0:
+            removals.append(self.stray_cancels.pop())
+            room -= 1
+        if now - self.cleaned >= CLEANUP_INTERVAL and room > 0:
+            self.cleaned = now
+            removals += self._expired(now)[:room]
+        return writes, removals
+
+    def _expired(self, now: datetime.timedelta) -> list[str]:
+        limit = now - self.timing.state_retention * RETENTION_FACTOR
+        expired = [
+            job_id
+            for job_id, since in self.dispatcher.final.items()
+            if since < limit
+        ]
+        for job_id in expired[: commits.ROOM]:
+            del self.dispatcher.final[job_id]
+        return [keys.progress(job_id) for job_id in expired[: commits.ROOM]]
+
+    def _send_orders(self) -> None:
+        for order in self.dispatcher.take_orders():
+            self._send(order)
+
+    def _send(self, order: dispatchers.Order) -> None:
+        session = self.sessions.get(order.worker)
+        if session is None or session.worker.entry is None:
+            return
+        match order:
+            case dispatchers.StartOrder():
+                call = session.start(order)
+            case dispatchers.StopOrder():
+                call = session.stop(order)
+            case dispatchers.PaceOrder():
+                call = session.throttle(order)
+        session.wake.set()
+        self._spawn(call, name="order")
+
+    def _spawn(
+        self,
+        call: collections.abc.Coroutine[typing.Any, typing.Any, None],
+        name: str = "",
+    ) -> None:
+        task = asyncio.get_running_loop().create_task(call, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # A defect: without this part the leader cannot do its duty.
+        logs.emit(
+            events.DispatchEvent.LEADER_FAILED, error=repr(task.exception())
+        )
+        self.term.end("failed")
+
+    def _wall(self) -> datetime.timedelta:
+        return datetime.timedelta(seconds=self.clock.now().timestamp())
+
+
+def _save_entries(
+    saves: list[jobs.Save],
+) -> tuple[list[interface.Write], list[str]]:
+    writes: list[interface.Write] = []
+    removals: list[str] = []
+    for save in saves:
+        job_id = save.job.spec.job
+        writes.append(
+            interface.Write(key=keys.progress(job_id), value=save.value)
+        )
+        if save.state.final:
+            removals += [keys.job(job_id), keys.cancel(job_id)]
+    return writes, removals
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -0,0 +1,196 @@
+"""Election of the leader by a lease in the store."""
+
+import asyncio
+import datetime
+import random
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import keys
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal.storage import interface
+from turmerichook import exceptions
+
+# A dead leader's successor starts after this time.
+LEASE_TTL = datetime.timedelta(milliseconds=2000)
+# Several renewals fit into one TTL, so that a lost one costs nothing.
+RENEW_INTERVAL = datetime.timedelta(milliseconds=500)
+# The leader's own view of its lease ends earlier than the store's.
+AUTHORITY_MARGIN = datetime.timedelta(milliseconds=200)
+# Bounds how long a silent connection hides the loss of the leader.
+WATCH_WAIT = datetime.timedelta(milliseconds=2000)
+RETRY_PAUSE = datetime.timedelta(milliseconds=150)
+# Candidates claim after a random part of this, so that few collide.
+CLAIM_SPREAD_S = 0.08
+
+
+class Term:
+    """The time in which this process is the leader.
+
+    :param token: revision of the claim, which is higher than that of any
+        earlier one, and so serves as the fencing token.
+    """
+
+    def __init__(
+        self,
+        *,
+        lease: ids.LeaseId,
+        token: ids.FencingToken,
+        confirmed: datetime.timedelta,
+        clock: clocks.Clock,
+    ):
+        self.lease = lease
+        self.token = token
+        # Reading of ``Clock.uptime`` when the last confirmed renewal was sent.
+        self.confirmed = confirmed
+        self.clock = clock
+        self.ended = asyncio.Event()
+        self.end_reason = ""
+
+    def has_authority(self) -> bool:
+        """Tell whether the store certainly holds the lease."""
+        if self.ended.is_set():
+            return False
+        age = self.clock.uptime() - self.confirmed
+        return age < LEASE_TTL - AUTHORITY_MARGIN
+
+    def unconfirmed_for(self) -> datetime.timedelta:
+        """Return the time since the last confirmed renewal was sent."""
+        return self.clock.uptime() - self.confirmed
+
+    def end(self, reason: str) -> None:
+        """Note that this process is no longer the leader."""
+        if not self.ended.is_set():
+            self.end_reason = reason
+            self.ended.set()
+
+
+class Candidate:
+    """Waits for the leadership and keeps it."""
+
+    def __init__(
+        self,
+        *,
+        node: ids.NodeId,
+        storage: interface.Storage,
+        clock: clocks.Clock,
+        draw: random.Random,
+    ):
+        self.node = node
+        self.storage = storage
+        self.clock = clock
+        self.draw = draw
+
+    async def win(self) -> Term:
+        """Return once this process is the leader."""
+        while True:
+            try:
+                await self._wait_for_vacancy()
+                await asyncio.sleep(self.draw.random() * CLAIM_SPREAD_S)
+                term = await self._claim()
+            except exceptions.TurmerichookError as error:
+                logs.emit(events.DispatchEvent.CLAIM_FAILED, error=str(error))
+                await self.clock.sleep(RETRY_PAUSE)
+                continue
+            if term is not None:
+                return term
+
+    async def _wait_for_vacancy(self) -> None:
+        page = await self.storage.page(keys.LEADER_PREFIX)
+        revision = page.revision
+        taken = bool(page.items)
+        while taken:
+            try:
+                changes = await self.storage.watch(
+                    keys.LEADER_PREFIX, after=revision, wait=WATCH_WAIT
+                )
+            except exceptions.HistoryLostError:
+                page = await self.storage.page(keys.LEADER_PREFIX)
+                revision, taken = page.revision, bool(page.items)
+                continue
+            revision = changes.revision
+            for change in changes.changes:
+                taken = isinstance(change, interface.Item)
+
+    async def _claim(self) -> Term | None:
+        sent = self.clock.uptime()
+        lease = await self.storage.grant_lease(LEASE_TTL)
+        mark = f"{self.node} {lease}".encode()
+        commit = interface.Commit(
+            expect={keys.LEADER: interface.ABSENT},
+            writes=(
+                interface.Write(key=keys.LEADER, value=mark, lease=lease),
+            ),
+        )
+        try:
+            outcome = await self.storage.commit(commit)
+        except exceptions.StoreOutcomeUnknownError:
+            outcome = None
+        match outcome:
+            case interface.Committed(revision=revision):
+                return self._term(lease, revision, sent)
+            case interface.Conflict():
+                await self._give_back(lease)
+                return None
+        item = await self.storage.get(keys.LEADER)
+        if item is not None and item.value == mark:
+            return self._term(lease, item.revision, sent)
+        # A claim that comes late fails once its lease has ended.
+        await self._give_back(lease)
+        return None
+
+    def _term(
+        self,
+        lease: ids.LeaseId,
+        revision: ids.Revision,
+        sent: datetime.timedelta,
+    ) -> Term:
+        return Term(
+            lease=lease,
+            token=ids.FencingToken(revision),
+            confirmed=sent,
+            clock=self.clock,
+        )
+
+    async def keep(self, term: Term) -> None:
+        """Renew the lease until the term ends."""
+        suspended = False
+        while not term.ended.is_set():
+            sent = self.clock.uptime()
+            try:
+                await self.storage.renew_lease(term.lease)
+                term.confirmed = sent
+            except exceptions.LeaseLapsedError:
+                term.end("lease-lapsed")
+                return
+            except exceptions.TurmerichookError as error:
+                if not suspended and not term.has_authority():
+                    suspended = True
+                    logs.emit(
+                        events.DispatchEvent.AUTHORITY_SUSPENDED,
+                        error=str(error),
+                        epoch=term.token,
+                    )
+            if suspended and term.has_authority():
+                suspended = False
+                logs.emit(
+                    events.DispatchEvent.AUTHORITY_RESTORED,
+                    epoch=term.token,
+                )
+            await clocks.wait_event(self.clock, term.ended, RENEW_INTERVAL)
+
+    async def _give_back(self, lease: ids.LeaseId) -> None:
+        try:
+            await self.storage.end_lease(lease)
+        except exceptions.StoreError as error:
+            # It ends by itself after its TTL.
+            logs.emit(events.DispatchEvent.CLAIM_FAILED, error=str(error))
+
+    async def hand_over(self, term: Term) -> None:
+        """End the lease at once, so that a successor need not wait."""
+        term.end("handed-over")
+        logs.emit(
+            events.DispatchEvent.LEADERSHIP_HANDED_OVER, epoch=term.token
+        )
+        await self._give_back(term.lease)
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -0,0 +1,215 @@
+"""Tasks that may start, and the order in which they are placed.
+
+Tasks of one step are alike, so that a step whose task found no worker is
+passed over for the rest of the round.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import typing
+
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import placement
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal import outcomes
+from turmerichook._internal.workflow import model
+
+# Gives a task to a worker under a run number.
+Assign = collections.abc.Callable[
+    [
+        jobs.Job,
+        model.TaskKey,
+        fleet.Worker,
+        ids.Attempt,
+        datetime.timedelta,
+    ],
+    None,
+]
+
+
+class StepKey(typing.NamedTuple):
+    """Name of one occurrence of a step."""
+
+    job: ids.JobId
+    occurrence: int
+    step: int
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class WaitingStep:
+    """The waiting tasks of a step, each with the worker of its last run."""
+
+    job: jobs.Job
+    key: StepKey
+    deadline: datetime.timedelta
+    tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def step(self) -> model.Step:
+        """The step."""
+        return self.job.spec.steps[self.key.step]
+
+    @property
+    def order(self) -> tuple[int, datetime.timedelta]:
+        """Sort key: priority, then the objective's time."""
+        return self.job.queue.priority, self.deadline
+
+
+class WaitingTasks:
+    """All tasks that wait for a worker."""
+
+    def __init__(self):
+        self.steps: dict[StepKey, WaitingStep] = {}
+
+    def __len__(self) -> int:
+        return sum(len(step.tasks) for step in self.steps.values())
+
+    def add(
+        self,
+        job: jobs.Job,
+        task: model.TaskKey,
+        last: ids.WorkerId,
+    ) -> None:
+        """Let a task wait."""
+        key = StepKey(task.job, task.occurrence, task.step)
+        found = self.steps.get(key)
+        if found is None:
+            found = self.steps[key] = WaitingStep(
+                job=job, key=key, deadline=job.deadline(task.occurrence)
+            )
+        found.tasks[task] = last
+
+    def remove(self, task: model.TaskKey) -> None:
+        """Let a task wait no longer."""
+        key = StepKey(task.job, task.occurrence, task.step)
+        found = self.steps.get(key)
+        if found is not None:
+            found.tasks.pop(task, None)
+            if not found.tasks:
+                del self.steps[key]
+
+    def drop(self, job: ids.JobId) -> None:
+        """Remove all tasks of a job."""
+        for key in [key for key in self.steps if key.job == job]:
+            del self.steps[key]
+
+    def place(
+        self,
+        *,
+        workers: collections.abc.Collection[fleet.Worker],
+        closed: collections.abc.Container[ids.ZoneId],
+        assign: Assign,
+        now: datetime.timedelta,
+        limit: int,
+    ) -> int:
+        """Give tasks to workers, the most urgent first; return how many."""
+        round_ = _Round(workers=workers, closed=closed, now=now)
+        placed = 0
+        for waiting in sorted(self.steps.values(), key=lambda s: s.order):
+            if placed >= limit:
+                break
+            if waiting.step.gang:
+                chosen = round_.choose_gang(waiting)
+            else:
+                chosen = round_.choose(waiting, limit - placed)
+            for task, worker, run in chosen:
+                self.remove(task)
+                assign(waiting.job, task, worker, run, now)
+            placed += len(chosen)
+        return placed
+
+
+class Choice(typing.NamedTuple):
+    """A task, its worker, and the number of its run."""
+
+    task: model.TaskKey
+    worker: fleet.Worker
+    run: ids.Attempt
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Round:
+    """Placement of the waiting tasks at one moment."""
+
+    workers: collections.abc.Collection[fleet.Worker]
+    closed: collections.abc.Container[ids.ZoneId]
+    now: datetime.timedelta
+
+    def choose(self, waiting: WaitingStep, limit: int) -> list[Choice]:
+        """Choose workers for as many of a step's tasks as fit."""
+        chosen = self._reserve(waiting, limit)
+        if len(chosen) < min(limit, len(waiting.tasks)):
+            _log_wait(waiting)
+        return chosen
+
+    def choose_gang(self, waiting: WaitingStep) -> list[Choice]:
+        """Choose workers for all members, under one run number, or none."""
+        count = waiting.step.count
+        if len(waiting.tasks) < count:
+            # Members of the former run have not all ended yet.
+            return []
+        chosen = self._reserve(waiting, count)
+        if len(chosen) < count:
+            _log_wait(waiting)
+            return []
+        run = max(choice.run for choice in chosen)
+        return [choice._replace(run=run) for choice in chosen]
+
+    def _reserve(self, waiting: WaitingStep, limit: int) -> list[Choice]:
+        """Choose workers as if each task took its room at once."""
+        step = waiting.step
+        counts = _tasks_by_worker(waiting)
+        records = waiting.job.progress.tasks
+        chosen: list[Choice] = []
+        for task, last in waiting.tasks.items():
+            if len(chosen) == limit:
+                break
+            worker = placement.choose(
+                step=step,
+                service=waiting.job.queue.service,
+                workers=self.workers,
+                closed=self.closed,
+                on_worker=counts,
+                last=last,
+                now=self.now,
+            )
+            if isinstance(worker, outcomes.Absent):
+                break
+            counts[worker.worker] += 1
+            worker.reserve(step)
+            record = records.get(task)
+            run = ids.Attempt(record.run + 1 if record else 1)
+            chosen.append(Choice(task, worker, run))
+        for choice in chosen:
+            choice.worker.release(step)
+        return chosen
+
+
+def _tasks_by_worker(waiting: WaitingStep) -> collections.Counter:
+    """Count the step's tasks on each worker."""
+    counts: collections.Counter = collections.Counter()
+    if waiting.step.max_per_worker:
+        key = waiting.key
+        for task, record in waiting.job.progress.tasks.items():
+            if task.occurrence == key.occurrence and task.step == key.step:
+                if record.worker:
+                    counts[record.worker] += 1
+    return counts
+
+
+def _log_wait(waiting: WaitingStep) -> None:
+    logs.emit(
+        events.DispatchEvent.TASK_WAITS,
+        job=waiting.key.job,
+        step=waiting.key.step,
+        tasks=len(waiting.tasks),
+        reason=outcomes.Reason.NO_FIT.value,
+        priority=waiting.job.queue.priority,
+    )
--- /dev/null
+++ b/src/turmerichook/_internal/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests: submission, state, cancellation and queue length."""
--- /dev/null
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -0,0 +1,247 @@
+"""The entry process: serves callers, and leads while it holds the lease."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import datetime
+import pathlib
+import random
+import typing
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import events as dispatch_events
+from turmerichook._internal.dispatch import leader as leaders
+from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import orders
+from turmerichook._internal.http import addresses
+from turmerichook._internal.http import heads
+from turmerichook._internal.http import server
+from turmerichook._internal.intake import callers
+from turmerichook._internal.intake import events
+from turmerichook._internal.intake import job_store
+from turmerichook._internal.intake import operators
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.metrics import registry
+from turmerichook._internal.models import deployment
+from turmerichook._internal.storage import follower
+from turmerichook._internal.storage import interface
+from turmerichook._internal.storage import observed
+from turmerichook import exceptions
+
+# How long callers may go on with their open connections after a planned stop
+# began: the load balancer needs two missed checks to notice.
+STOP_NOTICE = datetime.timedelta(milliseconds=2200)
+# Time kept free before the kill at the end of the grace period.
+STOP_MARGIN = datetime.timedelta(milliseconds=700)
+# Pause after a term that ended at once, so that it is not claimed in a loop.
+TERM_PAUSE = datetime.timedelta(milliseconds=300)
+IDLE_TIMEOUT = datetime.timedelta(seconds=120)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Adapter:
+    """The platform as the entry process uses it."""
+
+    load_settings: collections.abc.Callable[
+        [pathlib.Path], deployment.EntrySettings
+    ]
+    open_storage: collections.abc.Callable[[str], interface.Storage]
+    open_workers: collections.abc.Callable[[], orders.Workers]
+    call_format: callers.CallFormat
+    registry_format: leaders.RegistryFormat
+    operator_format: operators.OperatorFormat
+    ready_path: str
+    metrics_path: str
+
+
+class EntryDaemon:
+    """Everything that one entry process runs."""
+
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        adapter: Adapter,
+        clock: clocks.Clock,
+    ):
+        self.path = path
+        self.adapter = adapter
+        self.clock = clock
+        self.settings = adapter.load_settings(path)
+        self.metrics = registry.Registry()
+        self.storage = observed.ObservedStorage(
+            storage=adapter.open_storage(self.settings.store),
+            metrics=self.metrics,
+            clock=clock,
+        )
+        self.operators = operators.OperatorView(
+            form=adapter.operator_format, changed=self._reconfigure
+        )
+        self.leader: leaders.Leader | None = None
+        self.term: leadership.Term | None = None
+        self.stopping = asyncio.Event()
+        limits = heads.Limits(idle_timeout=IDLE_TIMEOUT)
+        self.callers = callers.Callers(
+            form=adapter.call_format,
+            jobs=job_store.JobStore(storage=self.storage, clock=clock),
+            configuration=lambda: self.operators.configuration,
+            reachable=lambda: self.storage.reachable,
+            metrics=self.metrics,
+            clock=clock,
+        )
+        self.call_server = server.Server(
+            handler=self.callers.handle, limits=limits
+        )
+        self.health_server = server.Server(handler=self._health, limits=limits)
+        self.admin_server = server.Server(handler=self._admin, limits=limits)
+
+    async def run(self) -> None:
+        """Run until a planned stop has ended."""
+        for listener, address in (
+            (self.health_server, self.settings.health_listen),
+            (self.call_server, self.settings.listen),
+            (self.admin_server, self.settings.admin_listen),
+        ):
+            if address:
+                host, port = addresses.split(address)
+                await listener.start(host=host, port=port)
+        tasks = [
+            asyncio.create_task(self._follow_operators()),
+            asyncio.create_task(self._lead()),
+        ]
+        stopping = asyncio.create_task(self.stopping.wait())
+        try:
+            done, _ = await asyncio.wait(
+                [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                # A part that has failed ends the process with its error.
+                task.result()
+            await self._stop(tasks)
+        finally:
+            stopping.cancel()
+
+    def request_stop(self) -> None:
+        """Begin a planned stop."""
+        self.stopping.set()
+
+    def reload(self) -> None:
+        """Read the settings file again."""
+        try:
+            self.settings = self.adapter.load_settings(self.path)
+        except exceptions.SettingsError as error:
+            logs.emit(events.IntakeEvent.SETTINGS_UNREADABLE, error=str(error))
+            return
+        logs.emit(events.IntakeEvent.SETTINGS_RELOADED, path=self.path)
+
+    async def _stop(self, tasks: list[asyncio.Task]) -> None:
+        logs.emit(
+            events.IntakeEvent.STOPPING,
+            leading=self.leader is not None,
+            connections=len(self.call_server.connections),
+        )
+        self.call_server.announce_stop()
+        if self.term is not None:
+            # The duty is handed over before anything else, without waiting
+            # for the lease to run out.
+            self.term.end("stopping")
+        grace = self.settings.timing.grace - STOP_NOTICE - STOP_MARGIN
+        await self.call_server.stop(
+            grace=max(0.0, grace.total_seconds()),
+            idle_grace=STOP_NOTICE.total_seconds(),
+        )
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.health_server.stop(grace=0.0)
+        await self.admin_server.stop(grace=0.0)
+
+    async def _follow_operators(self) -> None:
+        await follower.Follower(
+            storage=self.storage,
+            prefix=self.adapter.operator_format.prefix,
+            clock=self.clock,
+            replace=self.operators.replace,
+            apply=self.operators.apply,
+        ).run()
+
+    async def _lead(self) -> None:
+        candidate = leadership.Candidate(
+            node=self.settings.node,
+            storage=self.storage,
+            clock=self.clock,
+            draw=random.Random(self.settings.node),
+        )
+        while not self.stopping.is_set():
+            await self.operators.known.wait()
+            term = await candidate.win()
+            self.term = term
+            logs.emit(
+                dispatch_events.DispatchEvent.LEADERSHIP_GAINED,
+                epoch=term.token,
+                lease=term.lease,
+            )
+            if self.stopping.is_set():
+                term.end("stopping")
+            keeper = asyncio.create_task(candidate.keep(term))
+            self.leader = self._new_leader(term)
+            try:
+                await self.leader.run()
+            finally:
+                self.leader = None
+                keeper.cancel()
+            await candidate.hand_over(term)
+            await self.clock.sleep(TERM_PAUSE)
+        # The planned stop cancels this task once callers are served.
+        await asyncio.Event().wait()
+
+    def _new_leader(self, term: leadership.Term) -> leaders.Leader:
+        return leaders.Leader(
+            term=term,
+            storage=self.storage,
+            workers=self.adapter.open_workers(),
+            registry_format=self.adapter.registry_format,
+            configuration=self.operators.configuration,
+            closed_zones=self.operators.closed_zones,
+            timing=self.settings.timing,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
+
+    def _reconfigure(self) -> None:
+        if self.leader is not None:
+            self.leader.configure(
+                self.operators.configuration, self.operators.closed_zones
+            )
+
+    async def _health(self, exchange: server.Exchange) -> None:
+        ready = (
+            exchange.head.path == self.adapter.ready_path
+            and not self.stopping.is_set()
+            and self.operators.configuration is not None
+            and self.storage.reachable
+        )
+        await exchange.respond(status=200 if ready else 503)
+
+    async def _admin(self, exchange: server.Exchange) -> None:
+        if exchange.head.path != self.adapter.metrics_path:
+            await exchange.respond_json(
+                document={"error": "not-found"}, status=404
+            )
+            return
+        self.metrics.set("leading", int(self.leader is not None))
+        self.metrics.set("connections", len(self.call_server.connections))
+        await exchange.respond(
+            status=200,
+            body=self.metrics.render().encode(),
+            content_type=registry.CONTENT_TYPE,
+        )
+
+
+def install(
+    daemon: EntryDaemon, loop: asyncio.AbstractEventLoop, signals: typing.Any
+) -> None:
+    """Let signals stop the daemon or reload its settings."""
+    loop.add_signal_handler(signals.SIGTERM, daemon.request_stop)
+    loop.add_signal_handler(signals.SIGINT, daemon.request_stop)
+    loop.add_signal_handler(signals.SIGHUP, daemon.reload)
--- a/src/turmerichook/_internal/logs/setup.py
+++ b/src/turmerichook/_internal/logs/setup.py
@@ -24,8 +24,14 @@
 _limiter = limits.Limiter()
 
 
-def configure(*, node: str, style: str, level: str) -> None:
-    """Send all log lines to standard error.
+def configure(
+    *,
+    node: str,
+    style: str,
+    level: str,
+    sink: typing.Any = sys.stderr,
+) -> None:
+    """Send all log lines to a sink, standard error by default.
 
     :param node: name of the process, added to each line.
     :param style: ``text`` or ``json`` (one object a line).
@@ -40,7 +46,7 @@
         patcher=lambda record: record["extra"].update(line=line_of(record))
     )
     loguru.logger.add(
-        sys.stderr,
+        sink,
         level=level,
         format="{extra[line]}",
         backtrace=False,
--- a/src/turmerichook/_internal/platform/__init__.py
+++ b/src/turmerichook/_internal/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Interfaces to the platform, with HTTP adapters and fakes."""
+"""Adapter to the users' platform: names, formats and calls only."""
--- /dev/null
+++ b/src/turmerichook/_internal/platform/adapter.py
@@ -0,0 +1,55 @@
+"""The platform's formats and calls, bundled for the entry process."""
+
+from turmerichook._internal.intake import daemon
+from turmerichook._internal.intake import operators
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import caller_calls
+from turmerichook._internal.platform import documents
+from turmerichook._internal.platform import settings_file
+from turmerichook._internal.platform import store_calls
+from turmerichook._internal.platform import worker_calls
+
+
+class RegistryFormat:
+    """Workers' entries in the platform's store."""
+
+    prefix = documents.WORKER_PREFIX
+
+    def decode(self, key: str, value: bytes) -> deployment.WorkerEntry:
+        return documents.worker(key, value)
+
+    def worker(self, key: str) -> ids.WorkerId:
+        return ids.WorkerId(key.removeprefix(self.prefix))
+
+
+class OperatorFormat:
+    """Operators' orders in the platform's store."""
+
+    prefix = documents.OPERATOR_PREFIX
+
+    def decode(
+        self, key: str, value: bytes
+    ) -> deployment.Configuration | operators.ZoneClosed | None:
+        if key == documents.CONFIGURATION_KEY:
+            return documents.configuration(value)
+        if key.startswith(documents.EVACUATION_PREFIX):
+            zone = key.removeprefix(documents.EVACUATION_PREFIX)
+            return operators.ZoneClosed(zone=ids.ZoneId(zone))
+        return None
+
+
+def bundle() -> daemon.Adapter:
+    """Return the adapter."""
+    return daemon.Adapter(
+        load_settings=settings_file.load,
+        open_storage=lambda address: store_calls.PlatformStorage(
+            address=address
+        ),
+        open_workers=worker_calls.PlatformWorkers,
+        call_format=caller_calls,
+        registry_format=RegistryFormat(),
+        operator_format=OperatorFormat(),
+        ready_path=caller_calls.READY_PATH,
+        metrics_path=caller_calls.METRICS_PATH,
+    )
--- /dev/null
+++ b/src/turmerichook/_internal/platform/caller_calls.py
@@ -0,0 +1,139 @@
+"""Decodes callers' requests and encodes the answers to them."""
+
+import datetime
+import json
+import re
+import typing
+
+from turmerichook._internal.http import heads
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import documents
+from turmerichook._internal.platform import fields
+from turmerichook._internal.workflow import model
+from turmerichook import exceptions
+
+READY_PATH = "/v1/ready"
+METRICS_PATH = "/metrics"
+PAYLOAD_BYTES = 4000
+# A job's tasks are all kept in memory and in one stored value.
+TASKS_MAX = 20_000
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+TIMEOUT_HEADER = b"turmerichook-request-timeout-ms"
+# How long a caller waits who does not say so.
+TIMEOUT_DEFAULT = datetime.timedelta(seconds=3)
+
+
+def timeout(head: heads.RequestHead) -> datetime.timedelta:
+    """Return how long the caller waits for an answer."""
+    text = head.header(TIMEOUT_HEADER)
+    if not text.isdigit() or not int(text):
+        return TIMEOUT_DEFAULT
+    return datetime.timedelta(milliseconds=int(text))
+
+
+def host_name(head: heads.RequestHead) -> str:
+    """Return the ``Host`` header without a port."""
+    return head.header(b"host").partition(":")[0]
+
+
+def job_id(path: str, queue: deployment.Queue) -> ids.JobId:
+    """Return the job that a path names, empty for the queue itself.
+
+    :raises MessageError: if the rest of the path is no job's id.
+    """
+    rest = path[len(queue.prefix) :]
+    if rest and not JOB_ID.fullmatch(rest):
+        raise exceptions.MessageError(
+            message=f"not a job's id: {rest[:50]!r}", context="path"
+        )
+    return ids.JobId(rest)
+
+
+def submission(
+    body: bytes,
+    *,
+    job: ids.JobId,
+    queue: deployment.Queue,
+    accepted: datetime.timedelta,
+) -> model.JobSpec:
+    """Return the job of a submission.
+
+    :raises MessageError: naming the field that is wrong.
+    """
+    document = fields.parse(body)
+    payload = fields.text(document, "spec", "")
+    if len(payload.encode()) > PAYLOAD_BYTES:
+        raise exceptions.MessageError(
+            message=f"'spec' exceeds {PAYLOAD_BYTES} bytes", context="spec"
+        )
+    rows = fields.listing(document, "steps")
+    steps = tuple(_step(row, number) for number, row in enumerate(rows))
+    occurrences = fields.integer(document, "repeat-count", 0)
+    tasks = sum(step.count for step in steps) * max(1, occurrences)
+    if not steps or not 0 < tasks <= TASKS_MAX:
+        raise exceptions.MessageError(
+            message=f"a job has 1 to {TASKS_MAX} tasks, not {tasks}",
+            context="steps",
+        )
+    return model.JobSpec(
+        job=job,
+        queue=queue.queue,
+        service=queue.service,
+        payload=payload,
+        steps=steps,
+        accepted=accepted,
+        repetition=_repetition(document, occurrences),
+    )
+
+
+def state_body(state: model.JobState) -> bytes:
+    """Return the answer to a question for a job's state."""
+    return json.dumps({"state": state.value}).encode()
+
+
+def pending_body(count: int) -> bytes:
+    """Return the answer to a question for a queue's length."""
+    return json.dumps({"pending": count}).encode()
+
+
+def _repetition(
+    document: dict[str, typing.Any], count: int
+) -> model.Repetition | None:
+    if not count:
+        return None
+    return model.Repetition(
+        count=count,
+        first=fields.milliseconds(document, "start-time-ms", 0),
+        interval=fields.milliseconds(document, "interval-ms", 0),
+    )
+
+
+def _step(row: typing.Any, number: int) -> model.Step:
+    if not isinstance(row, dict):
+        raise exceptions.MessageError(
+            message="a step must be an object", context="steps"
+        )
+    after = tuple(fields.listing(row, "after", []))
+    if not all(type(n) is int and 0 <= n < number for n in after):
+        raise exceptions.MessageError(
+            message="'after' must name earlier steps", context="after"
+        )
+    return model.Step(
+        count=fields.integer(row, "count", 0),
+        demand=documents.amounts(row),
+        estimate=fields.milliseconds(row, "estimate-ms", 0),
+        after=after,
+        checkpointing=fields.boolean(row, "checkpointing"),
+        gang=fields.boolean(row, "gang"),
+        same_rack=fields.boolean(row, "same-rack"),
+        label=fields.text(row, "requires", ""),
+        rack=ids.RackId(fields.text(row, "affinity", "")),
+        max_per_worker=fields.integer(row, "max-per-server", 0),
+        speculative=fields.boolean(row, "speculative"),
+        long_running=fields.boolean(row, "long-running"),
+        image=ids.ImageId(fields.text(row, "image", "")),
+        latency_target=fields.milliseconds(row, "target-ms", 0),
+        filler=fields.boolean(row, "fills"),
+        max_missing=fields.integer(row, "max-missing", 0),
+    )
--- /dev/null
+++ b/src/turmerichook/_internal/platform/store_calls.py
@@ -0,0 +1,245 @@
+"""The platform's metadata store as the product's storage."""
+
+import base64
+import binascii
+import datetime
+import json
+import typing
+import urllib.parse
+
+from turmerichook._internal.http import addresses
+from turmerichook._internal.http import calls
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import fields
+from turmerichook._internal.storage import interface
+from turmerichook import exceptions
+
+# Connections for calls that do not wait, and for watches.
+CONNECTIONS = 16
+WATCH_CONNECTIONS = 8
+# Time for an answer; the store answers in milliseconds, when slow in some
+# hundreds of them.
+CALL_TIMEOUT_S = 1.0
+# Time beyond a watch's wait after which its connection counts as silent.
+WATCH_MARGIN_S = 0.8
+
+
+class PlatformStorage:
+    """An ``interface.Storage`` over the platform's HTTP calls."""
+
+    def __init__(self, *, address: str):
+        host, port = addresses.split(address)
+        self.pool = calls.CallPool(
+            host=host, port=port, connections=CONNECTIONS
+        )
+        self.watch_pool = calls.CallPool(
+            host=host, port=port, connections=WATCH_CONNECTIONS
+        )
+
+    async def get(self, key: str) -> interface.Item | None:
+        answer = await self._read(f"/v1/kv-key?key={_quote(key)}")
+        if answer.status == 404:
+            return None
+        return _item(_document(answer))
+
+    async def page(self, prefix: str, *, after: str = "") -> interface.Page:
+        target = f"/v1/kv-range?prefix={_quote(prefix)}"
+        if after:
+            target += f"&after={_quote(after)}"
+        document = _document(await self._read(target))
+        return interface.Page(
+            items=tuple(
+                _item(row) for row in fields.listing(document, "items")
+            ),
+            revision=_revision(document, "current-rev"),
+            more=fields.boolean(document, "has-more"),
+        )
+
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after: ids.Revision,
+        wait: datetime.timedelta,
+    ) -> interface.Changes:
+        milliseconds = wait // datetime.timedelta(milliseconds=1)
+        answer = await self._read(
+            f"/v1/kv-watch?prefix={_quote(prefix)}&after={after}"
+            f"&wait-ms={milliseconds}",
+            pool=self.watch_pool,
+            timeout=wait.total_seconds() + WATCH_MARGIN_S,
+        )
+        if answer.status == 410:
+            raise exceptions.HistoryLostError(
+                message="the store no longer has the changes", context=prefix
+            )
+        document = _document(answer)
+        return interface.Changes(
+            changes=tuple(
+                _change(row) for row in fields.listing(document, "events")
+            ),
+            revision=_revision(document, "current-rev"),
+        )
+
+    async def commit(
+        self, commit: interface.Commit
+    ) -> interface.Committed | interface.Conflict:
+        answer = await self._write("POST", "/v1/kv-txn", _transaction(commit))
+        if answer.status == 404:
+            raise exceptions.LeaseLapsedError(message="the lease has ended")
+        if answer.status == 412:
+            rows = fields.listing(answer.json(), "items", [])
+            items = [_item(row) for row in rows if row.get("revision")]
+            return interface.Conflict(items={item.key: item for item in items})
+        return interface.Committed(
+            revision=_revision(_done(answer), "revision")
+        )
+
+    async def grant_lease(self, ttl: datetime.timedelta) -> ids.LeaseId:
+        milliseconds = ttl // datetime.timedelta(milliseconds=1)
+        answer = await self._write(
+            "POST", "/v1/kv-lease", {"ttl-ms": milliseconds}
+        )
+        return ids.LeaseId(str(fields.integer(_done(answer), "lease")))
+
+    async def renew_lease(self, lease: ids.LeaseId) -> None:
+        answer = await self._write("POST", f"/v1/kv-keep/{lease}", None)
+        if answer.status == 404:
+            raise exceptions.LeaseLapsedError(
+                message="the lease has ended", context=lease
+            )
+        _done(answer)
+
+    async def end_lease(self, lease: ids.LeaseId) -> None:
+        answer = await self._write("DELETE", f"/v1/kv-lease-end/{lease}", None)
+        if answer.status != 404:
+            _done(answer)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self.pool.close()
+        self.watch_pool.close()
+
+    async def _read(
+        self,
+        target: str,
+        *,
+        pool: calls.CallPool | None = None,
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> calls.Answer:
+        try:
+            return await (pool or self.pool).call(
+                method="GET", target=target, timeout=timeout
+            )
+        except exceptions.ExchangeError as error:
+            raise exceptions.StoreUnavailableError(
+                message=f"the store cannot be read: {error.message}",
+            ) from error
+
+    async def _write(
+        self, method: str, target: str, document: typing.Any
+    ) -> calls.Answer:
+        body = b"" if document is None else json.dumps(document).encode()
+        try:
+            return await self.pool.call(
+                method=method,
+                target=target,
+                body=body,
+                headers=[(b"content-type", b"application/json")],
+                timeout=CALL_TIMEOUT_S,
+            )
+        except exceptions.ExchangeError as error:
+            message = f"the store did not confirm: {error.message}"
+            if error.progress is exceptions.Progress.NOTHING_SENT:
+                raise exceptions.StoreUnavailableError(
+                    message=message
+                ) from error
+            raise exceptions.StoreOutcomeUnknownError(
+                message=message
+            ) from error
+
+
+def _transaction(commit: interface.Commit) -> dict[str, typing.Any]:
+    writes = []
+    for write in commit.writes:
+        row: dict[str, typing.Any] = {
+            "key": write.key,
+            "value": base64.b64encode(write.value).decode("ascii"),
+        }
+        if write.lease is not None:
+            row["lease"] = int(write.lease)
+        writes.append(row)
+    return {
+        "precondition": [
+            {"key": key, "revision": revision}
+            for key, revision in commit.expect.items()
+        ],
+        "set-keys": writes,
+        "remove": list(commit.removals),
+    }
+
+
+def _quote(key: str) -> str:
+    return urllib.parse.quote(key, safe="/")
+
+
+def _done(answer: calls.Answer) -> dict[str, typing.Any]:
+    """Return the document of a write's answer."""
+    if answer.status == 200:
+        try:
+            return fields.parse(answer.body or b"{}")
+        except exceptions.MessageError as error:
+            raise exceptions.StoreOutcomeUnknownError(
+                message=f"the store's answer is unreadable: {error.message}"
+            ) from error
+    if 400 <= answer.status < 500 or answer.status == 503:
+        # The store refuses before it acts.
+        raise exceptions.StoreUnavailableError(
+            message=f"the store refused with status {answer.status}",
+            context=answer.body[:200].decode("utf-8", "replace"),
+        )
+    raise exceptions.StoreOutcomeUnknownError(
+        message=f"the store answered with status {answer.status}",
+    )
+
+
+def _document(answer: calls.Answer) -> dict[str, typing.Any]:
+    """Return the document of a read's answer."""
+    if answer.status != 200:
+        raise exceptions.StoreUnavailableError(
+            message=f"the store refused with status {answer.status}",
+        )
+    try:
+        return fields.parse(answer.body)
+    except exceptions.MessageError as error:
+        raise exceptions.StoreUnavailableError(
+            message=f"the store's answer is unreadable: {error.message}"
+        ) from error
+
+
+def _revision(document: dict[str, typing.Any], key: str) -> ids.Revision:
+    return ids.Revision(fields.integer(document, key))
+
+
+def _item(row: dict[str, typing.Any]) -> interface.Item:
+    try:
+        value = base64.b64decode(fields.text(row, "value", ""))
+    except binascii.Error as error:
+        raise exceptions.MessageError(
+            message="a stored value is not base64"
+        ) from error
+    return interface.Item(
+        key=fields.text(row, "key"),
+        value=value,
+        revision=_revision(row, "revision"),
+    )
+
+
+def _change(
+    row: dict[str, typing.Any],
+) -> interface.Item | interface.Removed:
+    if row.get("removed"):
+        return interface.Removed(
+            key=fields.text(row, "key"), revision=_revision(row, "revision")
+        )
+    return _item(row)
--- /dev/null
+++ b/src/turmerichook/_internal/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Transactional key-value storage: interface and an in-memory fake."""
--- /dev/null
+++ b/src/turmerichook/_internal/workflow/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs as graphs of steps: model, progress and stored form."""
--- /dev/null
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -0,0 +1,248 @@
+"""Stored forms of jobs and of their progress, in msgpack with a version."""
+
+import datetime
+import typing
+
+import msgpack
+
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
+from turmerichook import exceptions
+
+VERSION = 1
+PHASES = (
+    progresses.Phase.WAITING,
+    progresses.Phase.ASSIGNED,
+    progresses.Phase.DONE,
+)
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+def encode_spec(spec: model.JobSpec) -> bytes:
+    """Return the stored form of a job."""
+    repetition = None
+    if spec.repetition is not None:
+        repetition = [
+            spec.repetition.count,
+            _ms(spec.repetition.first),
+            _ms(spec.repetition.interval),
+        ]
+    return msgpack.packb(
+        [
+            VERSION,
+            spec.queue,
+            spec.service,
+            spec.payload,
+            _ms(spec.accepted),
+            repetition,
+            [_encode_step(step) for step in spec.steps],
+        ]
+    )
+
+
+def decode_spec(job: ids.JobId, value: bytes) -> model.JobSpec:
+    """Return a job from its stored form.
+
+    :raises StoredValueError: if the value is of another form or version.
+    """
+    document = _unpack(job, value)
+    try:
+        _, queue, service, payload, accepted, repetition, steps = document
+        return model.JobSpec(
+            job=job,
+            queue=queue,
+            service=service,
+            payload=payload,
+            steps=tuple(_decode_step(step) for step in steps),
+            accepted=accepted * MILLISECOND,
+            repetition=_decode_repetition(repetition),
+        )
+    except (TypeError, ValueError, IndexError) as error:
+        raise _unreadable(job, str(error)) from error
+
+
+def encode_progress(progress: progresses.Progress) -> bytes:
+    """Return the stored form of a job's progress."""
+    final = progress.state.final
+    # A final job only needs the tasks that may still run somewhere.
+    tasks = [
+        [
+            *task[1:],
+            PHASES.index(record.phase),
+            record.run,
+            record.worker,
+            record.failures,
+            record.checkpoint,
+        ]
+        for task, record in progress.tasks.items()
+        if not final or record.phase is progresses.Phase.ASSIGNED
+    ]
+    return msgpack.packb(
+        [
+            VERSION,
+            progress.state.value,
+            progress.opened,
+            progress.canceled,
+            progress.failed,
+            tasks,
+        ]
+    )
+
+
+def decode_state(job: ids.JobId, value: bytes) -> model.JobState:
+    """Return a job's state from the stored form of its progress.
+
+    :raises StoredValueError: if the value is of another form or version.
+    """
+    try:
+        return model.JobState(_unpack(job, value)[1])
+    except (ValueError, IndexError) as error:
+        raise _unreadable(job, str(error)) from error
+
+
+def decode_progress(spec: model.JobSpec, value: bytes) -> progresses.Progress:
+    """Return a job's progress from its stored form.
+
+    :raises StoredValueError: if the value is of another form or version.
+    """
+    document = _unpack(spec.job, value)
+    try:
+        _, _, opened, canceled, failed, rows = document
+        tasks = {}
+        for occurrence, step, index, phase, *fields in rows:
+            run, worker, failures, checkpoint = fields
+            key = model.TaskKey(spec.job, occurrence, step, index)
+            tasks[key] = progresses.TaskRecord(
+                phase=PHASES[phase],
+                run=run,
+                worker=worker,
+                failures=failures,
+                checkpoint=checkpoint,
+            )
+        return progresses.restore(
+            spec, tasks, opened=opened, canceled=canceled, failed=failed
+        )
+    except (TypeError, ValueError, IndexError, KeyError) as error:
+        raise _unreadable(spec.job, str(error)) from error
+
+
+def decode_remainder(
+    job: ids.JobId, value: bytes
+) -> dict[model.TaskKey, tuple[ids.Attempt, ids.WorkerId]]:
+    """Return the runs that a final job may still have somewhere.
+
+    :raises StoredValueError: if the value is of another form or version.
+    """
+    try:
+        return {
+            model.TaskKey(job, row[0], row[1], row[2]): (row[4], row[5])
+            for row in _unpack(job, value)[5]
+            if PHASES[row[3]] is progresses.Phase.ASSIGNED
+        }
+    except (TypeError, ValueError, IndexError) as error:
+        raise _unreadable(job, str(error)) from error
+
+
+def _encode_step(step: model.Step) -> list[typing.Any]:
+    flags = (
+        step.checkpointing
+        | step.gang << 1
+        | step.same_rack << 2
+        | step.speculative << 3
+        | step.long_running << 4
+        | step.filler << 5
+    )
+    return [
+        step.count,
+        step.demand.millicores,
+        step.demand.memory_mib,
+        step.demand.accelerators,
+        _ms(step.estimate),
+        step.after,
+        flags,
+        step.label,
+        step.rack,
+        step.max_per_worker,
+        step.image,
+        _ms(step.latency_target),
+        step.max_missing,
+    ]
+
+
+def _decode_step(row: list[typing.Any]) -> model.Step:
+    flags = row[6]
+    return model.Step(
+        count=row[0],
+        demand=resources.Resources(
+            millicores=row[1], memory_mib=row[2], accelerators=row[3]
+        ),
+        estimate=row[4] * MILLISECOND,
+        after=tuple(row[5]),
+        checkpointing=bool(flags & 1),
+        gang=bool(flags & 2),
+        same_rack=bool(flags & 4),
+        speculative=bool(flags & 8),
+        long_running=bool(flags & 16),
+        filler=bool(flags & 32),
+        label=row[7],
+        rack=row[8],
+        max_per_worker=row[9],
+        image=row[10],
+        latency_target=row[11] * MILLISECOND,
+        max_missing=row[12],
+    )
+
+
+def _decode_repetition(
+    row: list[int] | None,
+) -> model.Repetition | None:
+    if row is None:
+        return None
+    return model.Repetition(
+        count=row[0],
+        first=row[1] * MILLISECOND,
+        interval=row[2] * MILLISECOND,
+    )
+
+
+def _ms(span: datetime.timedelta) -> int:
+    return span // MILLISECOND
+
+
+def _unpack(job: ids.JobId, value: bytes) -> list[typing.Any]:
+    try:
+        document = msgpack.unpackb(value)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise _unreadable(job, str(error)) from error
+    if not isinstance(document, list) or not document:
+        raise _unreadable(job, "not a list")
+    if document[0] != VERSION:
+        raise _unreadable(job, f"version {document[0]}, not {VERSION}")
+    return document
+
+
+def _unreadable(job: ids.JobId, reason: str) -> exceptions.StoredValueError:
+    return exceptions.StoredValueError(
+        message=f"a stored value of job {job} is not readable: {reason}",
+        context=job,
+    )
+
+
+def decode_counts(value: bytes) -> dict[ids.QueueId, int]:
+    """Return the lengths of the queues.
+
+    :raises StoredValueError: if the value is of another form.
+    """
+    try:
+        counts = msgpack.unpackb(value)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise exceptions.StoredValueError(
+            message="the queues' lengths are not readable"
+        ) from error
+    if not isinstance(counts, dict):
+        raise exceptions.StoredValueError(
+            message="the queues' lengths are not a map"
+        )
+    return counts
