Place and pace fillers by a learned model of interference

A trace of the readings (trial) shows that the slowdown depends on the pair of images: some fillers press one service image and leave the others alone.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -13,6 +13,7 @@
 
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import pacing
@@ -87,6 +88,7 @@
         self.workers: dict[ids.WorkerId, fleet.Worker] = {}
         self.closed_zones: set[ids.ZoneId] = set()
         self.waiting = waiting.WaitingTasks()
+        self.interference = interference.Interference()
         self.dirty: dict[ids.JobId, None] = {}
         self.orders: list[Order] = []
         # Counts order answers and report requests, to tell which came first.
@@ -338,12 +340,6 @@
             run.percent = row.percent
             run.moved = now
         run.reading = row.reading
-        if (
-            run.step.filler
-            and run.phase is fleet.RunPhase.RUNNING
-            and run.pace != worker.filler_pace
-        ):
-            self._pace(worker, run)
         job = self.jobs.get(row.task.job)
         if job is not None and row.checkpoint:
             record = job.progress.tasks.get(row.task)
@@ -492,8 +488,6 @@
                 run.began = run.moved = now
                 if not run.wanted:
                     self._stop(worker, run, now, "not-wanted")
-                elif run.step.filler and worker.filler_pace < 100:
-                    self._pace(worker, run)
             case orders.Refused(reason=reason):
                 logs.emit(
                     events.DispatchEvent.START_REFUSED,
@@ -589,27 +583,25 @@
         )
         self.orders.append(StopOrder(worker=worker.worker, run=run))
 
-    def _pace(self, worker: fleet.Worker, run: fleet.Run) -> None:
-        run.pace = worker.filler_pace
-        self.orders.append(
-            PaceOrder(worker=worker.worker, run=run, percent=run.pace)
-        )
-
     def _relieve(self, worker: fleet.Worker, now: datetime.timedelta) -> None:
         """Pace the fillers of a worker by the tail latency of its services."""
-        pace = pacing.next_pace(worker, now)
-        if pace == worker.filler_pace:
+        pacing.learn(worker, self.interference, now)
+        paces = pacing.next_paces(worker, self.interference, now)
+        if not paces:
             return
-        worker.filler_pace = pace
         logs.emit(
             events.DispatchEvent.FILLER_PACED,
             worker=worker.worker,
-            percent=pace,
             ratio=round(pacing.worst_ratio(worker), 2),
+            fillers=len(paces),
+            slowest=min(paces.values()),
+            fastest=max(paces.values()),
         )
-        for run in worker.runs.values():
-            if run.step.filler and run.phase is fleet.RunPhase.RUNNING:
-                self._pace(worker, run)
+        for run, pace in paces.items():
+            run.pace = pace
+            self.orders.append(
+                PaceOrder(worker=worker.worker, run=run, percent=pace)
+            )
 
     def tick(self, now: datetime.timedelta) -> None:
         """Do what is due: repeat stops, move stalled runs, expire leases."""
@@ -689,6 +681,7 @@
             workers=self.workers.values(),
             closed=self.closed_zones,
             assign=self.assign,
+            interference=self.interference,
             now=now,
             limit=limit,
         )
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -4,6 +4,7 @@
 import datetime
 import enum
 
+from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
@@ -45,6 +46,7 @@
         because of a later fencing token.
     :param wanted: whether the run is to go on; False once it is to stop.
     :param moved: when its percent last changed, as our own time.
+    :param base: estimate of its tail latency without fillers beside it.
     """
 
     task: model.TaskKey
@@ -58,6 +60,7 @@
     percent: int = -1
     moved: datetime.timedelta = ZERO
     reading: int | None = None
+    base: interference.Estimate | None = None
     pace: int = 100
     stop_sent: datetime.timedelta | None = None
     stop_accepted: bool = False
@@ -77,7 +80,9 @@
         self.looked = False
         self.runs: dict[model.TaskKey, Run] = {}
         self.used = resources.NOTHING
+        # Processors that fillers ask for, in all and by image, in thousandths.
         self.filling = 0
+        self.fillers: dict[ids.ImageId, int] = {}
         self.incarnation = entry.incarnation if entry else 0
         # The worker's clock when it answered, and our time of the answer.
         self.clock: datetime.timedelta | None = None
@@ -92,7 +97,7 @@
         self.failing: set[ids.JobId] = set()
         self.suspended_until = ZERO
         self.full_until = ZERO
-        self.filler_pace = 100
+        self.hot_readings = 0
         self.paced_at = ZERO
         self.remaining_at: datetime.timedelta | None = None
 
@@ -118,13 +123,18 @@
         """Count what a task of a step takes."""
         self.used = self.used.plus(step.committed)
         if step.filler:
-            self.filling += step.demand.millicores
+            self._count_filler(step, step.demand.millicores)
 
     def release(self, step: model.Step) -> None:
         """Give back what a task of a step took."""
         self.used = self.used.minus(step.committed)
         if step.filler:
-            self.filling -= step.demand.millicores
+            self._count_filler(step, -step.demand.millicores)
+
+    def _count_filler(self, step: model.Step, millicores: int) -> None:
+        self.filling += millicores
+        total = self.fillers.get(step.image, 0) + millicores
+        self.fillers[step.image] = total
 
     def fits(self, step: model.Step) -> bool:
         """Tell whether a task of a step has room."""
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -1,14 +1,17 @@
 """Choice of a worker for one task.
 
-The least loaded worker that may run the task wins. Serving tasks are packed
-onto few workers, filler tasks avoid these, and everything avoids workers that
-are slow, suspected or have just refused.
+The least loaded worker that may run the task wins. Filler tasks go where they
+are predicted to slow serving tasks down least, and wait rather than push a
+tail latency over its target. Workers that are suspected or have just refused
+get nothing.
 """
 
 import collections.abc
 import datetime
+import math
 
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
@@ -17,12 +20,13 @@
 # Weights in the score, in units of a whole worker's load.
 COLD_PENALTY = 0.5
 WRONG_RACK_PENALTY = 1.0
-FILLER_BESIDE_SERVICE_PENALTY = 1.0
-SERVICE_PACKING_BONUS = 0.5
 REPEAT_PENALTY = 2.0
-# Filler tasks that ask for more than this share of a worker's processors
-# would only slow each other down.
-FILLER_SHARE_MAX = 1.0
+# Weight of the predicted logarithmic slowdown of the worst serving task.
+SLOWDOWN_WEIGHT = 0.5
+# Share of its declared processors that a serving task uses on average.
+SERVING_USE = 0.6
+# Predicted tail latency in units of its target up to which fillers are added.
+FILL_RATIO = 0.75
 
 
 def choose(
@@ -33,6 +37,7 @@
     closed: collections.abc.Container[ids.ZoneId],
     on_worker: collections.abc.Mapping[ids.WorkerId, int],
     last: ids.WorkerId,
+    interference: interferences.Interference,
     now: datetime.timedelta,
 ) -> fleet.Worker | outcomes.Absent:
     """Return the worker that a task goes to.
@@ -53,7 +58,7 @@
             continue
         if not worker.fits(step):
             continue
-        score = _score(worker, step, last)
+        score = _score(worker, step, last, interference)
         if score is not None and (best is None or score < best_score):
             best, best_score = worker, score
     if best is None:
@@ -101,11 +106,13 @@
 
 
 def _score(
-    worker: fleet.Worker, step: model.Step, last: ids.WorkerId
+    worker: fleet.Worker,
+    step: model.Step,
+    last: ids.WorkerId,
+    interference: interferences.Interference,
 ) -> float | None:
-    capacity = worker.entry.capacity.millicores or 1
-    load = (worker.used.millicores + worker.filling) / capacity
-    score = load
+    """Return how bad a worker is for a task, None if it must not go there."""
+    score = _load(worker)
     if worker.entry.cold:
         score += COLD_PENALTY
     if step.rack and step.rack != worker.entry.rack:
@@ -113,12 +120,51 @@
     if worker.worker == last:
         score += REPEAT_PENALTY
     if step.filler:
-        wanted = worker.filling + step.demand.millicores
-        if wanted / capacity > FILLER_SHARE_MAX:
+        wanted = step.demand.millicores
+        if worker.filling and wanted > _unused(worker):
+            return None
+        strain = _strain(worker, step, interference)
+        if worker.filling and strain > math.log(FILL_RATIO):
             return None
-        if worker.serving():
-            score += FILLER_BESIDE_SERVICE_PENALTY
-            score += (100 - worker.filler_pace) / 100
-    elif step.latency_target and worker.serving():
-        score -= SERVICE_PACKING_BONUS
+        score += SLOWDOWN_WEIGHT * strain
     return score
+
+
+def _load(worker: fleet.Worker) -> float:
+    """Return the share of the processors that is asked for."""
+    capacity = worker.entry.capacity.millicores or 1
+    return (worker.used.millicores + worker.filling) / capacity
+
+
+def _unused(worker: fleet.Worker) -> float:
+    """Return the processors that more fillers would get, in thousandths."""
+    serving = sum(
+        run.step.demand.millicores
+        for run in worker.runs.values()
+        if run.step.latency_target
+    )
+    used = worker.used.millicores - serving * (1 - SERVING_USE)
+    return worker.entry.capacity.millicores - used - worker.filling
+
+
+def _strain(
+    worker: fleet.Worker,
+    step: model.Step,
+    interference: interferences.Interference,
+) -> float:
+    """Predict the worst tail latency beside one more filler.
+
+    :returns: the logarithm of the tail in units of its target.
+    """
+    cores = {image: used / 1000 for image, used in worker.fillers.items()}
+    more = step.demand.millicores / 1000
+    cores[step.image] = cores.get(step.image, 0.0) + more
+    worst = math.log(interferences.BASE_LOW)
+    for run in worker.runs.values():
+        if run.step.latency_target:
+            base = math.log(interferences.BASE_FIRST)
+            if run.base is not None:
+                base = run.base.mean
+            slowdown = interference.slowdown(run.step.image, cores)
+            worst = max(worst, base + slowdown)
+    return worst
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -13,7 +13,7 @@
 
 # How long a worker may wait for an end before it answers. Progress and tail
 # latencies are only seen in its answers.
-REPORT_WAIT = datetime.timedelta(milliseconds=900)
+REPORT_WAIT = datetime.timedelta(milliseconds=600)
 # Pause between reports while something must be settled.
 SETTLE_PAUSE = datetime.timedelta(milliseconds=80)
 RETRY_PAUSE = datetime.timedelta(milliseconds=250)
@@ -60,7 +60,7 @@
                 continue
             if self.worker.unsaved:
                 # The ends would only be listed again.
-                await self._pause(RETRY_PAUSE)
+                await self._pause_while_unsaved()
             await self._renew()
 
     def _needed(self) -> bool:
@@ -75,6 +75,11 @@
         await clocks.wait_event(self.clock, self.wake, limit)
         self.wake.clear()
 
+    async def _pause_while_unsaved(self) -> None:
+        end = self.clock.uptime() + RETRY_PAUSE
+        while self.worker.unsaved and self.clock.uptime() < end:
+            await self._pause(end - self.clock.uptime())
+
     async def _renew(self) -> None:
         worker = self.worker
         asked = self.dispatcher.next_mark()
@@ -109,7 +114,7 @@
         )
         self.changed.set()
         if self._unsettled():
-            await self._pause(SETTLE_PAUSE)
+            await self.clock.sleep(SETTLE_PAUSE)
 
     def _lease_until(self) -> datetime.timedelta | None:
         if self.worker.clock is None:
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -12,6 +12,7 @@
 
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import placement
 from turmerichook._internal.logs import setup as logs
@@ -106,11 +107,17 @@
         workers: collections.abc.Collection[fleet.Worker],
         closed: collections.abc.Container[ids.ZoneId],
         assign: Assign,
+        interference: interferences.Interference,
         now: datetime.timedelta,
         limit: int,
     ) -> int:
         """Give tasks to workers, the most urgent first; return how many."""
-        round_ = _Round(workers=workers, closed=closed, now=now)
+        round_ = _Round(
+            workers=workers,
+            closed=closed,
+            interference=interference,
+            now=now,
+        )
         placed = 0
         for waiting in sorted(self.steps.values(), key=lambda s: s.order):
             if placed >= limit:
@@ -140,6 +147,7 @@
 
     workers: collections.abc.Collection[fleet.Worker]
     closed: collections.abc.Container[ids.ZoneId]
+    interference: interferences.Interference
     now: datetime.timedelta
 
     def choose(self, waiting: WaitingStep, limit: int) -> list[Choice]:
@@ -178,6 +186,7 @@
                 closed=self.closed,
                 on_worker=counts,
                 last=last,
+                interference=self.interference,
                 now=self.now,
             )
             if isinstance(worker, outcomes.Absent):
