Pack serving tasks by image and keep fillers off workers that they slow down

Cause: with serving tasks of all five images on each worker, each filler pressed some of them, and most fillers crawled at a low pace. Serving tasks of one image share their sensitivities, so that packing them by image leaves each filler image workers where it does no harm. A first filler on a worker is no longer exempt unless it has waited for 3 s, and tails below 0.95 of the target are left alone, since the load of a service alone reaches that.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -125,8 +125,8 @@
         if progress.canceled or progress.failed:
             self._stop_all(job, now)
         else:
-            self.open_due(job, wall)
-            self._enqueue(job, progress.waiting())
+            self.open_due(job, wall, now)
+            self._enqueue(job, progress.waiting(), now)
 
     def _queue(self, spec: model.JobSpec) -> deployment.Queue:
         found = self.configuration.queue(spec.queue)
@@ -153,21 +153,25 @@
             if found is not None:
                 job.queue = found
 
-    def open_due(self, job: jobs.Job, wall: datetime.timedelta) -> None:
+    def open_due(
+        self, job: jobs.Job, wall: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
         """Open the occurrences of a job that are due."""
         progress = job.progress
         repetition = job.spec.repetition
         while progress.opened < job.spec.occurrences:
             if repetition and repetition.due(progress.opened) > wall:
                 return
-            self._enqueue(job, progress.open_occurrence())
+            self._enqueue(job, progress.open_occurrence(), now)
 
-    def open_all_due(self, wall: datetime.timedelta) -> None:
+    def open_all_due(
+        self, wall: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
         """Open the occurrences of all jobs that are due."""
         for job in self.jobs.values():
             if job.progress.opened < job.spec.occurrences:
                 if not job.progress.state.final:
-                    self.open_due(job, wall)
+                    self.open_due(job, wall, now)
 
     def cancel(self, job_id: ids.JobId, now: datetime.timedelta) -> bool:
         """Cancel a job; tell whether it is known."""
@@ -194,12 +198,15 @@
                 self._stop(worker, run, now, "job-ended")
 
     def _enqueue(
-        self, job: jobs.Job, tasks: collections.abc.Iterable[model.TaskKey]
+        self,
+        job: jobs.Job,
+        tasks: collections.abc.Iterable[model.TaskKey],
+        now: datetime.timedelta,
     ) -> None:
         for task in tasks:
             record = job.progress.tasks.get(task)
             last = record.worker if record else ids.WorkerId("")
-            self.waiting.add(job, task, last)
+            self.waiting.add(job, task, last, now)
 
     # Registry
 
@@ -312,6 +319,58 @@
             if (run.task, run.run) not in listed:
                 self._take_absence(worker, run, asked, now)
         self._relieve(worker, now)
+        if worker.serving():
+            print(
+                "DBG",
+                round(now.total_seconds(), 2),
+                worker.worker,
+                worker.entry.capacity.millicores,
+                worker.used.millicores,
+                worker.filling,
+                0,
+                [
+                    (
+                        r.step.image,
+                        r.step.latency_target.total_seconds() * 1000,
+                        r.reading,
+                        r.step.demand.millicores,
+                        r.percent,
+                        round(r.base.mean, 2) if r.base else 0,
+                    )
+                    for r in worker.runs.values()
+                    if r.step.latency_target
+                ],
+                [
+                    (
+                        r.step.image,
+                        r.reading,
+                        r.step.demand.millicores,
+                        r.pace,
+                        r.percent,
+                    )
+                    for r in worker.runs.values()
+                    if not r.step.latency_target and r.step.filler
+                ],
+                sum(
+                    r.reading or 0
+                    for r in worker.runs.values()
+                    if not r.step.filler and not r.step.latency_target
+                ),
+                flush=True,
+            )
+            if self.mark % 300 == 0:
+                print(
+                    "TAB",
+                    round(now.total_seconds(), 2),
+                    {
+                        (k[0][:3], k[1][:3]): (
+                            round(e.mean, 2),
+                            round(e.variance, 3),
+                        )
+                        for k, e in self.interference.pairs.items()
+                    },
+                    flush=True,
+                )
 
     def _take_running(
         self,
@@ -403,14 +462,16 @@
         step = job.spec.steps[end.task.step]
         if end.kind is model.EndKind.DONE and not step.long_running:
             if step.gang:
-                self._finish_gang(job, end.task)
+                self._finish_gang(job, end.task, now)
             else:
-                self._enqueue_next(job, job.progress.finish(end.task))
+                self._enqueue_next(job, job.progress.finish(end.task), now)
             return
         failed = end.kind is model.EndKind.FAILED and not step.long_running
         self._return(job, end.task, worker.worker, end.checkpoint, failed, now)
 
-    def _finish_gang(self, job: jobs.Job, task: model.TaskKey) -> None:
+    def _finish_gang(
+        self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
+    ) -> None:
         # One end stands for the ends of all members.
         ready: list[model.TaskKey] = []
         for index in range(job.spec.steps[task.step].count):
@@ -422,13 +483,16 @@
                     holder.remove(member)
             self.waiting.remove(member)
             ready += job.progress.finish(member)
-        self._enqueue_next(job, ready)
+        self._enqueue_next(job, ready, now)
 
     def _enqueue_next(
-        self, job: jobs.Job, tasks: collections.abc.Iterable[model.TaskKey]
+        self,
+        job: jobs.Job,
+        tasks: collections.abc.Iterable[model.TaskKey],
+        now: datetime.timedelta,
     ) -> None:
         if not job.progress.state.final:
-            self._enqueue(job, tasks)
+            self._enqueue(job, tasks, now)
 
     def _return(
         self,
@@ -446,7 +510,7 @@
         if failed and record.failures >= job.queue.max_attempts:
             self._fail(job, now)
         if not job.progress.state.final:
-            self.waiting.add(job, task, worker)
+            self.waiting.add(job, task, worker, now)
 
     def _lost(
         self, worker: fleet.Worker, run: fleet.Run, reason: str, now
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -303,7 +303,7 @@
     async def _round(self) -> None:
         now = self.clock.uptime()
         dispatcher = self.dispatcher
-        dispatcher.open_all_due(self._wall())
+        dispatcher.open_all_due(self._wall(), now)
         dispatcher.tick(now)
         if self.term.has_authority():
             placed = dispatcher.place(now, ROUND_TASKS)
--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -16,12 +16,12 @@
 
 # Tail latency in units of its target above which fillers are slowed down,
 # the one aimed at then, and the one up to which they may go faster.
-SLOW_DOWN_RATIO = 0.85
-AIM_RATIO = 0.65
-SPEED_UP_RATIO = 0.72
+SLOW_DOWN_RATIO = 0.95
+AIM_RATIO = 0.75
+SPEED_UP_RATIO = 0.8
 # Readings cover half a second, and a new pace takes a tenth to act.
 SETTLE_TIME = datetime.timedelta(milliseconds=550)
-# Hot readings in a row after which the model is not trusted any more: first
+# Readings over the target in a row after which the model is not trusted any more: first
 # all fillers are halved, then stopped.
 HALVE_AFTER = 2
 STOP_AFTER = 3
@@ -93,11 +93,11 @@
         return {}
     if now - worker.paced_at < SETTLE_TIME:
         return {}
-    if worst_ratio(worker) > SLOW_DOWN_RATIO:
-        worker.hot_readings += 1
+    ratio = worst_ratio(worker)
+    worker.hot_readings = worker.hot_readings + 1 if ratio > 1.0 else 0
+    if ratio > SLOW_DOWN_RATIO:
         paces = _slower(worker, fillers, model)
     else:
-        worker.hot_readings = 0
         paces = _faster(worker, fillers, model)
     if paces:
         worker.paced_at = now
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -6,8 +6,10 @@
 get nothing.
 """
 
+import collections
 import collections.abc
 import datetime
+import enum
 import math
 
 from turmerichook._internal.dispatch import fleet
@@ -23,10 +25,28 @@
 REPEAT_PENALTY = 2.0
 # Weight of the predicted logarithmic slowdown of the worst serving task.
 SLOWDOWN_WEIGHT = 0.5
+# Weight of packing serving tasks of one image onto few workers.
+PACKING_WEIGHT = 3.0
 # Share of its declared processors that a serving task uses on average.
 SERVING_USE = 0.6
 # Predicted tail latency in units of its target up to which fillers are added.
-FILL_RATIO = 0.75
+FILL_RATIO = 0.8
+
+
+class Obstacle(enum.Enum):
+    """Why a worker does not get a task."""
+
+    NOT_LISTED = "not-listed"
+    OTHER_KIND = "other-kind"
+    ZONE_CLOSED = "zone-closed"
+    LEAVING = "leaving"
+    OUT_OF_REACH = "out-of-reach"
+    HAS_REFUSED = "has-refused"
+    SUSPECTED = "suspected"
+    ENOUGH_OF_STEP = "enough-of-step"
+    NO_ROOM = "no-room"
+    NO_IDLE_PROCESSORS = "no-idle-processors"
+    SLOWS_SERVICES = "slows-services"
 
 
 def choose(
@@ -38,6 +58,7 @@
     on_worker: collections.abc.Mapping[ids.WorkerId, int],
     last: ids.WorkerId,
     interference: interferences.Interference,
+    overdue: bool,
     now: datetime.timedelta,
 ) -> fleet.Worker | outcomes.Absent:
     """Return the worker that a task goes to.
@@ -45,24 +66,31 @@
     :param closed: zones that must get no tasks.
     :param on_worker: tasks of the step's occurrence on each worker.
     :param last: worker of the task's last run, which is avoided.
+    :param overdue: whether the task has waited for too long.
     """
     best: fleet.Worker | None = None
     best_score = 0.0
+    obstacles: collections.Counter[Obstacle] = collections.Counter()
     for worker in workers:
-        if not _usable(worker, service, closed, now):
-            continue
-        if step.label and step.label not in worker.entry.labels:
-            continue
-        limit = step.max_per_worker
-        if limit and on_worker.get(worker.worker, 0) >= limit:
-            continue
-        if not worker.fits(step):
+        found = _obstacle(worker, step, service, closed, on_worker, now)
+        if found is None and step.filler:
+            found = _filler_obstacle(worker, step, interference, overdue)
+        if found is not None:
+            obstacles[found] += 1
             continue
         score = _score(worker, step, last, interference)
-        if score is not None and (best is None or score < best_score):
+        if best is None or score < best_score:
             best, best_score = worker, score
     if best is None:
-        return outcomes.Absent(reason=outcomes.Reason.NO_FIT)
+        return outcomes.Absent(
+            reason=outcomes.Reason.NO_FIT,
+            detail=",".join(
+                f"{obstacle.value}:{count}"
+                for obstacle, count in sorted(
+                    obstacles.items(), key=lambda item: item[0].value
+                )
+            ),
+        )
     return best
 
 
@@ -81,28 +109,60 @@
     )
 
 
-def _usable(
+def _obstacle(
     worker: fleet.Worker,
+    step: model.Step,
     service: ids.ServiceId,
     closed: collections.abc.Container[ids.ZoneId],
+    on_worker: collections.abc.Mapping[ids.WorkerId, int],
     now: datetime.timedelta,
-) -> bool:
+) -> Obstacle | None:
+    """Return why a worker must not get a task of a step, if it must not."""
     entry = worker.entry
-    if (
-        entry is None
-        or not worker.listed
-        or not worker.looked
-        or not worker.reachable
-        or entry.service != service
-        or entry.state is not deployment.WorkerState.READY
-        or entry.zone in closed
-        or now < worker.full_until
+    if entry is None or not worker.listed:
+        return Obstacle.NOT_LISTED
+    if entry.service != service or (
+        step.label and step.label not in entry.labels
     ):
-        return False
+        return Obstacle.OTHER_KIND
+    if entry.zone in closed:
+        return Obstacle.ZONE_CLOSED
+    if entry.state is not deployment.WorkerState.READY:
+        return Obstacle.LEAVING
+    if not worker.looked or not worker.reachable:
+        return Obstacle.OUT_OF_REACH
+    if now < worker.full_until:
+        return Obstacle.HAS_REFUSED
     if len(worker.failing) >= fleet.SUSPECT_FAILURES:
         # After the suspension one task at a time shows whether it recovered.
-        return now >= worker.suspended_until and not worker.runs
-    return True
+        if now < worker.suspended_until or worker.runs:
+            return Obstacle.SUSPECTED
+    limit = step.max_per_worker
+    if limit and on_worker.get(worker.worker, 0) >= limit:
+        return Obstacle.ENOUGH_OF_STEP
+    if not worker.fits(step):
+        return Obstacle.NO_ROOM
+    return None
+
+
+def _filler_obstacle(
+    worker: fleet.Worker,
+    step: model.Step,
+    interference: interferences.Interference,
+    overdue: bool,
+) -> Obstacle | None:
+    """Return why a worker must not get one more filler.
+
+    A filler that has waited for long goes to any worker without others: its
+    pace follows what it does there.
+    """
+    if overdue and not worker.filling:
+        return None
+    if step.demand.millicores > _unused(worker):
+        return Obstacle.NO_IDLE_PROCESSORS
+    if _strain(worker, step, interference) > math.log(FILL_RATIO):
+        return Obstacle.SLOWS_SERVICES
+    return None
 
 
 def _score(
@@ -110,8 +170,8 @@
     step: model.Step,
     last: ids.WorkerId,
     interference: interferences.Interference,
-) -> float | None:
-    """Return how bad a worker is for a task, None if it must not go there."""
+) -> float:
+    """Return how bad a worker is for a task."""
     score = _load(worker)
     if worker.entry.cold:
         score += COLD_PENALTY
@@ -120,16 +180,30 @@
     if worker.worker == last:
         score += REPEAT_PENALTY
     if step.filler:
-        wanted = step.demand.millicores
-        if worker.filling and wanted > _unused(worker):
-            return None
-        strain = _strain(worker, step, interference)
-        if worker.filling and strain > math.log(FILL_RATIO):
-            return None
-        score += SLOWDOWN_WEIGHT * strain
+        score += SLOWDOWN_WEIGHT * _strain(worker, step, interference)
+    elif step.latency_target:
+        score += _mixture(worker, step)
     return score
 
 
+def _mixture(worker: fleet.Worker, step: model.Step) -> float:
+    """Return how badly a serving task goes with those on a worker.
+
+    Tasks of one image are packed together. What slows one of them down slows
+    all of them down, so that fillers find workers where they do no harm.
+    """
+    same = other = 0
+    for run in worker.runs.values():
+        if run.step.latency_target:
+            if run.step.image == step.image:
+                same += run.step.demand.millicores
+            else:
+                other += run.step.demand.millicores
+    if not same and not other:
+        return 0.0
+    return PACKING_WEIGHT * (other - same) / (other + same)
+
+
 def _load(worker: fleet.Worker) -> float:
     """Return the share of the processors that is asked for."""
     capacity = worker.entry.capacity.millicores or 1
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -20,6 +20,10 @@
 from turmerichook._internal import outcomes
 from turmerichook._internal.workflow import model
 
+# A filler task that has waited for this long is no longer kept back to spare
+# serving tasks.
+PATIENCE = datetime.timedelta(seconds=3)
+
 # Gives a task to a worker under a run number.
 Assign = collections.abc.Callable[
     [
@@ -48,6 +52,7 @@
     job: jobs.Job
     key: StepKey
     deadline: datetime.timedelta
+    since: datetime.timedelta
     tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
         default_factory=dict
     )
@@ -77,13 +82,17 @@
         job: jobs.Job,
         task: model.TaskKey,
         last: ids.WorkerId,
+        now: datetime.timedelta,
     ) -> None:
         """Let a task wait."""
         key = StepKey(task.job, task.occurrence, task.step)
         found = self.steps.get(key)
         if found is None:
             found = self.steps[key] = WaitingStep(
-                job=job, key=key, deadline=job.deadline(task.occurrence)
+                job=job,
+                key=key,
+                deadline=job.deadline(task.occurrence),
+                since=now,
             )
         found.tasks[task] = last
 
@@ -152,10 +161,7 @@
 
     def choose(self, waiting: WaitingStep, limit: int) -> list[Choice]:
         """Choose workers for as many of a step's tasks as fit."""
-        chosen = self._reserve(waiting, limit)
-        if len(chosen) < min(limit, len(waiting.tasks)):
-            _log_wait(waiting)
-        return chosen
+        return self._reserve(waiting, limit)
 
     def choose_gang(self, waiting: WaitingStep) -> list[Choice]:
         """Choose workers for all members, under one run number, or none."""
@@ -165,7 +171,6 @@
             return []
         chosen = self._reserve(waiting, count)
         if len(chosen) < count:
-            _log_wait(waiting)
             return []
         run = max(choice.run for choice in chosen)
         return [choice._replace(run=run) for choice in chosen]
@@ -187,9 +192,11 @@
                 on_worker=counts,
                 last=last,
                 interference=self.interference,
+                overdue=self.now - waiting.since > PATIENCE,
                 now=self.now,
             )
             if isinstance(worker, outcomes.Absent):
+                _log_wait(waiting, worker)
                 break
             counts[worker.worker] += 1
             worker.reserve(step)
@@ -213,12 +220,13 @@
     return counts
 
 
-def _log_wait(waiting: WaitingStep) -> None:
+def _log_wait(waiting: WaitingStep, absent: outcomes.Absent) -> None:
     logs.emit(
         events.DispatchEvent.TASK_WAITS,
         job=waiting.key.job,
         step=waiting.key.step,
         tasks=len(waiting.tasks),
-        reason=outcomes.Reason.NO_FIT.value,
+        reason=absent.reason.value,
+        obstacles=absent.detail,
         priority=waiting.job.queue.priority,
     )
--- a/src/turmerichook/_internal/intake/job_store.py
+++ b/src/turmerichook/_internal/intake/job_store.py
@@ -102,15 +102,17 @@
         self, job: ids.JobId, until: datetime.timedelta
     ) -> model.JobState | NoSuchJob | Unsettled:
         """Return a job's state."""
-        found = await self._find(job, until)
-        if not isinstance(found, interface.Item):
-            return found
+        if job in self.final:
+            return self.final[job]
         item = await self._read(keys.progress(job), until)
-        match item:
-            case Unsettled():
-                return item
-            case None:
+        if item is None:
+            # Not begun, or not submitted; ``_find`` tells which.
+            found = await self._find(job, until)
+            if isinstance(found, interface.Item):
                 return model.JobState.QUEUED
+            return found
+        if isinstance(item, Unsettled):
+            return item
         return self._decode(job, item)
 
     async def _find(
@@ -121,6 +123,7 @@
             return self.final[job]
         item = await self._read(keys.job(job), until)
         if item is not None:
+            # Or that the store could not be read.
             return item
         # A job leaves the inbox when it becomes final.
         item = await self._read(keys.progress(job), until)
