Take no report before the stored jobs are known

Cause: a new leader listed the registry before the jobs.

Change: recovery reads progress, inbox and only then the registry. Retries of refused store calls are spaced further, since they are charged; jobs past their objective wait behind those that can still meet it.

--- a/src/turmerichook/_internal/dispatch/commits.py
+++ b/src/turmerichook/_internal/dispatch/commits.py
@@ -20,7 +20,8 @@
 OVERHEAD_ENTRIES = 3
 # Entries that one commit may carry besides.
 ROOM = interface.COMMIT_ENTRIES - OVERHEAD_ENTRIES
-RETRY_PAUSE = datetime.timedelta(milliseconds=60)
+# Refused calls are charged too.
+RETRY_PAUSE = datetime.timedelta(milliseconds=150)
 
 
 class CommitLog:
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -319,58 +319,6 @@
             if (run.task, run.run) not in listed:
                 self._take_absence(worker, run, asked, now)
         self._relieve(worker, now)
-        if worker.serving():
-            print(
-                "DBG",
-                round(now.total_seconds(), 2),
-                worker.worker,
-                worker.entry.capacity.millicores,
-                worker.used.millicores,
-                worker.filling,
-                0,
-                [
-                    (
-                        r.step.image,
-                        r.step.latency_target.total_seconds() * 1000,
-                        r.reading,
-                        r.step.demand.millicores,
-                        r.percent,
-                        round(r.base.mean, 2) if r.base else 0,
-                    )
-                    for r in worker.runs.values()
-                    if r.step.latency_target
-                ],
-                [
-                    (
-                        r.step.image,
-                        r.reading,
-                        r.step.demand.millicores,
-                        r.pace,
-                        r.percent,
-                    )
-                    for r in worker.runs.values()
-                    if not r.step.latency_target and r.step.filler
-                ],
-                sum(
-                    r.reading or 0
-                    for r in worker.runs.values()
-                    if not r.step.filler and not r.step.latency_target
-                ),
-                flush=True,
-            )
-            if self.mark % 300 == 0:
-                print(
-                    "TAB",
-                    round(now.total_seconds(), 2),
-                    {
-                        (k[0][:3], k[1][:3]): (
-                            round(e.mean, 2),
-                            round(e.variance, 3),
-                        )
-                        for k, e in self.interference.pairs.items()
-                    },
-                    flush=True,
-                )
 
     def _take_running(
         self,
@@ -739,7 +687,12 @@
 
     # Placement and commits
 
-    def place(self, now: datetime.timedelta, limit: int) -> int:
+    def place(
+        self,
+        now: datetime.timedelta,
+        wall: datetime.timedelta,
+        limit: int,
+    ) -> int:
         """Give waiting tasks to workers; return how many."""
         return self.waiting.place(
             workers=self.workers.values(),
@@ -747,6 +700,7 @@
             assign=self.assign,
             interference=self.interference,
             now=now,
+            wall=wall,
             limit=limit,
         )
 
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -163,3 +163,8 @@
         level=events.Level.ERROR,
         summary="a part of the leader has failed; it gives up its term",
     )
+    RECOVERY_FAILED = events.Event(
+        number=7043,
+        level=events.Level.WARNING,
+        summary="the new leader cannot read the stored jobs yet",
+    )
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -101,43 +101,46 @@
         self.pending_written = datetime.timedelta()
         self.cleaned = datetime.timedelta()
         self.stray_cancels: set[str] = set()
+        # Stored progress by job, while the leader recovers.
+        self.progress: dict[ids.JobId, bytes] = {}
 
     async def run(self) -> None:
         """Lead until the term ends."""
-        feeds = [
-            follower.Follower(
-                storage=self.storage,
-                prefix=self.format.prefix,
-                clock=self.clock,
-                replace=self._replace_entries,
-                apply=self._apply_entry,
-            ),
-            follower.Follower(
-                storage=self.storage,
-                prefix=keys.INBOX_PREFIX,
-                clock=self.clock,
-                replace=self._replace_inbox,
-                apply=self._apply_inbox,
-            ),
-        ]
+        inbox = follower.Follower(
+            storage=self.storage,
+            prefix=keys.INBOX_PREFIX,
+            clock=self.clock,
+            replace=self._replace_inbox,
+            apply=self._apply_inbox,
+        )
+        registry_feed = follower.Follower(
+            storage=self.storage,
+            prefix=self.format.prefix,
+            clock=self.clock,
+            replace=self._replace_entries,
+            apply=self._apply_entry,
+        )
         try:
-            await self._recover(feeds)
-            for feed in feeds:
-                self._spawn(feed.run())
+            await self._recover(inbox, registry_feed)
+            self._spawn(inbox.run())
+            self._spawn(registry_feed.run())
             await self._rounds()
         finally:
-            under_way = {t for t in self.tasks if t.get_name() == "order"}
-            if under_way:
-                await asyncio.wait(under_way, timeout=HANDOVER_TIME_S)
-            for task in list(self.tasks):
-                task.cancel()
-            for worker in self.sessions:
-                self.workers.forget(worker)
-            logs.emit(
-                events.DispatchEvent.LEADERSHIP_LOST,
-                epoch=self.term.token,
-                reason=self.term.end_reason,
-            )
+            await self._close()
+
+    async def _close(self) -> None:
+        under_way = {t for t in self.tasks if t.get_name() == "order"}
+        if under_way:
+            await asyncio.wait(under_way, timeout=HANDOVER_TIME_S)
+        for task in list(self.tasks):
+            task.cancel()
+        for worker in self.sessions:
+            self.workers.forget(worker)
+        logs.emit(
+            events.DispatchEvent.LEADERSHIP_LOST,
+            epoch=self.term.token,
+            reason=self.term.end_reason,
+        )
 
     def configure(
         self,
@@ -151,9 +154,14 @@
 
     # Recovery and feeds
 
-    async def _recover(self, feeds: list[follower.Follower]) -> None:
-        """Read the state that former leaders left, once it cannot change."""
-        self.progress: dict[ids.JobId, bytes] = {}
+    async def _recover(
+        self, inbox: follower.Follower, registry_feed: follower.Follower
+    ) -> None:
+        """Read the state that former leaders left, once it cannot change.
+
+        The registry comes last: a worker's report means nothing, and its
+        ends must not be acknowledged, before all jobs are known.
+        """
         while not self.term.ended.is_set():
             try:
                 await self.log.open()
@@ -163,13 +171,15 @@
                 self.progress = {
                     keys.job_id(item.key): item.value for item in items
                 }
-                for feed in feeds:
-                    await feed.list()
+                await inbox.list()
+                self._recover_final()
+                await registry_feed.list()
                 break
             except exceptions.StoreError as error:
-                logs.emit(events.DispatchEvent.CLAIM_FAILED, error=str(error))
+                logs.emit(
+                    events.DispatchEvent.RECOVERY_FAILED, error=str(error)
+                )
                 await self.clock.sleep(commits.RETRY_PAUSE)
-        self._recover_final()
         self.progress.clear()
         logs.emit(
             events.DispatchEvent.RECOVERED,
@@ -182,7 +192,7 @@
     def _recover_final(self) -> None:
         now = self.clock.uptime()
         for job_id, value in self.progress.items():
-            if job_id in self.dispatcher.jobs:
+            if job_id in self.dispatcher.jobs | self.dispatcher.final:
                 continue
             try:
                 remainder = stored.decode_remainder(job_id, value)
@@ -306,7 +316,7 @@
         dispatcher.open_all_due(self._wall(), now)
         dispatcher.tick(now)
         if self.term.has_authority():
-            placed = dispatcher.place(now, ROUND_TASKS)
+            placed = dispatcher.place(now, self._wall(), ROUND_TASKS)
             if placed == ROUND_TASKS:
                 self.changed.set()
         self._send_orders()
--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -20,7 +20,7 @@
 AUTHORITY_MARGIN = datetime.timedelta(milliseconds=200)
 # Bounds how long a silent connection hides the loss of the leader.
 WATCH_WAIT = datetime.timedelta(milliseconds=2000)
-RETRY_PAUSE = datetime.timedelta(milliseconds=150)
+RETRY_PAUSE = datetime.timedelta(milliseconds=400)
 # Candidates claim after a random part of this, so that few collide.
 CLAIM_SPREAD_S = 0.08
 
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -14,6 +14,8 @@
 # How long a worker may wait for an end before it answers. Progress and tail
 # latencies are only seen in its answers.
 REPORT_WAIT = datetime.timedelta(milliseconds=600)
+# Shortest pause between reports, also of a worker that does not wait.
+REPORT_PAUSE = datetime.timedelta(milliseconds=5)
 # Pause between reports while something must be settled.
 SETTLE_PAUSE = datetime.timedelta(milliseconds=80)
 RETRY_PAUSE = datetime.timedelta(milliseconds=250)
@@ -115,6 +117,8 @@
         self.changed.set()
         if self._unsettled():
             await self.clock.sleep(SETTLE_PAUSE)
+        else:
+            await self.clock.sleep(REPORT_PAUSE)
 
     def _lease_until(self) -> datetime.timedelta | None:
         if self.worker.clock is None:
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -62,10 +62,16 @@
         """The step."""
         return self.job.spec.steps[self.key.step]
 
-    @property
-    def order(self) -> tuple[int, datetime.timedelta]:
-        """Sort key: priority, then the objective's time."""
-        return self.job.queue.priority, self.deadline
+    def order(
+        self, wall: datetime.timedelta
+    ) -> tuple[int, bool, datetime.timedelta]:
+        """Return the sort key: priority, then the objective's time.
+
+        A job that cannot meet its objective any more earns little by coming
+        early, and waits behind those that can.
+        """
+        late = wall + self.step.estimate > self.deadline
+        return self.job.queue.priority, late, self.deadline
 
 
 class WaitingTasks:
@@ -118,6 +124,7 @@
         assign: Assign,
         interference: interferences.Interference,
         now: datetime.timedelta,
+        wall: datetime.timedelta,
         limit: int,
     ) -> int:
         """Give tasks to workers, the most urgent first; return how many."""
@@ -128,7 +135,9 @@
             now=now,
         )
         placed = 0
-        for waiting in sorted(self.steps.values(), key=lambda s: s.order):
+        for waiting in sorted(
+            self.steps.values(), key=lambda step: step.order(wall)
+        ):
             if placed >= limit:
                 break
             if waiting.step.gang:
--- a/src/turmerichook/_internal/storage/follower.py
+++ b/src/turmerichook/_internal/storage/follower.py
@@ -12,7 +12,8 @@
 
 # Bounds how long a connection that has fallen silent hides changes.
 WATCH_WAIT = datetime.timedelta(milliseconds=1500)
-RETRY_PAUSE = datetime.timedelta(milliseconds=200)
+# Refused calls are charged too.
+RETRY_PAUSE = datetime.timedelta(milliseconds=300)
 
 Replace = collections.abc.Callable[[list[interface.Item]], None]
 Apply = collections.abc.Callable[[interface.Item | interface.Removed], None]
