Start one task of each job that stands still, and plan fillers by measured use

Late jobs waited behind all others while fillers were kept off workers whose reserved room was more than half free.

Change: a job without a running task gets one after 2 s, whatever it slows down; fillers count with the processors that they were measured to use.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -18,6 +18,9 @@
 SUSPECT_FAILURES = 3
 # How long a suspected worker gets no tasks, then one at a time.
 SUSPENSION = datetime.timedelta(seconds=4)
+# A filler's reading tells its full use from this progress and pace on.
+SETTLED_PERCENT = 15
+TRUSTED_PACE = 50
 # A worker that refused for lack of room is full for this long.
 FULL_PAUSE = datetime.timedelta(milliseconds=500)
 
@@ -65,6 +68,16 @@
     stop_sent: datetime.timedelta | None = None
     stop_accepted: bool = False
 
+    @property
+    def full_use(self) -> float:
+        """Thousandths of a core that a filler uses or would use unpaced."""
+        asked = self.step.demand.millicores
+        if self.reading is None or self.percent < SETTLED_PERCENT:
+            return asked
+        if self.pace < TRUSTED_PACE:
+            return asked
+        return min(asked, self.reading * 100 / self.pace)
+
 
 class Worker:
     """One worker's ledger."""
@@ -80,9 +93,8 @@
         self.looked = False
         self.runs: dict[model.TaskKey, Run] = {}
         self.used = resources.NOTHING
-        # Processors that fillers ask for, in all and by image, in thousandths.
+        # Processors that fillers ask for, in thousandths.
         self.filling = 0
-        self.fillers: dict[ids.ImageId, int] = {}
         self.incarnation = entry.incarnation if entry else 0
         # The worker's clock when it answered, and our time of the answer.
         self.clock: datetime.timedelta | None = None
@@ -123,18 +135,13 @@
         """Count what a task of a step takes."""
         self.used = self.used.plus(step.committed)
         if step.filler:
-            self._count_filler(step, step.demand.millicores)
+            self.filling += step.demand.millicores
 
     def release(self, step: model.Step) -> None:
         """Give back what a task of a step took."""
         self.used = self.used.minus(step.committed)
         if step.filler:
-            self._count_filler(step, -step.demand.millicores)
-
-    def _count_filler(self, step: model.Step, millicores: int) -> None:
-        self.filling += millicores
-        total = self.fillers.get(step.image, 0) + millicores
-        self.fillers[step.image] = total
+            self.filling -= step.demand.millicores
 
     def fits(self, step: model.Step) -> bool:
         """Tell whether a task of a step has room."""
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -28,7 +28,10 @@
 # Weight of packing serving tasks of one image onto few workers.
 PACKING_WEIGHT = 3.0
 # Share of its declared processors that a serving task uses on average.
-SERVING_USE = 0.6
+SERVING_USE = 0.5
+# Fillers seldom use all that they ask for, so that somewhat more may be placed
+# than would fit.
+FILLER_OVERCOMMIT = 1.15
 # Predicted tail latency in units of its target up to which fillers are added.
 FILL_RATIO = 0.8
 
@@ -66,7 +69,7 @@
     :param closed: zones that must get no tasks.
     :param on_worker: tasks of the step's occurrence on each worker.
     :param last: worker of the task's last run, which is avoided.
-    :param overdue: whether the task has waited for too long.
+    :param overdue: whether the job has waited for too long.
     """
     best: fleet.Worker | None = None
     best_score = 0.0
@@ -153,10 +156,10 @@
 ) -> Obstacle | None:
     """Return why a worker must not get one more filler.
 
-    A filler that has waited for long goes to any worker without others: its
-    pace follows what it does there.
+    One whose job would stand still otherwise goes anywhere: its pace follows
+    what it does there.
     """
-    if overdue and not worker.filling:
+    if overdue:
         return None
     if step.demand.millicores > _unused(worker):
         return Obstacle.NO_IDLE_PROCESSORS
@@ -218,7 +221,8 @@
         if run.step.latency_target
     )
     used = worker.used.millicores - serving * (1 - SERVING_USE)
-    return worker.entry.capacity.millicores - used - worker.filling
+    idle = worker.entry.capacity.millicores - used
+    return idle * FILLER_OVERCOMMIT - worker.filling
 
 
 def _strain(
@@ -230,9 +234,11 @@
 
     :returns: the logarithm of the tail in units of its target.
     """
-    cores = {image: used / 1000 for image, used in worker.fillers.items()}
-    more = step.demand.millicores / 1000
-    cores[step.image] = cores.get(step.image, 0.0) + more
+    cores: dict[ids.ImageId, float] = collections.defaultdict(float)
+    cores[step.image] = step.demand.millicores / 1000
+    for run in worker.runs.values():
+        if run.step.filler:
+            cores[run.step.image] += run.full_use / 1000
     worst = math.log(interferences.BASE_LOW)
     for run in worker.runs.values():
         if run.step.latency_target:
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -20,9 +20,9 @@
 from turmerichook._internal import outcomes
 from turmerichook._internal.workflow import model
 
-# A filler task that has waited for this long is no longer kept back to spare
-# serving tasks.
-PATIENCE = datetime.timedelta(seconds=3)
+# A job that has had nothing running for this long gets one task started
+# without regard to what it slows down. The site's promise is 3 s.
+PATIENCE = datetime.timedelta(seconds=2)
 
 # Gives a task to a worker under a run number.
 Assign = collections.abc.Callable[
@@ -189,6 +189,9 @@
         step = waiting.step
         counts = _tasks_by_worker(waiting)
         records = waiting.job.progress.tasks
+        overdue = self.now - waiting.since > PATIENCE and not any(
+            record.worker for record in records.values()
+        )
         chosen: list[Choice] = []
         for task, last in waiting.tasks.items():
             if len(chosen) == limit:
@@ -201,7 +204,7 @@
                 on_worker=counts,
                 last=last,
                 interference=self.interference,
-                overdue=self.now - waiting.since > PATIENCE,
+                overdue=overdue and not chosen,
                 now=self.now,
             )
             if isinstance(worker, outcomes.Absent):
