--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -49,7 +49,7 @@
         because of a later fencing token.
     :param wanted: whether the run is to go on; False once it is to stop.
     :param moved: when its percent last changed, as our own time.
-    :param base: estimate of its tail latency without fillers beside it.
+    :param load: what it does of itself, without the fillers beside it.
     """
 
     task: model.TaskKey
@@ -63,7 +63,7 @@
     percent: int = -1
     moved: datetime.timedelta = ZERO
     reading: int | None = None
-    base: interference.Estimate | None = None
+    load: interference.Load | None = None
     pace: int = 100
     stop_sent: datetime.timedelta | None = None
     stop_accepted: bool = False
--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -8,23 +8,24 @@
 import collections
 import collections.abc
 import datetime
-import math
 
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.models import ids
 
-# Tail latency in units of its target above which fillers are slowed down,
+# Pressure below that of the latency target at which fillers are slowed down,
 # the one aimed at then, and the one up to which they may go faster.
-SLOW_DOWN_RATIO = 0.95
-AIM_RATIO = 0.75
-SPEED_UP_RATIO = 0.8
+SLOW_DOWN_MARGIN = -0.02
+AIM_MARGIN = 0.0
+SPEED_UP_MARGIN = 0.0
+# A change of pace shows this much later.
+REACTION_TIME = datetime.timedelta(0)
 # Readings cover half a second, and a new pace takes a tenth to act.
 SETTLE_TIME = datetime.timedelta(milliseconds=550)
-# Readings over the target in a row after which the model is not trusted any more: first
-# all fillers are halved, then stopped.
-HALVE_AFTER = 2
-STOP_AFTER = 3
+# Readings over the target in a row after which the model is not trusted any
+# more: first all fillers are halved, then stopped.
+HALVE_AFTER = 3
+STOP_AFTER = 4
 STEP_PERCENT = 25
 PACE_MIN_PERCENT = 5
 HALF = 0.5
@@ -42,12 +43,13 @@
     for run in serving_runs(worker):
         if run.reading is None or run.percent < 100:
             continue
-        if run.base is None:
-            run.base = model.new_base(now)
+        if run.load is None:
+            run.load = model.new_load(now)
         model.observe(
             image=run.step.image,
-            base=run.base,
-            ratio=_ratio(run),
+            load=run.load,
+            tail=_tail(run),
+            target=run.step.latency_target,
             neighbours=neighbours,
             now=now,
         )
@@ -93,12 +95,17 @@
         return {}
     if now - worker.paced_at < SETTLE_TIME:
         return {}
-    ratio = worst_ratio(worker)
-    worker.hot_readings = worker.hot_readings + 1 if ratio > 1.0 else 0
-    if ratio > SLOW_DOWN_RATIO:
-        paces = _slower(worker, fillers, model)
+    hot = worst_ratio(worker) > 1.0
+    worker.hot_readings = worker.hot_readings + 1 if hot else 0
+    excess = {
+        run: _excess(run, model)
+        for run in serving_runs(worker)
+        if run.reading is not None and run.percent >= 100
+    }
+    if any(e > -SLOW_DOWN_MARGIN for e in excess.values()):
+        paces = _slower(worker, fillers, excess, model)
     else:
-        paces = _faster(worker, fillers, model)
+        paces = _faster(fillers, excess, model)
     if paces:
         worker.paced_at = now
     return paces
@@ -107,17 +114,19 @@
 def _slower(
     worker: fleet.Worker,
     fillers: list[fleet.Run],
+    excess: dict[fleet.Run, float],
     model: interference.Interference,
 ) -> Paces:
+    """Slow the fillers down that press most on the tasks that are slow."""
     if worker.hot_readings >= STOP_AFTER:
         return {run: 0 for run in fillers if run.pace}
     if worker.hot_readings >= HALVE_AFTER:
         return {run: _floor(run.pace * HALF) for run in fillers if run.pace}
     paces: Paces = {}
-    for serving in serving_runs(worker):
-        if serving.reading is None or _ratio(serving) <= SLOW_DOWN_RATIO:
+    for serving, over in excess.items():
+        if over <= -SLOW_DOWN_MARGIN:
             continue
-        excess = math.log(_ratio(serving) / AIM_RATIO)
+        surplus = over + AIM_MARGIN
         blame = {
             run: model.coefficient(serving.step.image, run.step.image)
             * _cores(run)
@@ -125,25 +134,24 @@
             if run.pace
         }
         for run in sorted(blame, key=blame.__getitem__, reverse=True):
-            if excess <= 0.0 or blame[run] <= 0.0:
+            if surplus <= 0.0 or blame[run] <= 0.0:
                 break
-            cut = min(blame[run], excess)
-            excess -= cut
+            cut = min(blame[run], surplus)
+            surplus -= cut
             pace = _floor(run.pace * (1.0 - cut / blame[run]))
             paces[run] = min(pace, paces.get(run, 100))
     return paces
 
 
 def _faster(
-    worker: fleet.Worker,
     fillers: list[fleet.Run],
+    excess: dict[fleet.Run, float],
     model: interference.Interference,
 ) -> Paces:
+    """Let fillers go faster as far as no task is predicted to be slow."""
     paces: Paces = {}
     room = {
-        serving: math.log(SPEED_UP_RATIO / max(_ratio(serving), 0.01))
-        for serving in serving_runs(worker)
-        if serving.reading is not None
+        serving: -SPEED_UP_MARGIN - over for serving, over in excess.items()
     }
     slowed = [run for run in fillers if run.pace < 100]
     for run in sorted(slowed, key=lambda r: r.pace, reverse=True):
@@ -161,13 +169,27 @@
     return paces
 
 
+def _excess(run: fleet.Run, model: interference.Interference) -> float:
+    """Return how far a task is over the pressure of its target, soon."""
+    target = run.step.latency_target
+    image = run.step.image
+    limit = model.pressure(image, target, target)
+    rise = 0.0
+    if run.load is not None:
+        rise = run.load.expected(REACTION_TIME) - run.load.estimate.mean
+    return model.pressure(image, _tail(run), target) + rise - limit
+
+
+def _tail(run: fleet.Run) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=run.reading)
+
+
 def _floor(pace: float) -> int:
     return int(pace) if pace >= PACE_MIN_PERCENT else 0
 
 
 def _ratio(run: fleet.Run) -> float:
-    tail = datetime.timedelta(milliseconds=run.reading)
-    return tail / run.step.latency_target
+    return _tail(run) / run.step.latency_target
 
 
 def _cores(run: fleet.Run) -> float:
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -10,7 +10,6 @@
 import collections.abc
 import datetime
 import enum
-import math
 
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
@@ -23,8 +22,11 @@
 COLD_PENALTY = 0.5
 WRONG_RACK_PENALTY = 1.0
 REPEAT_PENALTY = 2.0
-# Weight of the predicted logarithmic slowdown of the worst serving task.
-SLOWDOWN_WEIGHT = 0.5
+# Weight of the predicted pressure on the worst serving task.
+PRESSURE_WEIGHT = 1.0
+# Weight of the pressure that the task itself adds. It keeps fillers that harm
+# nobody somewhere from taking the room of those that would.
+HARM_WEIGHT = 5.0
 # Weight of packing serving tasks of one image onto few workers.
 PACKING_WEIGHT = 3.0
 # Share of its declared processors that a serving task uses on average.
@@ -32,8 +34,10 @@
 # Fillers seldom use all that they ask for, so that somewhat more may be placed
 # than would fit.
 FILLER_OVERCOMMIT = 1.15
-# Predicted tail latency in units of its target up to which fillers are added.
-FILL_RATIO = 0.8
+# Pressure below that of the latency target up to which fillers are added.
+FILL_MARGIN = -0.05
+# How far ahead the load of serving tasks is expected: fillers run for seconds.
+FILL_HORIZON = datetime.timedelta(seconds=0)
 
 
 class Obstacle(enum.Enum):
@@ -163,7 +167,7 @@
         return None
     if step.demand.millicores > _unused(worker):
         return Obstacle.NO_IDLE_PROCESSORS
-    if _strain(worker, step, interference) > math.log(FILL_RATIO):
+    if _strain(worker, step, interference) > -FILL_MARGIN:
         return Obstacle.SLOWS_SERVICES
     return None
 
@@ -183,7 +187,8 @@
     if worker.worker == last:
         score += REPEAT_PENALTY
     if step.filler:
-        score += SLOWDOWN_WEIGHT * _strain(worker, step, interference)
+        score += PRESSURE_WEIGHT * _strain(worker, step, interference)
+        score += HARM_WEIGHT * _harm(worker, step, interference)
     elif step.latency_target:
         score += _mixture(worker, step)
     return score
@@ -230,21 +235,41 @@
     step: model.Step,
     interference: interferences.Interference,
 ) -> float:
-    """Predict the worst tail latency beside one more filler.
+    """Predict the pressure on the worst serving task beside one more filler.
 
-    :returns: the logarithm of the tail in units of its target.
+    :returns: the pressure above that of the task's latency target.
     """
     cores: dict[ids.ImageId, float] = collections.defaultdict(float)
     cores[step.image] = step.demand.millicores / 1000
     for run in worker.runs.values():
         if run.step.filler:
             cores[run.step.image] += run.full_use / 1000
-    worst = math.log(interferences.BASE_LOW)
+    worst = -1.0
     for run in worker.runs.values():
-        if run.step.latency_target:
-            base = math.log(interferences.BASE_FIRST)
-            if run.base is not None:
-                base = run.base.mean
-            slowdown = interference.slowdown(run.step.image, cores)
-            worst = max(worst, base + slowdown)
+        target = run.step.latency_target
+        if target:
+            image = run.step.image
+            load = interferences.LOAD_MEAN
+            if run.load is not None:
+                load = run.load.expected(FILL_HORIZON)
+            pressure = load + interference.added(image, cores)
+            limit = interference.pressure(image, target, target)
+            worst = max(worst, pressure - limit)
     return worst
+
+
+def _harm(
+    worker: fleet.Worker,
+    step: model.Step,
+    interference: interferences.Interference,
+) -> float:
+    """Return the pressure that a filler adds to the worst serving task."""
+    cores = step.demand.millicores / 1000
+    return max(
+        (
+            cores * interference.coefficient(run.step.image, step.image)
+            for run in worker.runs.values()
+            if run.step.latency_target
+        ),
+        default=0.0,
+    )
