--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -143,15 +143,6 @@
         if step.filler:
             self.filling -= step.demand.millicores
 
-    def fits(self, step: model.Step) -> bool:
-        """Tell whether a task of a step has room."""
-        wanted = self.used.plus(step.committed)
-        return wanted.fits(self.entry.capacity)
-
-    def serving(self) -> bool:
-        """Tell whether tasks with a latency target run here."""
-        return any(run.step.latency_target for run in self.runs.values())
-
     def read_clock(
         self, report: orders.Report, now: datetime.timedelta
     ) -> None:
--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -15,7 +15,7 @@
 
 # Pressure below that of the latency target at which fillers are slowed down,
 # the one aimed at then, and the one up to which they may go faster.
-SLOW_DOWN_MARGIN = -0.02
+SLOW_DOWN_MARGIN = -0.03
 AIM_MARGIN = 0.0
 SPEED_UP_MARGIN = 0.0
 # A change of pace shows this much later.
@@ -102,7 +102,9 @@
         for run in serving_runs(worker)
         if run.reading is not None and run.percent >= 100
     }
-    if any(e > -SLOW_DOWN_MARGIN for e in excess.values()):
+    over = any(e > -SLOW_DOWN_MARGIN for e in excess.values())
+    # A tail that stays just over its target is not let stay there either.
+    if over or worker.hot_readings >= HALVE_AFTER:
         paces = _slower(worker, fillers, excess, model)
     else:
         paces = _faster(fillers, excess, model)
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -51,7 +51,9 @@
     HAS_REFUSED = "has-refused"
     SUSPECTED = "suspected"
     ENOUGH_OF_STEP = "enough-of-step"
-    NO_ROOM = "no-room"
+    NO_PROCESSORS = "no-processors"
+    NO_MEMORY = "no-memory"
+    NO_ACCELERATORS = "no-accelerators"
     NO_IDLE_PROCESSORS = "no-idle-processors"
     SLOWS_SERVICES = "slows-services"
 
@@ -147,8 +149,19 @@
     limit = step.max_per_worker
     if limit and on_worker.get(worker.worker, 0) >= limit:
         return Obstacle.ENOUGH_OF_STEP
-    if not worker.fits(step):
-        return Obstacle.NO_ROOM
+    return _shortage(worker, step)
+
+
+def _shortage(worker: fleet.Worker, step: model.Step) -> Obstacle | None:
+    """Return what a worker has too little of for a task."""
+    wanted = worker.used.plus(step.committed)
+    capacity = worker.entry.capacity
+    if wanted.millicores > capacity.millicores:
+        return Obstacle.NO_PROCESSORS
+    if wanted.memory_mib > capacity.memory_mib:
+        return Obstacle.NO_MEMORY
+    if wanted.accelerators > capacity.accelerators:
+        return Obstacle.NO_ACCELERATORS
     return None
 
 
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -64,14 +64,17 @@
 
     def order(
         self, wall: datetime.timedelta
-    ) -> tuple[int, bool, datetime.timedelta]:
+    ) -> tuple[int, bool, bool, datetime.timedelta]:
         """Return the sort key: priority, then the objective's time.
 
-        A job that cannot meet its objective any more earns little by coming
-        early, and waits behind those that can.
+        Long-running tasks give their room back only when their job is
+        cancelled, so that short ones of the same priority go first. A job
+        that cannot meet its objective any more earns little by coming early,
+        and waits behind those that can.
         """
         late = wall + self.step.estimate > self.deadline
-        return self.job.queue.priority, late, self.deadline
+        priority = self.job.queue.priority
+        return priority, self.step.long_running, late, self.deadline
 
 
 class WaitingTasks:
--- /dev/null
+++ b/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,432 @@
+"""Tests of the dispatcher's promises, without any I/O."""
+
+import datetime
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.dispatch import fakes
+from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import orders
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
+from turmerichook._internal.workflow import stored
+
+MS = datetime.timedelta(milliseconds=1)
+SECOND = datetime.timedelta(seconds=1)
+TOKEN = ids.FencingToken(5)
+
+
+class Rig:
+    """A dispatcher, its workers, and the store it would write to."""
+
+    def __init__(self, *names):
+        self.now = datetime.timedelta(seconds=1000)
+        self.token = TOKEN
+        self.workers = {name: fakes.FakeWorker() for name in names}
+        self.specs = {}
+        self.saved = {}
+        self.dispatcher = self.new_dispatcher()
+        for name in names:
+            self.look(name)
+
+    def new_dispatcher(self):
+        made = dispatchers.Dispatcher(
+            timing=fakes.TIMING,
+            configuration=fakes.CONFIGURATION,
+            inherited_until=self.now + 20 * SECOND,
+        )
+        for name, worker in self.workers.items():
+            made.set_entry(
+                fakes.entry(name, incarnation=worker.incarnation), self.now
+            )
+        return made
+
+    def take_over(self):
+        """Replace the leader by a new one that knows only the store."""
+        self.token = ids.FencingToken(self.token + 1)
+        self.dispatcher = self.new_dispatcher()
+        for spec in self.specs.values():
+            value = self.saved.get(spec.job)
+            if value is None:
+                progress = progresses.Progress(spec=spec)
+            else:
+                progress = stored.decode_progress(spec, value)
+                if progress.state.final:
+                    remainder = stored.decode_remainder(spec.job, value)
+                    self.dispatcher.add_final(spec.job, remainder, self.now)
+                    continue
+            self.dispatcher.add_job(progress, now=self.now, wall=self.now)
+
+    def submit(self, spec):
+        self.specs[spec.job] = spec
+        self.dispatcher.add_job(
+            progresses.Progress(spec=spec), now=self.now, wall=self.now
+        )
+
+    def advance(self, span):
+        self.now += span
+        for worker in self.workers.values():
+            worker.clock += span
+            if worker.lease_until < worker.clock:
+                for task in list(worker.running):
+                    worker.end(task, model.EndKind.LAPSED)
+
+    def look(self, name):
+        """Renew leases on a worker and take its report."""
+        worker = self.dispatcher.workers[ids.WorkerId(name)]
+        fake = self.workers[name]
+        asked = self.dispatcher.next_mark()
+        if fake.cut_off:
+            self.dispatcher.unreachable(worker, self.now)
+            return
+        until = None
+        if worker.clock is not None:
+            until = worker.grant_lease(self.now, fakes.TIMING.lease_max)
+        report = fake.renew(
+            orders.Renewal(
+                token=self.token,
+                acknowledged=worker.acknowledged,
+                lease_until=until,
+            )
+        )
+        self.dispatcher.take_report(worker, report, asked=asked, now=self.now)
+
+    def place(self):
+        """Place, save, and return the starts that may be sent."""
+        self.dispatcher.tick(self.now)
+        self.dispatcher.place(self.now, self.now, 100)
+        saves = self.dispatcher.next_saves(100)
+        for save in saves:
+            self.saved[save.job.spec.job] = save.value
+        return self.dispatcher.committed(saves, self.now)
+
+    def send(self, start, lose=False):
+        """Send a start to its worker."""
+        worker = self.dispatcher.workers[start.worker]
+        fake = self.workers[start.worker]
+        outcome = orders.Unknown(detail="lost")
+        if not fake.cut_off:
+            outcome = fake.start(self.order(worker, start))
+        if lose:
+            outcome = orders.Unknown(detail="lost")
+        self.dispatcher.take_start_outcome(
+            worker, start.run, outcome, self.now
+        )
+
+    def order(self, worker, start):
+        return orders.Start(
+            task=start.run.task,
+            run=start.run.run,
+            payload=start.payload,
+            token=self.token,
+            valid_until=worker.grant_lease(self.now, fakes.TIMING.lease_max),
+        )
+
+    def send_stops(self):
+        for order in self.dispatcher.take_orders():
+            worker = self.dispatcher.workers[order.worker]
+            fake = self.workers[order.worker]
+            outcome = orders.Unknown(detail="cut off")
+            if not fake.cut_off and isinstance(order, dispatchers.StopOrder):
+                outcome = fake.stop(
+                    orders.Stop(
+                        task=order.run.task,
+                        run=order.run.run,
+                        token=self.token,
+                    )
+                )
+            self.dispatcher.take_stop_outcome(worker, order.run, outcome)
+
+    def step(self):
+        """Look at all workers, settle, place and send."""
+        for name in self.workers:
+            self.look(name)
+        self.send_stops()
+        for start in self.place():
+            self.send(start)
+
+
+class TestStartWithoutAnswer:
+    """A start whose fate is unknown is settled before the next one."""
+
+    def test_start_that_was_carried_out_goes_on(self):
+        """Guards against a second run after a lost answer."""
+        rig = Rig("a", "b")
+        rig.submit(fakes.job())
+        (start,) = rig.place()
+        rig.send(start, lose=True)
+        for _ in range(5):
+            rig.advance(200 * MS)
+            rig.step()
+        assert sum(len(w.starts) for w in rig.workers.values()) == 1
+
+    def test_start_that_comes_late_is_refused(self):
+        """Guards against a late start beside the task's next run."""
+        rig = Rig("a", "b")
+        rig.submit(fakes.job())
+        (start,) = rig.place()
+        worker = rig.dispatcher.workers[start.worker]
+        late = rig.order(worker, start)
+        rig.dispatcher.take_start_outcome(
+            worker, start.run, orders.Unknown(detail="late"), rig.now
+        )
+        for _ in range(10):
+            rig.advance(300 * MS)
+            rig.step()
+        assert sum(len(w.running) for w in rig.workers.values()) == 1
+        outcome = rig.workers[start.worker].start(late)
+        assert isinstance(outcome, orders.Refused)
+
+    def test_worker_out_of_reach_keeps_its_task(self):
+        """Guards against a second run while the first may still live."""
+        rig = Rig("a", "b")
+        rig.submit(fakes.job())
+        (start,) = rig.place()
+        rig.send(start)
+        rig.step()
+        rig.workers[start.worker].cut_off = True
+        for _ in range(9):
+            rig.advance(SECOND)
+            rig.step()
+        running = [w for w in rig.workers.values() if w.running]
+        assert len(running) == 1
+        for _ in range(4):
+            rig.advance(SECOND)
+            rig.step()
+        others = [w for n, w in rig.workers.items() if n != start.worker]
+        assert others[0].running
+
+
+class TestFailures:
+    """Runs that fail."""
+
+    def test_job_fails_after_its_attempts(self):
+        """Guards against more attempts than the queue allows."""
+        rig = Rig("a", "b")
+        rig.submit(fakes.job())
+        for _ in range(10):
+            rig.step()
+            for worker in rig.workers.values():
+                for task in list(worker.running):
+                    worker.end(task, model.EndKind.FAILED)
+            rig.advance(500 * MS)
+        starts = sum(len(w.starts) for w in rig.workers.values())
+        assert starts == fakes.QUEUE.max_attempts
+        state = stored.decode_state(
+            ids.JobId("00000000000000aa"), rig.saved["00000000000000aa"]
+        )
+        assert state is model.JobState.FAILED
+
+    def test_restarted_worker_lost_its_tasks(self):
+        """Guards against waiting for a life that has ended."""
+        rig = Rig("a", "b")
+        rig.submit(fakes.job())
+        (start,) = rig.place()
+        rig.send(start)
+        rig.workers[start.worker].restart()
+        for _ in range(3):
+            rig.advance(200 * MS)
+            rig.step()
+        assert sum(len(w.running) for w in rig.workers.values()) == 1
+
+
+class TestCancellation:
+    """A canceled job stops and starts nothing more."""
+
+    def test_running_and_waiting_tasks(self):
+        """Guards against starts after a cancellation."""
+        rig = Rig("a")
+        spec = fakes.job("00000000000000aa", fakes.step(20))
+        rig.submit(spec)
+        starts = rig.place()
+        for start in starts[:4]:
+            rig.send(start)
+        rig.dispatcher.cancel(spec.job, rig.now)
+        for start in starts[4:]:
+            rig.send(start)
+        for _ in range(4):
+            rig.advance(200 * MS)
+            rig.step()
+        assert not rig.workers["a"].running
+        state = stored.decode_state(spec.job, rig.saved[spec.job])
+        assert state is model.JobState.CANCELED
+
+    def test_leaving_worker_gives_back_long_running_tasks(self):
+        """Guards against a service that waits for its worker's end."""
+        rig = Rig("a")
+        rig.submit(
+            fakes.job("00000000000000aa", fakes.step(1, long_running=True))
+        )
+        rig.step()
+        rig.workers["b"] = fakes.FakeWorker()
+        rig.dispatcher.set_entry(fakes.entry("b"), rig.now)
+        rig.dispatcher.set_entry(
+            fakes.entry("a", state=deployment.WorkerState.DRAINING), rig.now
+        )
+        for _ in range(4):
+            rig.advance(200 * MS)
+            rig.step()
+        assert rig.workers["b"].running and not rig.workers["a"].running
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Random series of faults; the workers are the witnesses."""
+
+    def __init__(self):
+        super().__init__()
+        self.rig = Rig("a", "b", "c")
+        self.count = 0
+        self.held = []
+        self.done = set()
+
+    @stateful.rule(tasks=strategies.integers(1, 4))
+    def submit(self, tasks):
+        self.count += 1
+        spec = fakes.job(
+            f"{self.count:016x}",
+            fakes.step(tasks),
+            fakes.step(1, after=(0,)),
+        )
+        self.rig.submit(spec)
+
+    @stateful.rule(
+        lose=strategies.lists(strategies.booleans(), max_size=8),
+        hold=strategies.booleans(),
+    )
+    def place(self, lose, hold):
+        for number, start in enumerate(self.rig.place()):
+            worker = self.rig.dispatcher.workers[start.worker]
+            if hold and number == 0:
+                order = self.rig.order(worker, start)
+                self.held.append((start.worker, order))
+                self.rig.dispatcher.take_start_outcome(
+                    worker,
+                    start.run,
+                    orders.Unknown(detail="held"),
+                    self.rig.now,
+                )
+            else:
+                self.rig.send(start, lose=number in lose)
+
+    @stateful.rule()
+    def deliver_held(self):
+        for name, order in self.held:
+            worker = self.rig.workers[name]
+            if not worker.cut_off:
+                worker.start(order)
+        self.held = []
+
+    @stateful.rule(name=strategies.sampled_from("abc"))
+    def look(self, name):
+        self.rig.look(name)
+        self.rig.send_stops()
+
+    @stateful.rule(
+        name=strategies.sampled_from("abc"),
+        kind=strategies.sampled_from(
+            (model.EndKind.DONE, model.EndKind.DONE, model.EndKind.LAPSED)
+        ),
+    )
+    def end(self, name, kind):
+        worker = self.rig.workers[name]
+        if worker.running:
+            task = next(iter(worker.running))
+            worker.end(task, kind)
+
+    @stateful.rule(
+        name=strategies.sampled_from("abc"), cut=strategies.booleans()
+    )
+    def cut(self, name, cut):
+        self.rig.workers[name].cut_off = cut
+
+    @stateful.rule(name=strategies.sampled_from("abc"))
+    def restart(self, name):
+        worker = self.rig.workers[name]
+        # A start on its way does not survive its worker's connections.
+        self.held = [held for held in self.held if held[0] != name]
+        worker.restart()
+        self.rig.dispatcher.set_entry(
+            fakes.entry(name, incarnation=worker.incarnation), self.rig.now
+        )
+
+    @stateful.rule(milliseconds=strategies.integers(50, 4000))
+    def advance(self, milliseconds):
+        self.rig.advance(milliseconds * MS)
+
+    @stateful.rule()
+    def take_over(self):
+        self.rig.take_over()
+
+    @stateful.invariant()
+    def one_run_of_each_task(self):
+        running = [
+            task
+            for worker in self.rig.workers.values()
+            for task in worker.running
+        ]
+        assert len(running) == len(set(running)), running
+
+    @stateful.invariant()
+    def nothing_beyond_capacity(self):
+        for worker in self.rig.workers.values():
+            assert len(worker.running) <= 16
+
+    @stateful.invariant()
+    def saved_done_is_final(self):
+        """A task that is durably done is not waiting or running again."""
+        for job, value in self.rig.saved.items():
+            if stored.decode_state(job, value).final:
+                continue
+            progress = stored.decode_progress(self.rig.specs[job], value)
+            done = {
+                task
+                for task, record in progress.tasks.items()
+                if record.phase is progresses.Phase.DONE
+            }
+            for worker in self.rig.workers.values():
+                assert not done & set(worker.running)
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class TestLedger:
+    """What a worker's leases and ends amount to."""
+
+    def test_ends_are_acknowledged_once_durable(self):
+        """Guards against an end that is forgotten before it is stored."""
+        rig = Rig("a")
+        rig.submit(fakes.job("00000000000000aa", fakes.step(3)))
+        rig.step()
+        fake = rig.workers["a"]
+        for task in list(fake.running):
+            fake.end(task, model.EndKind.DONE)
+        rig.look("a")
+        worker = rig.dispatcher.workers["a"]
+        assert worker.acknowledged == 0
+        rig.place()
+        assert worker.acknowledged == 3
+
+    def test_lease_is_over_for_certain_on_a_slow_clock(self):
+        """Guards against a lease taken for over while a slow clock runs."""
+        worker = fleet.Worker(worker=ids.WorkerId("a"), entry=fakes.entry("a"))
+        report = orders.Report(
+            clock=50 * SECOND, incarnation=1, running=(), ends=()
+        )
+        worker.read_clock(report, 100 * SECOND)
+        until = worker.grant_lease(100 * SECOND, 10 * SECOND)
+        elapsed = worker.lapsed_at - 100 * SECOND
+        slow = 50 * SECOND + elapsed * (1 - fleet.CLOCK_ERROR)
+        assert slow >= until
