Give a slow service no more fillers, and count the time over its target

Two ways to it were found by reading: fillers that start at full pace on a worker whose others are just being stopped, and a count of readings that stretches with their spacing. Test: TestBatchWave, test_slow_service_gets_no_more_fillers.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -109,7 +109,8 @@
         self.failing: set[ids.JobId] = set()
         self.suspended_until = ZERO
         self.full_until = ZERO
-        self.hot_readings = 0
+        # Since when a tail latency has been over its target.
+        self.hot_since: datetime.timedelta | None = None
         self.paced_at = ZERO
         self.remaining_at: datetime.timedelta | None = None
 
--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -22,10 +22,11 @@
 REACTION_TIME = datetime.timedelta(0)
 # Readings cover half a second, and a new pace takes a tenth to act.
 SETTLE_TIME = datetime.timedelta(milliseconds=550)
-# Readings over the target in a row after which the model is not trusted any
-# more: first all fillers are halved, then stopped.
-HALVE_AFTER = 3
-STOP_AFTER = 4
+# Time over the target after which the model is not trusted any more: first
+# all fillers are halved, then stopped. A queue needs another second to drain,
+# and the promise is 4 s.
+HALVE_AFTER = datetime.timedelta(milliseconds=1100)
+STOP_AFTER = datetime.timedelta(milliseconds=1800)
 STEP_PERCENT = 25
 PACE_MIN_PERCENT = 5
 HALF = 0.5
@@ -90,13 +91,13 @@
         for run in worker.runs.values()
         if run.step.filler and run.phase is fleet.RunPhase.RUNNING
     ]
-    if not fillers:
-        worker.hot_readings = 0
+    if worst_ratio(worker) <= 1.0:
+        worker.hot_since = None
+    elif worker.hot_since is None:
+        worker.hot_since = now
+    if not fillers or now - worker.paced_at < SETTLE_TIME:
         return {}
-    if now - worker.paced_at < SETTLE_TIME:
-        return {}
-    hot = worst_ratio(worker) > 1.0
-    worker.hot_readings = worker.hot_readings + 1 if hot else 0
+    hot = fleet.ZERO if worker.hot_since is None else now - worker.hot_since
     excess = {
         run: _excess(run, model)
         for run in serving_runs(worker)
@@ -104,8 +105,8 @@
     }
     over = any(e > -SLOW_DOWN_MARGIN for e in excess.values())
     # A tail that stays just over its target is not let stay there either.
-    if over or worker.hot_readings >= HALVE_AFTER:
-        paces = _slower(worker, fillers, excess, model)
+    if over or hot >= HALVE_AFTER:
+        paces = _slower(fillers, excess, hot, model)
     else:
         paces = _faster(fillers, excess, model)
     if paces:
@@ -114,15 +115,15 @@
 
 
 def _slower(
-    worker: fleet.Worker,
     fillers: list[fleet.Run],
     excess: dict[fleet.Run, float],
+    hot: datetime.timedelta,
     model: interference.Interference,
 ) -> Paces:
     """Slow the fillers down that press most on the tasks that are slow."""
-    if worker.hot_readings >= STOP_AFTER:
+    if hot >= STOP_AFTER:
         return {run: 0 for run in fillers if run.pace}
-    if worker.hot_readings >= HALVE_AFTER:
+    if hot >= HALVE_AFTER:
         return {run: _floor(run.pace * HALF) for run in fillers if run.pace}
     paces: Paces = {}
     for serving, over in excess.items():
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -173,9 +173,11 @@
 ) -> Obstacle | None:
     """Return why a worker must not get one more filler.
 
-    One whose job would stand still otherwise goes anywhere: its pace follows
-    what it does there.
+    One whose job would stand still otherwise goes anywhere but to services
+    that are slow already: its pace follows what it does there.
     """
+    if worker.hot_since is not None:
+        return Obstacle.SLOWS_SERVICES
     if overdue:
         return None
     if step.demand.millicores > _unused(worker):
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -163,6 +163,16 @@
         )
         assert chosen.worker == "a"
 
+    def test_slow_service_gets_no_more_fillers(self):
+        """Guards against new fillers while others are being slowed down.
+
+        Seen once on batbayar-seam scale-2 --seed 207238032234.
+        """
+        hot = worker("a", serving("front"))
+        hot.hot_since = NOW
+        absent = choose(filler("light"), [hot], overdue=True)
+        assert absent.detail == "slows-services:1"
+
     def test_fillers_share_only_what_is_idle(self):
         """Guards against fillers that crawl on a crowded worker."""
         crowded = worker("a", *[filler("light")] * 9)
