Add a stand-in of the platform, and hand the leadership over before a stop ends

Cause: a scenario with real processes showed that a stopped leader without open connections exited before it had ended its lease, so that a successor waited for the lease to run out, and that the listener closed before the balancer could notice. Change: callers are served for 2.2 s more, the lease ends meanwhile, and a stopping process no longer claims.

Adds standins/batch_platform.py (store, workers, operator and callers over the published formats), features/platform.feature with real entry processes, and tests of the adapter's decoding and calls, of submissions and of stored forms.

--- a/features/environment.py
+++ b/features/environment.py
@@ -14,12 +14,16 @@
     context.temporary = tempfile.TemporaryDirectory()
     context.folder = pathlib.Path(context.temporary.name)
     context.system = None
+    context.platform = None
 
 
 def after_scenario(context, scenario):
     """End the scenario's processes and remove its folder."""
     if context.system is not None:
         context.system.stop()
+    if context.platform is not None:
+        context.runner.run(context.platform.stop())
+        context.runner.close()
     context.temporary.cleanup()
 
 
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,48 @@
+Feature: Jobs on the users' platform through separate processes
+
+  Scenario: Jobs run through steps on a calm day
+    Given a platform with 3 workers and 2 entry processes
+    When callers submit 6 jobs at all entry processes
+    Then all jobs complete
+    And each task was done exactly once
+    And a repeated submission is accepted and runs nothing
+    And a job that nobody submitted is unknown
+
+  Scenario: The leader is killed while tasks run
+    Given a platform with 3 workers and 3 entry processes
+    When callers submit 6 jobs at all entry processes
+    And the leader is killed
+    Then all jobs complete
+    And each task was done exactly once
+
+  Scenario: The leader is stopped as planned
+    Given a platform with 3 workers and 2 entry processes
+    When callers submit 4 jobs at all entry processes
+    And the leader is told to stop
+    Then it exits with status 0 within 6 s
+    And another process leads within 2 s of that order
+    And all jobs complete
+    And each task was done exactly once
+
+  Scenario: The store is away for some seconds
+    Given a platform with 2 workers and 2 entry processes
+    When callers submit 2 jobs at all entry processes
+    And the store is away
+    Then a submission is refused at once with a time to come back
+    When the store is back
+    Then all jobs complete
+    And the refused job never ran
+
+  Scenario: An operator closes a zone
+    Given a platform with 4 workers and 2 entry processes
+    When an operator closes zone "krakow"
+    And callers submit 6 jobs at all entry processes
+    Then all jobs complete
+    And no task started in zone "krakow"
+
+  Scenario: A caller cancels a job
+    Given a platform with 2 workers and 2 entry processes
+    When a caller submits a job that takes 60 s
+    And the caller cancels it once it runs
+    Then nothing of it runs after 3 s
+    And its state is "canceled"
--- /dev/null
+++ b/features/steps/platform.py
@@ -0,0 +1,209 @@
+"""Steps that play callers and operators of the users' platform."""
+
+import asyncio
+import collections
+import time
+
+import behave
+
+from standins import batch_platform
+
+
+def run(context, coroutine):
+    """Run a coroutine in the scenario's event loop."""
+    return context.runner.run(coroutine)
+
+
+def survivor(context) -> batch_platform.Entry:
+    """Return an entry process that still runs."""
+    return next(
+        e for e in context.platform.entries if e.process.poll() is None
+    )
+
+
+@behave.given(
+    "a platform with {workers:d} workers and {entries:d} entry processes"
+)
+def step_platform(context, workers, entries):
+    context.runner = asyncio.Runner()
+    context.platform = batch_platform.BatchPlatform(
+        folder=context.folder, workers=workers, entries=entries
+    )
+    context.jobs = []
+    run(context, context.platform.start())
+
+
+@behave.when("callers submit {count:d} jobs at all entry processes")
+def step_submit(context, count):
+    async def submit():
+        entries = context.platform.entries
+        for number in range(count):
+            job = f"{number:016x}"
+            entry = entries[number % len(entries)]
+            answer = await context.platform.submit(entry, job)
+            assert answer.status == 200, answer
+            context.jobs.append(job)
+
+    run(context, submit())
+
+
+@behave.when("the leader is killed")
+def step_kill(context):
+    context.platform.kill(context.platform.leader())
+
+
+@behave.when("the leader is told to stop")
+def step_stop(context):
+    context.stopped = context.platform.leader()
+    context.stopped.process.terminate()
+    context.stopped_at = time.monotonic()
+
+
+@behave.then("it exits with status {status:d} within {seconds:d} s")
+def step_exit(context, status, seconds):
+    process = context.stopped.process
+
+    async def wait():
+        await context.platform.until(
+            lambda: process.poll() is not None, timeout=seconds
+        )
+
+    run(context, wait())
+    assert process.returncode == status, process.returncode
+
+
+@behave.then("another process leads within {seconds:d} s of that order")
+def step_successor(context, seconds):
+    others = [e for e in context.platform.entries if e is not context.stopped]
+    gained = others[0].events("leadership-gained")
+    stopping = context.stopped.events("stopping")
+    assert gained[-1]["time"] > stopping[0]["time"]
+    assert seconds_between(stopping[0], gained[-1]) <= seconds
+
+
+def seconds_between(first, second) -> float:
+    """Return the time between two log lines."""
+    parse = batch_platform.datetime.datetime.fromisoformat
+    return (parse(second["time"]) - parse(first["time"])).total_seconds()
+
+
+@behave.then("all jobs complete")
+def step_complete(context):
+    async def wait():
+        for job in context.jobs:
+            await context.platform.wait_for(
+                survivor(context), job, "completed"
+            )
+
+    run(context, wait())
+
+
+@behave.then("each task was done exactly once")
+def step_once(context):
+    counts = collections.Counter(context.platform.done())
+    assert len(counts) == 4 * len(context.jobs), len(counts)
+    assert set(counts.values()) == {1}, counts
+
+
+@behave.then("a repeated submission is accepted and runs nothing")
+def step_repeat(context):
+    async def repeat():
+        before = len(context.platform.starts())
+        answer = await context.platform.submit(
+            survivor(context), context.jobs[0]
+        )
+        assert answer.status == 200
+        await asyncio.sleep(1)
+        assert len(context.platform.starts()) == before
+
+    run(context, repeat())
+
+
+@behave.then("a job that nobody submitted is unknown")
+def step_unknown(context):
+    state = context.platform.state(survivor(context), "f" * 16)
+    assert run(context, state) == "410"
+
+
+@behave.when("the store is away")
+def step_away(context):
+    context.platform.store.storage.down = True
+    # The process must have noticed, so that it refuses at once.
+    run(context, asyncio.sleep(2))
+
+
+@behave.when("the store is back")
+def step_back(context):
+    context.platform.store.storage.down = False
+
+
+@behave.then("a submission is refused at once with a time to come back")
+def step_refused(context):
+    context.refused = "e" * 16
+    began = time.monotonic()
+    answer = run(
+        context, context.platform.submit(survivor(context), context.refused)
+    )
+    assert answer.status == 503, answer
+    assert (b"retry-after", b"1") in list(answer.headers)
+    assert time.monotonic() - began < 0.5
+
+
+@behave.then("the refused job never ran")
+def step_never_ran(context):
+    run(context, asyncio.sleep(1))
+    ran = {task.job for task, _ in context.platform.starts()}
+    assert context.refused not in ran
+
+
+@behave.when('an operator closes zone "{zone}"')
+def step_close(context, zone):
+    storage = context.platform.store.storage
+    storage.put(f"op/evacuate/{zone}", b"{}")
+    run(context, asyncio.sleep(0.5))
+
+
+@behave.then('no task started in zone "{zone}"')
+def step_none_started(context, zone):
+    for worker in context.platform.workers:
+        if worker.zone == zone:
+            assert not worker.state.starts, worker.state.starts
+
+
+@behave.when("a caller submits a job that takes {seconds:d} s")
+def step_long(context, seconds):
+    context.jobs.append("a" * 16)
+    answer = run(
+        context,
+        context.platform.submit(
+            survivor(context), context.jobs[-1], seconds=seconds
+        ),
+    )
+    assert answer.status == 200
+
+
+@behave.when("the caller cancels it once it runs")
+def step_cancel(context):
+    async def cancel():
+        await context.platform.until(lambda: context.platform.starts())
+        answer = await context.platform.call(
+            survivor(context), "DELETE", context.jobs[-1]
+        )
+        assert answer.status == 200
+
+    run(context, cancel())
+
+
+@behave.then("nothing of it runs after {seconds:d} s")
+def step_gone(context, seconds):
+    run(context, asyncio.sleep(seconds))
+    for worker in context.platform.workers:
+        assert not worker.state.running
+
+
+@behave.then('its state is "{state}"')
+def step_state(context, state):
+    found = run(
+        context, context.platform.state(survivor(context), context.jobs[-1])
+    )
+    assert found == state, found
--- a/src/turmerichook/_internal/http/calls.py
+++ b/src/turmerichook/_internal/http/calls.py
@@ -35,7 +35,10 @@
 
 
 class CallPool:
-    """Calls to one server over at most ``connections`` connections."""
+    """Calls to one server over at most ``connections`` connections.
+
+    :param authority: value of the ``Host`` header, the address by default.
+    """
 
     def __init__(
         self,
@@ -45,9 +48,11 @@
         connections: int,
         connect_timeout: float = 1.0,
         limits: heads.Limits | None = None,
+        authority: str = "",
     ):
         self.host = host
         self.port = port
+        self.authority = authority or f"{host}:{port}"
         self.connect_timeout = connect_timeout
         self.limits = limits or heads.Limits()
         self.idle: list[client.ClientConnection] = []
@@ -70,7 +75,7 @@
             method=method,
             target=target,
             headers=[
-                (b"host", f"{self.host}:{self.port}".encode()),
+                (b"host", self.authority.encode()),
                 (b"content-length", str(len(body)).encode()),
                 *(headers or []),
             ],
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -28,9 +28,11 @@
 from turmerichook._internal.storage import observed
 from turmerichook import exceptions
 
-# How long callers may go on with their open connections after a planned stop
-# began: the load balancer needs two missed checks to notice.
+# How long callers are served as before after a planned stop began: the load
+# balancer needs two missed checks to notice. A leader hands over meanwhile.
 STOP_NOTICE = datetime.timedelta(milliseconds=2200)
+# Time for a request that is under way on an idle connection at the end.
+IDLE_GRACE_S = 0.3
 # Time kept free before the kill at the end of the grace period.
 STOP_MARGIN = datetime.timedelta(milliseconds=700)
 # Pause after a term that ended at once, so that it is not claimed in a loop.
@@ -141,14 +143,18 @@
             connections=len(self.call_server.connections),
         )
         self.call_server.announce_stop()
-        if self.term is not None:
+        if self.leader is not None:
             # The duty is handed over before anything else, without waiting
             # for the lease to run out.
             self.term.end("stopping")
+        else:
+            # A process that is about to end must not win the next term.
+            tasks[1].cancel()
+        await self.clock.sleep(STOP_NOTICE)
         grace = self.settings.timing.grace - STOP_NOTICE - STOP_MARGIN
         await self.call_server.stop(
             grace=max(0.0, grace.total_seconds()),
-            idle_grace=STOP_NOTICE.total_seconds(),
+            idle_grace=IDLE_GRACE_S,
         )
         for task in tasks:
             task.cancel()
--- /dev/null
+++ b/standins/batch_platform.py
@@ -0,0 +1,512 @@
+"""Stand-in for the users' platform: store, workers, operator and callers.
+
+All of it runs in the event loop of the caller; entry processes are processes
+of their own on loopback and are ended by their ids. The formats are those of
+the platform's published pages.
+"""
+
+import asyncio
+import base64
+import datetime
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import urllib.parse
+
+from standins import batch_worker
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import orders
+from turmerichook._internal.http import calls
+from turmerichook._internal.http import server
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import worker_calls
+from turmerichook._internal.storage import interface
+from turmerichook._internal.storage import memory
+from turmerichook._internal.workflow import model
+from turmerichook import exceptions
+
+MS = datetime.timedelta(milliseconds=1)
+SECOND = datetime.timedelta(seconds=1)
+HOST = "bells.example"
+PREFIX = "/bells/"
+ZONES = ("krakow", "tarnow")
+REASONS = {reason: name for name, reason in worker_calls.REFUSALS.items()}
+START_S = 10.0
+TICK_S = 0.02
+
+SETTINGS = """\
+node-name = "{node}"
+role = "entry"
+zone = "{zone}"
+[zones]
+krakow = "malopolska"
+tarnow = "malopolska"
+[bind-addresses]
+http = "127.0.0.1:{http}"
+readiness = "127.0.0.1:{ready}"
+admin = "127.0.0.1:{admin}"
+[policy-params]
+contact-ms = 3000
+drain-timeout-ms = 2000
+grace-s = 6
+hold-max-ms = 10000
+stop-timeout-ms = 400
+gang-timeout-ms = 3000
+status_s = 120
+[platform]
+address = "127.0.0.1:{store}"
+ttl-min-ms = 1000
+"""
+
+
+class WorkerHost:
+    """A worker behind HTTP whose tasks take a time that their text names."""
+
+    def __init__(self, *, name: str, zone: str):
+        self.name = name
+        self.zone = zone
+        self.state = batch_worker.BatchWorker()
+        self.ends_at: dict[model.TaskKey, float] = {}
+        self.started_at: list[tuple[model.TaskKey, float]] = []
+        self.server = server.Server(handler=self.handle)
+        self.changed = asyncio.Event()
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        self.port = await self.server.start(host="127.0.0.1", port=0)
+
+    def entry(self) -> bytes:
+        """Return the worker's own registry entry."""
+        return json.dumps(
+            {
+                "service": "bells",
+                "address": f"127.0.0.1:{self.port}",
+                "zone": self.zone,
+                "version": "v1",
+                "capacity": 8,
+                "state": "ready",
+                "cold-remaining-ms": 0,
+                "born": self.state.incarnation,
+                "free-capacity": {"cpu": 16000, "mem-mb": 64000, "gpu": 0},
+                "labels": ["a", "r1-1"],
+                "clock-ms": self.state.clock // MS,
+                "sequence": 1,
+            }
+        ).encode()
+
+    def tick(self, span: datetime.timedelta) -> None:
+        """Let time pass: tasks end, leases run out."""
+        self.state.clock += span
+        self.state.lapse()
+        now = asyncio.get_running_loop().time()
+        for task in list(self.state.running):
+            if now >= self.ends_at.get(task, now):
+                self.state.end(task, model.EndKind.DONE)
+        if self.state.ends:
+            self.changed.set()
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one call."""
+        document = json.loads(await exchange.read_all() or b"{}")
+        match exchange.head.path:
+            case "/v1/run-start":
+                await self._answer(exchange, self._start(document))
+            case "/v1/run-stop":
+                await self._answer(
+                    exchange,
+                    self.state.stop(
+                        orders.Stop(
+                            task=worker_calls.parse_task_name(
+                                document["task"]
+                            ),
+                            run=document["run"],
+                            token=document["fencing-token"],
+                        )
+                    ),
+                )
+            case "/v1/pace":
+                await self._answer(exchange, orders.Accepted())
+            case _:
+                await self._hold(exchange, document)
+
+    def _start(self, document: dict) -> orders.Outcome:
+        task = worker_calls.parse_task_name(document["task"])
+        outcome = self.state.start(
+            orders.Start(
+                task=task,
+                run=document["run"],
+                payload=document["spec"],
+                token=document["fencing-token"],
+                valid_until=document["deadline-ms"] * MS,
+            )
+        )
+        now = asyncio.get_running_loop().time()
+        if isinstance(outcome, orders.Accepted) and task not in self.ends_at:
+            self.started_at.append((task, now))
+            self.ends_at[task] = now + json.loads(document["spec"])["s"]
+        return outcome
+
+    async def _hold(self, exchange: server.Exchange, document: dict) -> None:
+        until = document.get("deadline-ms")
+        order = orders.Renewal(
+            token=document["fencing-token"],
+            acknowledged=document["ack-cursor"],
+            lease_until=None if until is None else until * MS,
+        )
+        try:
+            report = self.state.renew(order)
+            if not report.ends and document.get("wait-ms"):
+                self.changed.clear()
+                await clocks.wait_event(
+                    clocks.SystemClock(),
+                    self.changed,
+                    document["wait-ms"] * MS,
+                )
+                report = self.state.renew(order)
+        except exceptions.StaleTokenError:
+            await exchange.respond_json(
+                document={"reason": "fence"}, status=409
+            )
+            return
+        name = worker_calls.task_name
+        await exchange.respond_json(
+            document={
+                "clock-ms": report.clock // MS,
+                "born": report.incarnation,
+                "running": [
+                    [name(row.task), row.run, "", row.percent, 0]
+                    for row in report.running
+                ],
+                "finished": [
+                    [e.number, name(e.task), e.run, e.kind.value, ""]
+                    for e in report.ends
+                ],
+            }
+        )
+
+    async def _answer(
+        self, exchange: server.Exchange, outcome: orders.Outcome
+    ) -> None:
+        document = {"clock-ms": self.state.clock // MS}
+        match outcome:
+            case orders.Refused(reason=reason):
+                document["reason"] = REASONS[reason]
+                await exchange.respond_json(document=document, status=409)
+            case _:
+                await exchange.respond_json(document=document)
+
+
+class StoreHost:
+    """The store behind HTTP."""
+
+    def __init__(self):
+        self.storage = memory.MemoryStorage(clock=clocks.SystemClock())
+        self.server = server.Server(handler=self.handle)
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one call."""
+        body = await exchange.read_all()
+        document = json.loads(body) if body else {}
+        try:
+            status, answer = await self._call(exchange, document)
+        except exceptions.StoreUnavailableError:
+            status, answer = 503, {"error": "try later"}
+        except exceptions.HistoryLostError:
+            status, answer = 410, {}
+        except exceptions.LeaseLapsedError:
+            status, answer = 404, {}
+        except exceptions.StoreOutcomeUnknownError:
+            exchange.connection.wire.abort()
+            return
+        await exchange.respond_json(document=answer, status=status)
+
+    async def _call(
+        self, exchange: server.Exchange, document: dict
+    ) -> tuple[int, dict]:
+        query = dict(urllib.parse.parse_qsl(exchange.head.query))
+        path = exchange.head.path
+        match path:
+            case "/v1/kv-key":
+                item = await self.storage.get(query["key"])
+                return (404, {}) if item is None else (200, _row(item))
+            case "/v1/kv-range":
+                page = await self.storage.page(
+                    query["prefix"], after=query.get("after", "")
+                )
+                return 200, {
+                    "items": [_row(item) for item in page.items],
+                    "has-more": page.more,
+                    "current-rev": page.revision,
+                }
+            case "/v1/kv-watch":
+                changes = await self.storage.watch(
+                    query["prefix"],
+                    after=ids.Revision(int(query["after"])),
+                    wait=int(query["wait-ms"]) * MS,
+                )
+                return 200, {
+                    "events": [_row(change) for change in changes.changes],
+                    "current-rev": changes.revision,
+                }
+            case "/v1/kv-txn":
+                return await self._transaction(document)
+            case "/v1/kv-lease":
+                ttl = document["ttl-ms"]
+                lease = await self.storage.grant_lease(ttl * MS)
+                return 200, {"lease": int(lease), "ttl-ms": ttl}
+        lease = ids.LeaseId(path.rpartition("/")[2])
+        if exchange.head.method == "DELETE":
+            await self.storage.end_lease(lease)
+        else:
+            await self.storage.renew_lease(lease)
+        return 200, {}
+
+    async def _transaction(self, document: dict) -> tuple[int, dict]:
+        outcome = await self.storage.commit(
+            interface.Commit(
+                expect={
+                    row["key"]: row["revision"]
+                    for row in document["precondition"]
+                },
+                writes=tuple(
+                    interface.Write(
+                        key=row["key"],
+                        value=base64.b64decode(row["value"]),
+                        lease=str(row["lease"]) if "lease" in row else None,
+                    )
+                    for row in document["set-keys"]
+                ),
+                removals=tuple(document["remove"]),
+            )
+        )
+        match outcome:
+            case interface.Committed(revision=revision):
+                return 200, {"revision": revision}
+            case interface.Conflict(items=items):
+                return 412, {"items": [_row(i) for i in items.values()]}
+
+
+def _row(change: interface.Item | interface.Removed) -> dict:
+    row = {"key": change.key, "revision": change.revision}
+    if isinstance(change, interface.Removed):
+        return {**row, "removed": True}
+    value = base64.b64encode(change.value).decode()
+    return {**row, "value": value, "created": change.revision, "lease": 0}
+
+
+class Entry:
+    """One entry process."""
+
+    def __init__(self, *, folder: pathlib.Path, node: str, zone: str):
+        self.folder = folder
+        self.node = node
+        self.zone = zone
+        self.http, self.ready, self.admin = _free_ports(3)
+        self.log = folder / f"{node}.log"
+        self.process: subprocess.Popen | None = None
+
+    def start(self, store_port: int) -> None:
+        """Start the process."""
+        path = self.folder / f"{self.node}.toml"
+        path.write_text(
+            SETTINGS.format(
+                node=self.node,
+                zone=self.zone,
+                http=self.http,
+                ready=self.ready,
+                admin=self.admin,
+                store=store_port,
+            )
+        )
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "turmerichook._internal.cli.entry"],
+                env={**os.environ, "TURMERICHOOK_NODE_FILE": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def events(self, name: str) -> list[dict]:
+        """Return the log lines of one event."""
+        lines = self.log.read_text().splitlines() if self.log.exists() else []
+        rows = [json.loads(line) for line in lines if line[:1] == "{"]
+        return [row for row in rows if row.get("event") == name]
+
+    @property
+    def leading(self) -> bool:
+        """Whether the process is the leader, as far as its log tells."""
+        if self.process is None or self.process.poll() is not None:
+            return False
+        gained = len(self.events("leadership-gained"))
+        return gained > len(self.events("leadership-lost"))
+
+    def stop(self) -> None:
+        """Kill the process if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class BatchPlatform:
+    """The whole platform with some entry processes."""
+
+    def __init__(self, *, folder: pathlib.Path, workers: int, entries: int):
+        self.store = StoreHost()
+        self.workers = [
+            WorkerHost(name=f"i-{n}", zone=ZONES[n % len(ZONES)])
+            for n in range(workers)
+        ]
+        self.entries = [
+            Entry(folder=folder, node=f"edge-{n}", zone=ZONES[n % len(ZONES)])
+            for n in range(entries)
+        ]
+        self.store_port = 0
+        self.ticker: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start everything and wait until all serve and one leads."""
+        self.store_port = await self.store.server.start(
+            host="127.0.0.1", port=0
+        )
+        for worker in self.workers:
+            await worker.start()
+            self.store.storage.put(f"servers/{worker.name}", worker.entry())
+        self.configure(version=1)
+        self.ticker = asyncio.create_task(self._tick())
+        for entry in self.entries:
+            entry.start(self.store_port)
+        await self.until(
+            lambda: any(e.events("recovered") for e in self.entries)
+            and all(e.events("configuration-in-force") for e in self.entries)
+        )
+
+    async def stop(self) -> None:
+        """End everything."""
+        for entry in self.entries:
+            entry.stop()
+        if self.ticker is not None:
+            self.ticker.cancel()
+        for host in (self.store, *self.workers):
+            await host.server.stop(grace=0.0)
+
+    def configure(self, *, version: int) -> None:
+        """Write the operators' configuration."""
+        document = {
+            "version": version,
+            "routes": [
+                {
+                    "name": "bells",
+                    "host": HOST,
+                    "prefix": PREFIX,
+                    "type": "non_idempotent",
+                    "timeout-ms": 3000,
+                    "slo-ms": 300,
+                    "priority": 0,
+                    "service": "bells",
+                    "max-attempts": 3,
+                    "slack-factor": 1.5,
+                }
+            ],
+            "services": [{"name": "bells", "enforce-limits": True}],
+            "limits": {"max-body-bytes": 262144},
+        }
+        self.store.storage.put("op/config", json.dumps(document).encode())
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            for worker in self.workers:
+                worker.tick(TICK_S * SECOND)
+
+    async def until(self, condition, timeout: float = START_S) -> None:
+        """Wait for a condition.
+
+        :raises TimeoutError: if it does not come true.
+        """
+        async with asyncio.timeout(timeout):
+            while not condition():
+                await asyncio.sleep(0.03)
+
+    async def call(
+        self, entry: Entry, method: str, job: str, document: dict | None = None
+    ) -> calls.Answer:
+        """Make a caller's request."""
+        pool = calls.CallPool(
+            host="127.0.0.1",
+            port=entry.http,
+            connections=1,
+            authority=HOST,
+        )
+        body = b"" if document is None else json.dumps(document).encode()
+        try:
+            return await pool.call(
+                method=method,
+                target=PREFIX + job,
+                body=body,
+                timeout=4.0,
+            )
+        finally:
+            pool.close()
+
+    async def submit(
+        self, entry: Entry, job: str, *, tasks: int = 3, seconds: float = 0.3
+    ) -> calls.Answer:
+        """Hand in a job of two steps."""
+        task = {"cpu": 1000, "mem-mb": 500, "estimate-ms": 300}
+        return await self.call(
+            entry,
+            "POST",
+            job,
+            {
+                "spec": json.dumps({"s": seconds}),
+                "steps": [
+                    {"count": tasks, **task},
+                    {"count": 1, "after": [0], **task},
+                ],
+            },
+        )
+
+    async def state(self, entry: Entry, job: str) -> str:
+        """Return a job's state, or the status of another answer."""
+        answer = await self.call(entry, "GET", job)
+        if answer.status != 200:
+            return str(answer.status)
+        return answer.json()["state"]
+
+    async def wait_for(self, entry: Entry, job: str, state: str) -> None:
+        """Wait until a job has a state."""
+        async with asyncio.timeout(30):
+            while await self.state(entry, job) != state:
+                await asyncio.sleep(0.1)
+
+    def leader(self) -> Entry | None:
+        """Return the leader."""
+        return next((e for e in self.entries if e.leading), None)
+
+    def kill(self, entry: Entry) -> None:
+        """Kill an entry process."""
+        entry.process.send_signal(signal.SIGKILL)
+        entry.process.wait()
+
+    def starts(self) -> list[tuple[model.TaskKey, int]]:
+        """Return all runs that workers have started."""
+        return [s for worker in self.workers for s in worker.state.starts]
+
+    def done(self) -> list[model.TaskKey]:
+        """Return the tasks that workers have done, once for each run."""
+        return [task for worker in self.workers for task in worker.state.done]
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -1,9 +1,9 @@
 """Workers that obey the rules of the platform, in memory."""
 
 import asyncio
-import dataclasses
 import datetime
 
+from standins import batch_worker
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
@@ -98,109 +98,13 @@
     )
 
 
-@dataclasses.dataclass(kw_only=True)
-class FakeWorker:
-    """One worker: fencing, run numbers, ends, leases."""
-
-    clock: datetime.timedelta = SECOND
-    incarnation: int = 1
-    token: int = 0
-    running: dict[model.TaskKey, ids.Attempt] = dataclasses.field(
-        default_factory=dict
-    )
-    # Highest run that was stopped or has ended, by task.
-    closed: dict[model.TaskKey, ids.Attempt] = dataclasses.field(
-        default_factory=dict
-    )
-    ends: list[orders.EndRow] = dataclasses.field(default_factory=list)
-    last_end: int = 0
-    lease_until: datetime.timedelta = datetime.timedelta()
-    cut_off: bool = False
-    starts: list[tuple[model.TaskKey, ids.Attempt]] = dataclasses.field(
-        default_factory=list
-    )
-
-    def start(self, order: orders.Start) -> orders.Outcome:
-        """Carry a start out, or refuse it."""
-        if order.token < self.token:
-            return _refused(orders.RefusalReason.STALE_TOKEN)
-        self.token = order.token
-        if self.running.get(order.task) == order.run:
-            return orders.Accepted()
-        if order.run <= self.closed.get(order.task, 0):
-            return _refused(orders.RefusalReason.OLD_RUN)
-        if order.valid_until <= self.clock:
-            return _refused(orders.RefusalReason.EXPIRED)
-        self.lease_until = max(self.lease_until, order.valid_until)
-        self.running[order.task] = order.run
-        self.starts.append((order.task, order.run))
-        return orders.Accepted()
-
-    def stop(self, order: orders.Stop) -> orders.Outcome:
-        """Carry a stop out, or refuse it."""
-        if order.token < self.token:
-            return _refused(orders.RefusalReason.STALE_TOKEN)
-        self.token = order.token
-        closed = max(self.closed.get(order.task, 0), order.run)
-        self.closed[order.task] = ids.Attempt(closed)
-        if self.running.get(order.task) == order.run:
-            self.end(order.task, model.EndKind.STOPPED)
-        return orders.Accepted()
-
-    def end(self, task: model.TaskKey, kind: model.EndKind) -> None:
-        """End a run."""
-        run = self.running.pop(task)
-        self.closed[task] = max(self.closed.get(task, ids.Attempt(0)), run)
-        self.last_end += 1
-        self.ends.append(
-            orders.EndRow(
-                number=self.last_end,
-                task=task,
-                run=run,
-                kind=kind,
-                checkpoint=ids.CheckpointId(""),
-            )
-        )
-
-    def renew(self, order: orders.Renewal) -> orders.Report:
-        """Renew leases and report."""
-        if order.token < self.token:
-            raise exceptions.StaleTokenError(message="stale")
-        self.token = order.token
-        self.ends = [e for e in self.ends if e.number > order.acknowledged]
-        if order.lease_until is not None:
-            self.lease_until = max(self.lease_until, order.lease_until)
-        return orders.Report(
-            clock=self.clock,
-            incarnation=self.incarnation,
-            running=tuple(
-                orders.RunningRow(
-                    task=task,
-                    run=run,
-                    checkpoint=ids.CheckpointId(""),
-                    percent=50,
-                    reading=None,
-                )
-                for task, run in self.running.items()
-            ),
-            ends=tuple(self.ends),
-        )
-
-    def restart(self) -> None:
-        """Crash and start anew."""
-        self.incarnation += 1
-        self.token = 0
-        self.running.clear()
-        self.closed.clear()
-        self.ends.clear()
-        self.last_end = 0
-
-
 class FakeWorkers:
     """An ``orders.Workers`` over fakes, by their ids."""
 
     def __init__(self, *names: str):
-        self.workers = {ids.WorkerId(name): FakeWorker() for name in names}
+        self.workers = {
+            ids.WorkerId(name): batch_worker.BatchWorker() for name in names
+        }
 
     async def start(self, entry, order) -> orders.Outcome:
         worker = self.workers[entry.worker]
@@ -229,7 +133,3 @@
 
     def forget(self, worker: ids.WorkerId) -> None:
         pass
-
-
-def _refused(reason: orders.RefusalReason) -> orders.Refused:
-    return orders.Refused(reason=reason)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from standins import batch_worker
 from tests.dispatch import fakes
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import fleet
@@ -27,7 +28,7 @@
     def __init__(self, *names):
         self.now = datetime.timedelta(seconds=1000)
         self.token = TOKEN
-        self.workers = {name: fakes.FakeWorker() for name in names}
+        self.workers = {name: batch_worker.BatchWorker() for name in names}
         self.specs = {}
         self.saved = {}
         self.dispatcher = self.new_dispatcher()
@@ -72,9 +73,7 @@
         self.now += span
         for worker in self.workers.values():
             worker.clock += span
-            if worker.lease_until < worker.clock:
-                for task in list(worker.running):
-                    worker.end(task, model.EndKind.LAPSED)
+            worker.lapse()
 
     def look(self, name):
         """Renew leases on a worker and take its report."""
@@ -263,7 +262,7 @@
             fakes.job("00000000000000aa", fakes.step(1, long_running=True))
         )
         rig.step()
-        rig.workers["b"] = fakes.FakeWorker()
+        rig.workers["b"] = batch_worker.BatchWorker()
         rig.dispatcher.set_entry(fakes.entry("b"), rig.now)
         rig.dispatcher.set_entry(
             fakes.entry("a", state=deployment.WorkerState.DRAINING), rig.now
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,282 @@
+"""Tests of what the adapter makes of the platform's documents."""
+
+import datetime
+import json
+
+import pytest
+
+from turmerichook._internal.http import heads
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import caller_calls
+from turmerichook._internal.platform import documents
+from turmerichook._internal.platform import settings_file
+from turmerichook._internal.platform import worker_calls
+from turmerichook._internal.workflow import model
+from turmerichook import exceptions
+
+MS = datetime.timedelta(milliseconds=1)
+
+SETTINGS = {
+    "node-name": "edge-1",
+    "zone": "krakow",
+    "zones": {"krakow": "malopolska", "tarnow": "malopolska"},
+    "bind-addresses": {
+        "http": "10.1.0.1:80",
+        "readiness": "10.1.0.1:81",
+    },
+    "policy-params": {
+        "contact-ms": 3000,
+        "drain-timeout-ms": 2000,
+        "grace-s": 6,
+        "hold-max-ms": 10000,
+        "stop-timeout-ms": 400,
+        "gang-timeout-ms": 3000,
+        "status_s": 120,
+        "unknown-figure": True,
+    },
+    "platform": {"address": "10.200.1.7:8169", "ttl-min-ms": 1000},
+}
+
+ROUTE = {
+    "name": "r-1",
+    "host": "nony.example",
+    "prefix": "/lohu/",
+    "timeout-ms": 3000,
+    "slo-ms": 300,
+    "priority": 2,
+    "service": "desk",
+    "max-attempts": 3,
+    "slack-factor": 1.5,
+}
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.128.0.9:8080",
+    "zone": "krakow",
+    "version": "v1",
+    "capacity": 8,
+    "state": "ready",
+    "cold-remaining-ms": 250,
+    "free-capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "clock-ms": 482113,
+    "sequence": 4,
+    "born": 1_700_000_000_123,
+}
+
+
+def encode(document):
+    """Return a stored value."""
+    return json.dumps(document).encode()
+
+
+class TestSettings:
+    """The settings file."""
+
+    def test_known_fields(self):
+        """Guards against a field that is read under another meaning."""
+        settings = settings_file.parse(SETTINGS)
+        assert settings.zones == ("krakow", "tarnow")
+        assert settings.timing.lease_max == 10_000 * MS
+        assert settings.timing.grace == 6000 * MS
+        assert settings.admin_listen == ""
+
+    @pytest.mark.parametrize(
+        "key, value",
+        [
+            ("node-name", 7),
+            ("platform", {"address": "nowhere", "ttl-min-ms": 1000}),
+            ("policy-params", {**SETTINGS["policy-params"], "grace-s": "6"}),
+            ("zones", []),
+        ],
+    )
+    def test_wrong_fields(self, key, value):
+        """Guards against a start on settings that mean nothing."""
+        with pytest.raises(exceptions.SettingsError):
+            settings_file.parse({**SETTINGS, key: value})
+
+    def test_missing_file(self, tmp_path):
+        """Guards against an untyped error at start."""
+        with pytest.raises(exceptions.SettingsError):
+            settings_file.load(tmp_path / "none.toml")
+
+
+class TestConfiguration:
+    """The operators' configuration."""
+
+    def test_routes_are_queues(self):
+        """Guards against a queue with another's limits."""
+        decoded = documents.configuration(
+            encode(
+                {
+                    "version": 7,
+                    "routes": [ROUTE, {**ROUTE, "prefix": "/lohu/deep/"}],
+                    "services": [{"name": "desk", "enforce-limits": True}],
+                    "limits": {"max-body-bytes": 262144},
+                }
+            )
+        )
+        queue = decoded.find("nony.example", "/lohu/deep/0123")
+        assert queue.prefix == "/lohu/deep/"
+        assert queue.max_attempts == 3
+        assert decoded.find("other.example", "/lohu/1") is None
+        assert decoded.services[0].guarded
+
+    @pytest.mark.parametrize("value", [b"", b"[]", b'{"version": "7"}'])
+    def test_unreadable(self, value):
+        """Guards against a crash on a value of another writer."""
+        with pytest.raises(exceptions.MessageError):
+            documents.configuration(value)
+
+
+class TestWorkerEntry:
+    """A worker's registry entry."""
+
+    def test_known_fields(self):
+        """Guards against request slots taken for a task's capacity."""
+        entry = documents.worker("servers/i-7f", encode(ENTRY))
+        assert entry.worker == "i-7f"
+        assert entry.capacity.millicores == 16000
+        assert entry.capacity.accelerators == 1
+        assert entry.rack == "r1-3"
+        assert entry.incarnation == ENTRY["born"]
+        assert entry.remaining is None
+
+    def test_draining(self):
+        """Guards against a leaving worker taken for a ready one."""
+        document = {**ENTRY, "state": "draining", "remaining-ms": 1500}
+        entry = documents.worker("servers/i-7f", encode(document))
+        assert entry.state is deployment.WorkerState.DRAINING
+        assert entry.remaining == 1500 * MS
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "resting"},
+            {"address": 7},
+            {"free-capacity": None},
+            {"free-capacity": {"cpu": -1}},
+            {"labels": [1]},
+            {"cold-remaining-ms": True},
+        ],
+    )
+    def test_entries_of_other_writers(self, change):
+        """Guards against the use of a worker that is none."""
+        with pytest.raises(exceptions.MessageError):
+            documents.worker("servers/i-7f", encode({**ENTRY, **change}))
+
+
+class TestSubmission:
+    """A caller's job."""
+
+    QUEUE = documents.configuration(
+        encode(
+            {
+                "version": 1,
+                "routes": [ROUTE],
+                "services": [],
+                "limits": {"max-body-bytes": 1},
+            }
+        )
+    ).queues[0]
+
+    def decode(self, document):
+        return caller_calls.submission(
+            encode(document),
+            job=ids.JobId("0" * 16),
+            queue=self.QUEUE,
+            accepted=5 * MS,
+        )
+
+    def test_all_fields_of_a_step(self):
+        """Guards against a demand that is dropped on the way."""
+        spec = self.decode(
+            {
+                "spec": "text",
+                "steps": [
+                    {"count": 4, "cpu": 500, "mem-mb": 256},
+                    {
+                        "count": 2,
+                        "cpu": 2000,
+                        "mem-mb": 1024,
+                        "gpu": 1,
+                        "estimate-ms": 7000,
+                        "after": [0],
+                        "checkpointing": True,
+                        "gang": True,
+                        "same-rack": True,
+                        "requires": "b",
+                        "affinity": "r1-3",
+                        "max-per-server": 2,
+                        "image": "x",
+                        "target-ms": 50,
+                        "max-missing": 1,
+                    },
+                ],
+                "repeat-count": 3,
+                "start-time-ms": 1000,
+                "interval-ms": 500,
+            }
+        )
+        step = spec.steps[1]
+        assert step.after == (0,) and step.gang and step.same_rack
+        assert step.rack == "r1-3" and step.label == "b"
+        assert step.latency_target == 50 * MS
+        assert step.max_per_worker == 2 and step.max_missing == 1
+        assert spec.repetition == model.Repetition(
+            count=3, first=1000 * MS, interval=500 * MS
+        )
+
+    @pytest.mark.parametrize(
+        "document",
+        [
+            {},
+            {"steps": []},
+            {"steps": [{"count": 0}]},
+            {"steps": [{"count": 1, "after": [0]}]},
+            {"steps": [{"count": 1, "cpu": -5}]},
+            {"steps": [7]},
+            {"steps": [{"count": 10**9}]},
+            {"spec": "x" * 4001, "steps": [{"count": 1}]},
+        ],
+    )
+    def test_malformed(self, document):
+        """Guards against a job that is accepted and can never be run."""
+        with pytest.raises(exceptions.MessageError):
+            self.decode(document)
+
+    def test_job_id(self):
+        """Guards against paths that are taken for ids."""
+        queue = self.QUEUE
+        assert caller_calls.job_id("/lohu/", queue) == ""
+        assert caller_calls.job_id("/lohu/" + "a" * 16, queue) == "a" * 16
+        with pytest.raises(exceptions.MessageError):
+            caller_calls.job_id("/lohu/xyz", queue)
+
+    @pytest.mark.parametrize("value, expected", [(b"800", 800), (b"x", 3000)])
+    def test_timeout(self, value, expected):
+        """Guards against a caller that waits longer than it said."""
+        head = heads.RequestHead(
+            method="GET",
+            target="/",
+            headers=[(b"turmerichook-request-timeout-ms", value)],
+        )
+        assert caller_calls.timeout(head) == expected * MS
+
+
+class TestTaskNames:
+    """Names of tasks on the wire."""
+
+    def test_round_trip(self):
+        """Guards against a task that is taken for another."""
+        task = model.TaskKey(ids.JobId("5c0e7a21d94b36f8"), 2, 1, 17)
+        name = worker_calls.task_name(task)
+        assert name == "5c0e7a21d94b36f8.2.1.17"
+        assert worker_calls.parse_task_name(name) == task
+
+    @pytest.mark.parametrize("name", ["", "a.b", "a.0.x.1", "a.0.1.2.3"])
+    def test_malformed(self, name):
+        """Guards against a crash on a name of another writer."""
+        with pytest.raises(exceptions.MessageError):
+            worker_calls.parse_task_name(name)
