--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -17,6 +17,10 @@
 
 # An answer must leave this long before the caller stops waiting.
 ANSWER_MARGIN = datetime.timedelta(milliseconds=250)
+# A caller that gets no result for this long is better served by another
+# entry process, so that it is told to try again. One call to the store that
+# falls silent lasts about as long.
+PATIENCE = datetime.timedelta(milliseconds=1100)
 # When to come back after a failure of the store; most last a few seconds,
 # and other entry processes may not be concerned.
 RETRY_AFTER_S = 1
@@ -93,7 +97,8 @@
             await exchange.read_all()
             await self._refuse(exchange, 404, "no-such-queue")
             return
-        until = began + self.form.timeout(head) - ANSWER_MARGIN
+        patience = min(self.form.timeout(head) - ANSWER_MARGIN, PATIENCE)
+        until = began + patience
         try:
             job = self.form.job_id(head.path, queue)
             await self._route(exchange, queue, job, until)
