--- a/src/turmerichook/_internal/logs/setup.py
+++ b/src/turmerichook/_internal/logs/setup.py
@@ -29,7 +29,7 @@
     node: str,
     style: str,
     level: str,
-    sink: typing.Any = sys.stderr,
+    sink: typing.Any = None,
 ) -> None:
     """Send all log lines to a sink, standard error by default.
 
@@ -46,7 +46,7 @@
         patcher=lambda record: record["extra"].update(line=line_of(record))
     )
     loguru.logger.add(
-        sink,
+        sys.stderr if sink is None else sink,
         level=level,
         format="{extra[line]}",
         backtrace=False,
