--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -51,6 +51,7 @@
     HAS_REFUSED = "has-refused"
     SUSPECTED = "suspected"
     ENOUGH_OF_STEP = "enough-of-step"
+    RESERVED = "reserved"
     NO_PROCESSORS = "no-processors"
     NO_MEMORY = "no-memory"
     NO_ACCELERATORS = "no-accelerators"
@@ -58,6 +59,15 @@
     SLOWS_SERVICES = "slows-services"
 
 
+SHORTAGES = frozenset(
+    (
+        Obstacle.NO_PROCESSORS,
+        Obstacle.NO_MEMORY,
+        Obstacle.NO_ACCELERATORS,
+    )
+)
+
+
 def choose(
     *,
     step: model.Step,
@@ -66,6 +76,7 @@
     closed: collections.abc.Container[ids.ZoneId],
     on_worker: collections.abc.Mapping[ids.WorkerId, int],
     last: ids.WorkerId,
+    reserved: collections.abc.Container[ids.WorkerId],
     interference: interferences.Interference,
     overdue: bool,
     now: datetime.timedelta,
@@ -75,6 +86,7 @@
     :param closed: zones that must get no tasks.
     :param on_worker: tasks of the step's occurrence on each worker.
     :param last: worker of the task's last run, which is avoided.
+    :param reserved: workers whose room is kept for other tasks.
     :param overdue: whether the job has waited for too long.
     """
     best: fleet.Worker | None = None
@@ -82,6 +94,8 @@
     obstacles: collections.Counter[Obstacle] = collections.Counter()
     for worker in workers:
         found = _obstacle(worker, step, service, closed, on_worker, now)
+        if found is None and worker.worker in reserved and not step.filler:
+            found = Obstacle.RESERVED
         if found is None and step.filler:
             found = _filler_obstacle(worker, step, interference, overdue)
         if found is not None:
@@ -103,19 +117,30 @@
     return best
 
 
-def ever_fits(
+def roomiest(
+    *,
     step: model.Step,
     service: ids.ServiceId,
     workers: collections.abc.Iterable[fleet.Worker],
-) -> bool:
-    """Tell whether an empty worker could take a task of the step."""
-    return any(
-        step.committed.fits(worker.entry.capacity)
-        for worker in workers
-        if worker.entry is not None
-        and worker.entry.service == service
-        and (not step.label or step.label in worker.entry.labels)
-    )
+    closed: collections.abc.Container[ids.ZoneId],
+    on_worker: collections.abc.Mapping[ids.WorkerId, int],
+    reserved: collections.abc.Container[ids.WorkerId],
+    now: datetime.timedelta,
+) -> fleet.Worker | None:
+    """Return the worker with the most room that only lacks more of it."""
+    best: fleet.Worker | None = None
+    best_free = 0
+    for worker in workers:
+        found = _obstacle(worker, step, service, closed, on_worker, now)
+        if found not in SHORTAGES or worker.worker in reserved:
+            continue
+        if not step.committed.fits(worker.entry.capacity):
+            continue
+        capacity = worker.entry.capacity.millicores
+        free = capacity - worker.used.millicores
+        if best is None or free > best_free:
+            best, best_free = worker, free
+    return best
 
 
 def _obstacle(
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -62,19 +62,28 @@
         """The step."""
         return self.job.spec.steps[self.key.step]
 
+    def starving(self, now: datetime.timedelta) -> bool:
+        """Tell whether a long-running task has been kept out for long."""
+        return self.step.long_running and now - self.since > PATIENCE
+
     def order(
-        self, wall: datetime.timedelta
-    ) -> tuple[int, bool, bool, datetime.timedelta]:
+        self, now: datetime.timedelta, wall: datetime.timedelta
+    ) -> tuple[int, bool, bool, bool, datetime.timedelta]:
         """Return the sort key: priority, then the objective's time.
 
         Long-running tasks give their room back only when their job is
-        cancelled, so that short ones of the same priority go first. A job
-        that cannot meet its objective any more earns little by coming early,
-        and waits behind those that can.
+        cancelled, so that short ones of the same priority go first, until the
+        long-running one starves. A job that cannot meet its objective any
+        more earns little by coming early, and waits behind those that can.
         """
         late = wall + self.step.estimate > self.deadline
-        priority = self.job.queue.priority
-        return priority, self.step.long_running, late, self.deadline
+        return (
+            self.job.queue.priority,
+            not self.starving(now),
+            self.step.long_running,
+            late,
+            self.deadline,
+        )
 
 
 class WaitingTasks:
@@ -139,7 +148,7 @@
         )
         placed = 0
         for waiting in sorted(
-            self.steps.values(), key=lambda step: step.order(wall)
+            self.steps.values(), key=lambda step: step.order(now, wall)
         ):
             if placed >= limit:
                 break
@@ -170,6 +179,8 @@
     closed: collections.abc.Container[ids.ZoneId]
     interference: interferences.Interference
     now: datetime.timedelta
+    # Workers whose room is being kept together for a starving task.
+    reserved: set[ids.WorkerId] = dataclasses.field(default_factory=set)
 
     def choose(self, waiting: WaitingStep, limit: int) -> list[Choice]:
         """Choose workers for as many of a step's tasks as fit."""
@@ -206,12 +217,15 @@
                 closed=self.closed,
                 on_worker=counts,
                 last=last,
+                reserved=self.reserved,
                 interference=self.interference,
                 overdue=overdue and not chosen,
                 now=self.now,
             )
             if isinstance(worker, outcomes.Absent):
                 _log_wait(waiting, worker)
+                if waiting.starving(self.now):
+                    self._keep_room(waiting, counts)
                 break
             counts[worker.worker] += 1
             worker.reserve(step)
@@ -222,6 +236,25 @@
             choice.worker.release(step)
         return chosen
 
+    def _keep_room(
+        self, waiting: WaitingStep, counts: collections.Counter
+    ) -> None:
+        """Keep others off the worker that will have room first.
+
+        Short tasks would take each piece of room as it becomes free.
+        """
+        worker = placement.roomiest(
+            step=waiting.step,
+            service=waiting.job.queue.service,
+            workers=self.workers,
+            closed=self.closed,
+            on_worker=counts,
+            reserved=self.reserved,
+            now=self.now,
+        )
+        if worker is not None:
+            self.reserved.add(worker.worker)
+
 
 def _tasks_by_worker(waiting: WaitingStep) -> collections.Counter:
     """Count the step's tasks on each worker."""
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -13,6 +13,7 @@
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import stored
@@ -234,6 +235,52 @@
         assert sum(len(w.running) for w in rig.workers.values()) == 1
 
 
+class TestCrowdedWorkers:
+    """Pattern: short tasks take each piece of room as it becomes free."""
+
+    def test_long_running_task_gets_its_room(self):
+        """Guards against a service that never finds room in one piece.
+
+        Seen on batbayar-seam-grown quiet-1: a task that lasts was kept out
+        for 10 s by short ones.
+        """
+        rig = Rig("a", "b")
+        big = fakes.step(
+            long_running=True,
+            demand=resources.Resources(millicores=12_000, memory_mib=1000),
+        )
+        small = fakes.step(
+            demand=resources.Resources(millicores=4000, memory_mib=1000)
+        )
+        count = 0
+        ages = {}
+        began = rig.now
+        for number in range(60):
+            while len(rig.dispatcher.waiting) < 6:
+                count += 1
+                rig.submit(fakes.job(f"{count:016x}", small))
+            if number == 5:
+                rig.submit(fakes.job("f" * 16, big))
+                began = rig.now
+            rig.step()
+            if any(
+                task.job == "f" * 16
+                for worker in rig.workers.values()
+                for task in worker.running
+            ):
+                break
+            rig.advance(100 * MS)
+            for worker in rig.workers.values():
+                for task in list(worker.running):
+                    # Ends are spread, so that room comes in small pieces.
+                    due = ages.setdefault(
+                        task, rig.now + (300 + len(ages) % 8 * 100) * MS
+                    )
+                    if rig.now >= due:
+                        worker.end(task, model.EndKind.DONE)
+        assert rig.now - began < 4 * SECOND
+
+
 class TestCancellation:
     """A canceled job stops and starts nothing more."""
 
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -61,6 +61,7 @@
         "closed": (),
         "on_worker": {},
         "last": ids.WorkerId(""),
+        "reserved": (),
         "interference": interference.Interference(),
         "overdue": False,
         "now": NOW,
