--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -381,8 +381,12 @@
         for entry in self.entries:
             entry.start(self.store_port)
         await self.until(
-            lambda: any(e.events("recovered") for e in self.entries)
-            and all(e.events("configuration-in-force") for e in self.entries)
+            lambda: (
+                any(e.events("recovered") for e in self.entries)
+                and all(
+                    e.events("configuration-in-force") for e in self.entries
+                )
+            )
         )
 
     async def stop(self) -> None:
