Split the dispatcher and the leader by duty

Run book, settlement of runs, watchdog, decisions and feeds get modules of their own; a report of a worker's former life is now left out (test: test_late_word_of_a_former_life).

--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -0,0 +1,203 @@
+"""What the leader reads: stored progress, callers' inbox, the registry."""
+
+import asyncio
+import collections.abc
+import datetime
+import typing
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import commits
+from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import keys
+from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.storage import follower
+from turmerichook._internal.storage import interface
+from turmerichook._internal.workflow import progress as progresses
+from turmerichook._internal.workflow import stored
+from turmerichook import exceptions
+
+
+class RegistryFormat(typing.Protocol):
+    """Where the workers' entries are, and how they are read."""
+
+    prefix: str
+
+    def decode(self, key: str, value: bytes) -> deployment.WorkerEntry:
+        """Return an entry.
+
+        :raises MessageError: if it is not one of a worker.
+        """
+
+    def worker(self, key: str) -> ids.WorkerId:
+        """Return the worker whose entry has this key."""
+
+
+class Feeds:
+    """Keeps the dispatcher up to date with the store.
+
+    :param changed: set when there is something to act on.
+    :param on_worker: called for each worker whose entry was read.
+    """
+
+    def __init__(
+        self,
+        *,
+        storage: interface.Storage,
+        registry_format: RegistryFormat,
+        dispatcher: dispatchers.Dispatcher,
+        clock: clocks.Clock,
+        changed: asyncio.Event,
+        on_worker: collections.abc.Callable[[ids.WorkerId], None],
+    ):
+        self.storage = storage
+        self.format = registry_format
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self.changed = changed
+        self.on_worker = on_worker
+        self.stray_cancels: set[str] = set()
+        # Stored progress by job, while the leader recovers.
+        self.progress: dict[ids.JobId, bytes] = {}
+        self.inbox = follower.Follower(
+            storage=storage,
+            prefix=keys.INBOX_PREFIX,
+            clock=clock,
+            replace=self._replace_inbox,
+            apply=self._apply_inbox,
+        )
+        self.registry = follower.Follower(
+            storage=storage,
+            prefix=registry_format.prefix,
+            clock=clock,
+            replace=self._replace_entries,
+            apply=self._apply_entry,
+        )
+
+    async def recover(self, term: leadership.Term) -> None:
+        """Read the state that former leaders left, once it cannot change.
+
+        The registry comes last: a worker's report means nothing, and its
+        ends must not be acknowledged, before all jobs are known.
+        """
+        while not term.ended.is_set():
+            try:
+                items, _ = await interface.read_all(
+                    self.storage, keys.PROGRESS_PREFIX
+                )
+                self.progress = {
+                    keys.job_id(item.key): item.value for item in items
+                }
+                await self.inbox.list()
+                self._recover_final()
+                await self.registry.list()
+                break
+            except exceptions.StoreError as error:
+                logs.emit(
+                    events.DispatchEvent.RECOVERY_FAILED, error=str(error)
+                )
+                await self.clock.sleep(commits.RETRY_PAUSE)
+        self.progress.clear()
+        logs.emit(
+            events.DispatchEvent.RECOVERED,
+            epoch=term.token,
+            jobs=len(self.dispatcher.jobs),
+            final=len(self.dispatcher.final),
+            workers=len(self.dispatcher.workers),
+        )
+
+    def _recover_final(self) -> None:
+        now = self.clock.uptime()
+        for job_id, value in self.progress.items():
+            if job_id in self.dispatcher.jobs | self.dispatcher.final:
+                continue
+            try:
+                remainder = stored.decode_remainder(job_id, value)
+            except exceptions.StoredValueError as error:
+                self._log_unreadable(job_id, error)
+                continue
+            self.dispatcher.add_final(job_id, remainder, now)
+
+    def _replace_inbox(self, items: list[interface.Item]) -> None:
+        for item in items:
+            if item.key.startswith(keys.JOB_PREFIX):
+                self._take_job(item)
+        for item in items:
+            if item.key.startswith(keys.CANCEL_PREFIX):
+                self._take_cancel(item)
+
+    def _apply_inbox(self, change: interface.Item | interface.Removed) -> None:
+        if isinstance(change, interface.Removed):
+            return
+        if change.key.startswith(keys.JOB_PREFIX):
+            self._take_job(change)
+        else:
+            self._take_cancel(change)
+        self.changed.set()
+
+    def _take_job(self, item: interface.Item) -> None:
+        job_id = keys.job_id(item.key)
+        if job_id in self.dispatcher.jobs or job_id in self.dispatcher.final:
+            return
+        try:
+            spec = stored.decode_spec(job_id, item.value)
+            value = self.progress.get(job_id)
+            if value is None:
+                progress = progresses.Progress(spec=spec)
+            else:
+                progress = stored.decode_progress(spec, value)
+        except exceptions.StoredValueError as error:
+            self._log_unreadable(job_id, error)
+            return
+        self.dispatcher.add_job(
+            progress, now=self.clock.uptime(), wall=self.wall()
+        )
+
+    def _take_cancel(self, item: interface.Item) -> None:
+        job_id = keys.job_id(item.key)
+        if job_id not in self.dispatcher.jobs:
+            self.stray_cancels.add(item.key)
+            return
+        self.dispatcher.cancel(job_id, self.clock.uptime())
+
+    def _log_unreadable(
+        self, job_id: ids.JobId, error: exceptions.TurmerichookError
+    ) -> None:
+        logs.emit(
+            events.DispatchEvent.JOB_UNREADABLE, job=job_id, error=str(error)
+        )
+
+    def _replace_entries(self, items: list[interface.Item]) -> None:
+        listed = {self.format.worker(item.key) for item in items}
+        for worker in list(self.dispatcher.workers):
+            if worker not in listed:
+                self.dispatcher.remove_entry(worker)
+        for item in items:
+            self._apply_entry(item)
+
+    def _apply_entry(self, change: interface.Item | interface.Removed) -> None:
+        worker_id = self.format.worker(change.key)
+        if isinstance(change, interface.Removed):
+            self.dispatcher.remove_entry(worker_id)
+            self.changed.set()
+            return
+        try:
+            entry = self.format.decode(change.key, change.value)
+        except exceptions.MessageError as error:
+            logs.emit(
+                events.DispatchEvent.ENTRY_UNREADABLE,
+                worker=worker_id,
+                error=str(error),
+            )
+            self.dispatcher.remove_entry(worker_id)
+            return
+        self.dispatcher.set_entry(entry, self.clock.uptime())
+        self.on_worker(worker_id)
+        self.changed.set()
+
+    def wall(self) -> datetime.timedelta:
+        """Return the Unix time."""
+        return datetime.timedelta(seconds=self.clock.now().timestamp())
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -9,8 +9,11 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import commits
+from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import feeds
+from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leadership
@@ -20,10 +23,7 @@
 from turmerichook._internal.metrics import registry
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
-from turmerichook._internal.storage import follower
 from turmerichook._internal.storage import interface
-from turmerichook._internal.workflow import progress as progresses
-from turmerichook._internal.workflow import stored
 from turmerichook import exceptions
 
 # Rounds are this far apart, so that changes of one moment share a commit.
@@ -44,21 +44,6 @@
 HANDOVER_TIME_S = 0.3
 
 
-class RegistryFormat(typing.Protocol):
-    """Where the workers' entries are, and how they are read."""
-
-    prefix: str
-
-    def decode(self, key: str, value: bytes) -> deployment.WorkerEntry:
-        """Return an entry.
-
-        :raises MessageError: if it is not one of a worker.
-        """
-
-    def worker(self, key: str) -> ids.WorkerId:
-        """Return the worker whose entry has this key."""
-
-
 class Leader:
     """All that this process does during one term."""
 
@@ -68,7 +53,7 @@
         term: leadership.Term,
         storage: interface.Storage,
         workers: orders.Workers,
-        registry_format: RegistryFormat,
+        registry_format: feeds.RegistryFormat,
         configuration: deployment.Configuration,
         closed_zones: collections.abc.Collection[ids.ZoneId],
         timing: deployment.Timing,
@@ -78,13 +63,12 @@
         self.term = term
         self.storage = storage
         self.workers = workers
-        self.format = registry_format
         self.timing = timing
         self.metrics = metrics
         self.clock = clock
         self.log = commits.CommitLog(storage=storage, term=term, clock=clock)
         # What an earlier leader renewed last has ended by then.
-        lease = timing.lease_max / (1 - dispatchers.fleet.CLOCK_ERROR)
+        lease = timing.lease_max / (1 - fleet.CLOCK_ERROR)
         self.dispatcher = dispatchers.Dispatcher(
             timing=timing,
             configuration=configuration,
@@ -96,38 +80,41 @@
         self.dispatcher.closed_zones = set(closed_zones)
         self.changed = asyncio.Event()
         self.sessions: dict[ids.WorkerId, sessions.Session] = {}
+        self.feeds = feeds.Feeds(
+            storage=storage,
+            registry_format=registry_format,
+            dispatcher=self.dispatcher,
+            clock=clock,
+            changed=self.changed,
+            on_worker=self._ensure_session,
+        )
         self.tasks: set[asyncio.Task] = set()
         self.pending: dict[ids.QueueId, int] | None = None
         self.pending_written = datetime.timedelta()
         self.cleaned = datetime.timedelta()
-        self.stray_cancels: set[str] = set()
-        # Stored progress by job, while the leader recovers.
-        self.progress: dict[ids.JobId, bytes] = {}
 
     async def run(self) -> None:
         """Lead until the term ends."""
-        inbox = follower.Follower(
-            storage=self.storage,
-            prefix=keys.INBOX_PREFIX,
-            clock=self.clock,
-            replace=self._replace_inbox,
-            apply=self._apply_inbox,
-        )
-        registry_feed = follower.Follower(
-            storage=self.storage,
-            prefix=self.format.prefix,
-            clock=self.clock,
-            replace=self._replace_entries,
-            apply=self._apply_entry,
-        )
         try:
-            await self._recover(inbox, registry_feed)
-            self._spawn(inbox.run())
-            self._spawn(registry_feed.run())
+            await self._open_log()
+            await self.feeds.recover(self.term)
+            self._spawn(self.feeds.inbox.run())
+            self._spawn(self.feeds.registry.run())
             await self._rounds()
         finally:
             await self._close()
 
+    async def _open_log(self) -> None:
+        while not self.term.ended.is_set():
+            try:
+                await self.log.open()
+                return
+            except exceptions.StoreError as error:
+                logs.emit(
+                    events.DispatchEvent.RECOVERY_FAILED, error=str(error)
+                )
+                await self.clock.sleep(commits.RETRY_PAUSE)
+
     async def _close(self) -> None:
         under_way = {t for t in self.tasks if t.get_name() == "order"}
         if under_way:
@@ -152,132 +139,6 @@
         self.dispatcher.closed_zones = set(closed_zones)
         self.changed.set()
 
-    # Recovery and feeds
-
-    async def _recover(
-        self, inbox: follower.Follower, registry_feed: follower.Follower
-    ) -> None:
-        """Read the state that former leaders left, once it cannot change.
-
-        The registry comes last: a worker's report means nothing, and its
-        ends must not be acknowledged, before all jobs are known.
-        """
-        while not self.term.ended.is_set():
-            try:
-                await self.log.open()
-                items, _ = await interface.read_all(
-                    self.storage, keys.PROGRESS_PREFIX
-                )
-                self.progress = {
-                    keys.job_id(item.key): item.value for item in items
-                }
-                await inbox.list()
-                self._recover_final()
-                await registry_feed.list()
-                break
-            except exceptions.StoreError as error:
-                logs.emit(
-                    events.DispatchEvent.RECOVERY_FAILED, error=str(error)
-                )
-                await self.clock.sleep(commits.RETRY_PAUSE)
-        self.progress.clear()
-        logs.emit(
-            events.DispatchEvent.RECOVERED,
-            epoch=self.term.token,
-            jobs=len(self.dispatcher.jobs),
-            final=len(self.dispatcher.final),
-            workers=len(self.dispatcher.workers),
-        )
-
-    def _recover_final(self) -> None:
-        now = self.clock.uptime()
-        for job_id, value in self.progress.items():
-            if job_id in self.dispatcher.jobs | self.dispatcher.final:
-                continue
-            try:
-                remainder = stored.decode_remainder(job_id, value)
-            except exceptions.StoredValueError as error:
-                self._log_unreadable(job_id, error)
-                continue
-            self.dispatcher.add_final(job_id, remainder, now)
-
-    def _replace_inbox(self, items: list[interface.Item]) -> None:
-        for item in items:
-            if item.key.startswith(keys.JOB_PREFIX):
-                self._take_job(item)
-        for item in items:
-            if item.key.startswith(keys.CANCEL_PREFIX):
-                self._take_cancel(item)
-
-    def _apply_inbox(self, change: interface.Item | interface.Removed) -> None:
-        if isinstance(change, interface.Removed):
-            return
-        if change.key.startswith(keys.JOB_PREFIX):
-            self._take_job(change)
-        else:
-            self._take_cancel(change)
-        self.changed.set()
-
-    def _take_job(self, item: interface.Item) -> None:
-        job_id = keys.job_id(item.key)
-        if job_id in self.dispatcher.jobs or job_id in self.dispatcher.final:
-            return
-        try:
-            spec = stored.decode_spec(job_id, item.value)
-            value = self.progress.get(job_id)
-            if value is None:
-                progress = progresses.Progress(spec=spec)
-            else:
-                progress = stored.decode_progress(spec, value)
-        except exceptions.StoredValueError as error:
-            self._log_unreadable(job_id, error)
-            return
-        self.dispatcher.add_job(
-            progress, now=self.clock.uptime(), wall=self._wall()
-        )
-
-    def _take_cancel(self, item: interface.Item) -> None:
-        job_id = keys.job_id(item.key)
-        if job_id not in self.dispatcher.jobs:
-            self.stray_cancels.add(item.key)
-            return
-        self.dispatcher.cancel(job_id, self.clock.uptime())
-
-    def _log_unreadable(
-        self, job_id: ids.JobId, error: exceptions.TurmerichookError
-    ) -> None:
-        logs.emit(
-            events.DispatchEvent.JOB_UNREADABLE, job=job_id, error=str(error)
-        )
-
-    def _replace_entries(self, items: list[interface.Item]) -> None:
-        listed = {self.format.worker(item.key) for item in items}
-        for worker in list(self.dispatcher.workers):
-            if worker not in listed:
-                self.dispatcher.remove_entry(worker)
-        for item in items:
-            self._apply_entry(item)
-
-    def _apply_entry(self, change: interface.Item | interface.Removed) -> None:
-        worker_id = self.format.worker(change.key)
-        if isinstance(change, interface.Removed):
-            self.dispatcher.remove_entry(worker_id)
-            self.changed.set()
-            return
-        try:
-            entry = self.format.decode(change.key, change.value)
-        except exceptions.MessageError as error:
-            logs.emit(
-                events.DispatchEvent.ENTRY_UNREADABLE,
-                worker=worker_id,
-                error=str(error),
-            )
-            self.dispatcher.remove_entry(worker_id)
-            return
-        self.dispatcher.set_entry(entry, self.clock.uptime())
-        self._ensure_session(worker_id)
-        self.changed.set()
-
     def _ensure_session(self, worker_id: ids.WorkerId) -> None:
         worker = self.dispatcher.workers[worker_id]
         known = self.sessions.get(worker_id)
@@ -313,10 +174,10 @@
     async def _round(self) -> None:
         now = self.clock.uptime()
         dispatcher = self.dispatcher
-        dispatcher.open_all_due(self._wall(), now)
-        dispatcher.tick(now)
+        dispatcher.open_all_due(self.feeds.wall(), now)
+        dispatcher.watchdog.tick(now)
         if self.term.has_authority():
-            placed = dispatcher.place(now, self._wall(), ROUND_TASKS)
+            placed = dispatcher.place(now, self.feeds.wall(), ROUND_TASKS)
             if placed == ROUND_TASKS:
                 self.changed.set()
         self._send_orders()
@@ -368,8 +229,8 @@
                     )
                 )
                 room -= 1
-        while self.stray_cancels and room > 0:
-            removals.append(self.stray_cancels.pop())
+        while self.feeds.stray_cancels and room > 0:
+            removals.append(self.feeds.stray_cancels.pop())
             room -= 1
         if now - self.cleaned >= CLEANUP_INTERVAL and room > 0:
             self.cleaned = now
@@ -391,16 +252,16 @@
         for order in self.dispatcher.take_orders():
             self._send(order)
 
-    def _send(self, order: dispatchers.Order) -> None:
+    def _send(self, order: decisions.Order) -> None:
         session = self.sessions.get(order.worker)
         if session is None or session.worker.entry is None:
             return
         match order:
-            case dispatchers.StartOrder():
+            case decisions.StartOrder():
                 call = session.start(order)
-            case dispatchers.StopOrder():
+            case decisions.StopOrder():
                 call = session.stop(order)
-            case dispatchers.PaceOrder():
+            case decisions.PaceOrder():
                 call = session.throttle(order)
         session.wake.set()
         self._spawn(call, name="order")
@@ -424,9 +285,6 @@
         )
         self.term.end("failed")
 
-    def _wall(self) -> datetime.timedelta:
-        return datetime.timedelta(seconds=self.clock.now().timestamp())
-
 
 def _save_entries(
     saves: list[jobs.Save],
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/run_book.py
@@ -0,0 +1,140 @@
+"""Jobs, workers and runs that the leader holds, and what ends a run."""
+
+import collections.abc
+import datetime
+
+from turmerichook._internal.dispatch import decisions
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import waiting
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+from turmerichook._internal.workflow import model
+
+# Stands for the step of a run whose job is no longer known.
+STRAY = model.Step(count=1, demand=resources.NOTHING)
+
+
+class RunBook:
+    """State that all parts of the dispatcher share.
+
+    :ivar final: final jobs and our time at which each became durable.
+    :ivar dirty: jobs whose progress must be made durable, in order.
+    :ivar orders: decisions that wait to be sent.
+    """
+
+    def __init__(self):
+        self.jobs: dict[ids.JobId, jobs.Job] = {}
+        self.final: dict[ids.JobId, datetime.timedelta] = {}
+        self.workers: dict[ids.WorkerId, fleet.Worker] = {}
+        self.waiting = waiting.WaitingTasks()
+        self.dirty: dict[ids.JobId, None] = {}
+        self.orders: list[decisions.Order] = []
+
+    def enqueue(
+        self,
+        job: jobs.Job,
+        tasks: collections.abc.Iterable[model.TaskKey],
+        now: datetime.timedelta,
+    ) -> None:
+        """Let tasks wait for a worker."""
+        for task in tasks:
+            record = job.progress.tasks.get(task)
+            last = record.worker if record else ids.WorkerId("")
+            self.waiting.add(job, task, last, now)
+
+    def enqueue_next(
+        self,
+        job: jobs.Job,
+        tasks: collections.abc.Iterable[model.TaskKey],
+        now: datetime.timedelta,
+    ) -> None:
+        """Let tasks wait unless their job is final."""
+        if not job.progress.state.final:
+            self.enqueue(job, tasks, now)
+
+    def fail(self, job: jobs.Job, now: datetime.timedelta) -> None:
+        """Give a job up."""
+        if not job.progress.state.final:
+            job.progress.failed = True
+            self.stop_all(job, now)
+
+    def stop_all(self, job: jobs.Job, now: datetime.timedelta) -> None:
+        """Stop all runs of a job and start no more."""
+        self.waiting.drop(job.spec.job)
+        for task in job.progress.assigned():
+            worker = self.workers.get(job.progress.tasks[task].worker)
+            run = worker.runs.get(task) if worker else None
+            if run is not None:
+                self.stop(worker, run, now, "job-ended")
+
+    def stop(
+        self,
+        worker: fleet.Worker,
+        run: fleet.Run,
+        now: datetime.timedelta,
+        reason: str,
+    ) -> None:
+        """Tell a run to stop, once its start has been settled."""
+        run.wanted = False
+        if run.phase in (fleet.RunPhase.ASSIGNED, fleet.RunPhase.STARTING):
+            # Stopped once it is known what became of the start.
+            return
+        run.phase = fleet.RunPhase.STOPPING
+        run.stop_sent = now
+        run.stop_accepted = False
+        logs.emit(
+            events.DispatchEvent.RUN_STOPPED,
+            job=run.task.job,
+            task=task_text(run.task),
+            run=run.run,
+            worker=worker.worker,
+            reason=reason,
+        )
+        self.orders.append(decisions.StopOrder(worker=worker.worker, run=run))
+
+    def lose(
+        self, worker: fleet.Worker, run: fleet.Run, reason: str, now
+    ) -> None:
+        """Note that a run has certainly ended or never began."""
+        worker.remove(run.task)
+        logs.emit(
+            events.DispatchEvent.RUN_LOST,
+            job=run.task.job,
+            task=task_text(run.task),
+            run=run.run,
+            worker=worker.worker,
+            reason=reason,
+        )
+        job = self.jobs.get(run.task.job)
+        if job is None:
+            return
+        record = job.progress.tasks.get(run.task)
+        if record is not None and record.run == run.run:
+            self.return_task(job, run.task, worker.worker, "", False, now)
+
+    def return_task(
+        self,
+        job: jobs.Job,
+        task: model.TaskKey,
+        worker: ids.WorkerId,
+        checkpoint: str,
+        failed: bool,
+        now: datetime.timedelta,
+    ) -> None:
+        """Let a task whose run has ended start again, or fail its job."""
+        record = job.progress.return_to_queue(
+            task, checkpoint=checkpoint, failed=failed
+        )
+        self.dirty[job.spec.job] = None
+        if failed and record.failures >= job.queue.max_attempts:
+            self.fail(job, now)
+        if not job.progress.state.final:
+            self.waiting.add(job, task, worker, now)
+
+
+def task_text(task: model.TaskKey) -> str:
+    """Return a task's name within its job."""
+    return f"{task.occurrence}.{task.step}.{task.index}"
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -4,6 +4,7 @@
 import datetime
 
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import leadership
@@ -84,7 +85,7 @@
 
     async def _renew(self) -> None:
         worker = self.worker
-        asked = self.dispatcher.next_mark()
+        asked = self.dispatcher.settlement.next_mark()
         acknowledged = worker.acknowledged
         order = orders.Renewal(
             token=self.term.token,
@@ -97,12 +98,16 @@
         except exceptions.WorkerUnreachableError:
             self.failures += 1
             if self.failures >= FAILURES_MAX:
-                self.dispatcher.unreachable(worker, self.clock.uptime())
+                self.dispatcher.settlement.unreachable(
+                    worker, self.clock.uptime()
+                )
             self.changed.set()
             await self.clock.sleep(RETRY_PAUSE)
             return
         except exceptions.IncarnationEndedError:
-            self.dispatcher.incarnation_ended(worker, self.clock.uptime())
+            self.dispatcher.settlement.incarnation_ended(
+                worker, self.clock.uptime()
+            )
             self.changed.set()
             await self.clock.sleep(IDLE_CHECK)
             return
@@ -111,7 +116,7 @@
             return
         self.failures = 0
         self.acknowledged = acknowledged
-        self.dispatcher.take_report(
+        self.dispatcher.settlement.take_report(
             worker, report, asked=asked, now=self.clock.uptime()
         )
         self.changed.set()
@@ -142,7 +147,7 @@
             for run in self.worker.runs.values()
         )
 
-    async def start(self, order: dispatchers.StartOrder) -> None:
+    async def start(self, order: decisions.StartOrder) -> None:
         """Send a start, unless the authority for it has ended."""
         worker, run = self.worker, order.run
         now = self.clock.uptime()
@@ -163,12 +168,12 @@
                     checkpoint=order.checkpoint,
                 ),
             )
-        self.dispatcher.take_start_outcome(
+        self.dispatcher.settlement.take_start_outcome(
             worker, run, outcome, self.clock.uptime()
         )
         self._note(outcome)
 
-    async def stop(self, order: dispatchers.StopOrder) -> None:
+    async def stop(self, order: decisions.StopOrder) -> None:
         """Send a stop."""
         outcome = await self.workers.stop(
             self.worker.entry,
@@ -178,10 +183,12 @@
                 token=self.term.token,
             ),
         )
-        self.dispatcher.take_stop_outcome(self.worker, order.run, outcome)
+        self.dispatcher.settlement.take_stop_outcome(
+            self.worker, order.run, outcome
+        )
         self._note(outcome)
 
-    async def throttle(self, order: dispatchers.PaceOrder) -> None:
+    async def throttle(self, order: decisions.PaceOrder) -> None:
         """Send another pace; a lost one is sent with the next change."""
         outcome = await self.workers.throttle(
             self.worker.entry,
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -0,0 +1,326 @@
+"""What workers answer: reports, outcomes of orders, silence."""
+
+import datetime
+
+from turmerichook._internal.dispatch import decisions
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import interference as interferences
+from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import orders
+from turmerichook._internal.dispatch import pacing
+from turmerichook._internal.dispatch import run_book
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.workflow import model
+
+
+class Settlement:
+    """Finds out what became of each run."""
+
+    def __init__(
+        self,
+        *,
+        book: run_book.RunBook,
+        interference: interferences.Interference,
+    ):
+        self.book = book
+        self.interference = interference
+        # Counts order answers and report requests, to tell which came first.
+        self.mark = 0
+
+    def next_mark(self) -> int:
+        """Return a mark that is later than all before."""
+        self.mark += 1
+        return self.mark
+
+    def take_report(
+        self,
+        worker: fleet.Worker,
+        report: orders.Report,
+        *,
+        asked: int,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take a worker's report.
+
+        :param asked: mark of the moment at which it was asked for.
+        """
+        if not self.check_incarnation(worker, report.incarnation):
+            return
+        worker.read_clock(report, now)
+        worker.looked = True
+        if not worker.reachable:
+            worker.reachable = True
+            logs.emit(
+                events.DispatchEvent.WORKER_REACHED, worker=worker.worker
+            )
+        for end in report.ends:
+            if end.number > worker.seen_end:
+                worker.seen_end = end.number
+                self._take_end(worker, end, now)
+        listed = {(row.task, row.run): row for row in report.running}
+        for row in report.running:
+            self._take_running(worker, row, now)
+        for run in list(worker.runs.values()):
+            if (run.task, run.run) not in listed:
+                self._take_absence(worker, run, asked, now)
+        self._relieve(worker, now)
+
+    def _take_running(
+        self,
+        worker: fleet.Worker,
+        row: orders.RunningRow,
+        now: datetime.timedelta,
+    ) -> None:
+        run = worker.runs.get(row.task)
+        if run is None or run.run != row.run:
+            stray = fleet.Run(
+                task=row.task,
+                run=row.run,
+                step=run_book.STRAY,
+                phase=fleet.RunPhase.STOPPING,
+            )
+            if run is None:
+                worker.add(stray)
+                self.book.stop(worker, stray, now, "not-assigned")
+            return
+        if run.phase in (fleet.RunPhase.STARTING, fleet.RunPhase.UNCERTAIN):
+            if run.wanted:
+                run.phase = fleet.RunPhase.RUNNING
+            else:
+                self.book.stop(worker, run, now, "not-wanted")
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.moved = now
+        run.reading = row.reading
+        job = self.book.jobs.get(row.task.job)
+        if job is not None and row.checkpoint:
+            record = job.progress.tasks.get(row.task)
+            if record is not None and record.run == row.run:
+                record.checkpoint = row.checkpoint
+
+    def _take_absence(
+        self,
+        worker: fleet.Worker,
+        run: fleet.Run,
+        asked: int,
+        now: datetime.timedelta,
+    ) -> None:
+        if asked <= run.settled:
+            return
+        match run.phase:
+            case fleet.RunPhase.RUNNING:
+                self.book.lose(worker, run, "not-listed", now)
+            case fleet.RunPhase.UNCERTAIN:
+                if run.fenced:
+                    self.book.lose(worker, run, "never-started", now)
+                else:
+                    self.book.stop(worker, run, now, "uncertain")
+            case fleet.RunPhase.STOPPING:
+                if run.stop_accepted:
+                    self.book.lose(worker, run, "stopped", now)
+            case _:
+                # Not sent yet, or the answer to the start is under way.
+                pass
+
+    def _take_end(self, worker: fleet.Worker, end: orders.EndRow, now) -> None:
+        run = worker.runs.get(end.task)
+        job = self.book.jobs.get(end.task.job)
+        matched = run is not None and run.run == end.run
+        logs.emit(
+            events.DispatchEvent.RUN_ENDED,
+            job=end.task.job,
+            task=run_book.task_text(end.task),
+            run=end.run,
+            worker=worker.worker,
+            kind=end.kind.value,
+            number=end.number,
+            known=matched,
+        )
+        if not matched:
+            return
+        worker.remove(end.task)
+        if worker.note_end(end.kind, run, now):
+            logs.emit(
+                events.DispatchEvent.WORKER_SUSPECTED,
+                worker=worker.worker,
+                jobs=len(worker.failing),
+            )
+        if job is None:
+            return
+        worker.unsaved.add(end.number)
+        job.unsaved_ends.append(
+            jobs.End(worker.worker, worker.incarnation, end.number)
+        )
+        self.book.dirty[job.spec.job] = None
+        step = job.spec.steps[end.task.step]
+        if end.kind is model.EndKind.DONE and not step.long_running:
+            if step.gang:
+                self._finish_gang(job, end.task, now)
+            else:
+                self.book.enqueue_next(job, job.progress.finish(end.task), now)
+            return
+        failed = end.kind is model.EndKind.FAILED and not step.long_running
+        self.book.return_task(
+            job, end.task, worker.worker, end.checkpoint, failed, now
+        )
+
+    def _finish_gang(
+        self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
+    ) -> None:
+        # One end stands for the ends of all members.
+        ready: list[model.TaskKey] = []
+        for index in range(job.spec.steps[task.step].count):
+            member = task._replace(index=index)
+            record = job.progress.tasks.get(member)
+            if record is not None and record.worker:
+                holder = self.book.workers.get(record.worker)
+                if holder is not None:
+                    holder.remove(member)
+            self.book.waiting.remove(member)
+            ready += job.progress.finish(member)
+        self.book.enqueue_next(job, ready, now)
+
+    def take_start_outcome(
+        self,
+        worker: fleet.Worker,
+        run: fleet.Run,
+        outcome: orders.Outcome,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take the answer to a start."""
+        if worker.runs.get(run.task) is not run:
+            return
+        if run.phase is not fleet.RunPhase.STARTING:
+            # A report or a stop has settled the run meanwhile.
+            return
+        run.settled = self.next_mark()
+        match outcome:
+            case orders.Accepted():
+                run.phase = fleet.RunPhase.RUNNING
+                run.began = run.moved = now
+                if not run.wanted:
+                    self.book.stop(worker, run, now, "not-wanted")
+            case orders.Refused(reason=reason):
+                logs.emit(
+                    events.DispatchEvent.START_REFUSED,
+                    job=run.task.job,
+                    task=run_book.task_text(run.task),
+                    run=run.run,
+                    worker=worker.worker,
+                    reason=reason.value,
+                )
+                if reason is orders.RefusalReason.NO_ROOM:
+                    worker.full_until = now + fleet.FULL_PAUSE
+                elif reason is orders.RefusalReason.NOT_CONNECTED:
+                    self.unreachable(worker, now)
+                elif reason is orders.RefusalReason.UNHEALTHY:
+                    worker.full_until = now + fleet.SUSPENSION
+                self.book.lose(worker, run, f"refused-{reason.value}", now)
+            case orders.Unknown(detail=detail):
+                run.phase = fleet.RunPhase.UNCERTAIN
+                logs.emit(
+                    events.DispatchEvent.START_UNKNOWN,
+                    job=run.task.job,
+                    task=run_book.task_text(run.task),
+                    run=run.run,
+                    worker=worker.worker,
+                    detail=detail,
+                )
+
+    def take_stop_outcome(
+        self,
+        worker: fleet.Worker,
+        run: fleet.Run,
+        outcome: orders.Outcome,
+    ) -> None:
+        """Take the answer to a stop."""
+        if worker.runs.get(run.task) is not run:
+            return
+        match outcome:
+            case orders.Accepted():
+                run.settled = self.next_mark()
+                run.stop_accepted = True
+            case orders.Refused(reason=orders.RefusalReason.OLD_RUN):
+                run.settled = self.next_mark()
+                run.stop_accepted = True
+            case _:
+                # Sent again until it is answered.
+                pass
+
+    def unreachable(
+        self, worker: fleet.Worker, now: datetime.timedelta
+    ) -> None:
+        """Note that a worker gave no answer."""
+        if worker.reachable:
+            worker.reachable = False
+            logs.emit(
+                events.DispatchEvent.WORKER_UNREACHABLE,
+                worker=worker.worker,
+                runs=len(worker.runs),
+                listed=worker.listed,
+            )
+
+    def incarnation_ended(
+        self, worker: fleet.Worker, now: datetime.timedelta
+    ) -> None:
+        """Note that another incarnation answers at a worker's address."""
+        worker.listed = False
+        for run in list(worker.runs.values()):
+            if run.phase is not fleet.RunPhase.ASSIGNED:
+                self.book.lose(worker, run, "incarnation-ended", now)
+
+    def check_incarnation(
+        self, worker: fleet.Worker, incarnation: int
+    ) -> bool:
+        """Note a worker's new life; tell whether the word is not outdated."""
+        if not incarnation or incarnation == worker.incarnation:
+            return True
+        known = worker.incarnation
+        if known and incarnation < known:
+            return False
+        worker.incarnation = incarnation
+        if known:
+            self._restarted(worker)
+        return True
+
+    def _restarted(self, worker: fleet.Worker) -> None:
+        logs.emit(
+            events.DispatchEvent.WORKER_RESTARTED,
+            worker=worker.worker,
+            runs=len(worker.runs),
+        )
+        worker.seen_end = 0
+        worker.unsaved.clear()
+        worker.clock = None
+        worker.lease_until = fleet.ZERO
+        worker.looked = False
+        worker.failing.clear()
+        for run in worker.runs.values():
+            if run.phase is fleet.RunPhase.RUNNING:
+                # The new life may have taken the start; if the next report
+                # does not list the run, it ended with the former life.
+                run.phase = fleet.RunPhase.UNCERTAIN
+                run.fenced = True
+
+    def _relieve(self, worker: fleet.Worker, now: datetime.timedelta) -> None:
+        """Pace the fillers of a worker by the tail latency of its services."""
+        pacing.learn(worker, self.interference, now)
+        paces = pacing.next_paces(worker, self.interference, now)
+        if not paces:
+            return
+        logs.emit(
+            events.DispatchEvent.FILLER_PACED,
+            worker=worker.worker,
+            ratio=round(pacing.worst_ratio(worker), 2),
+            fillers=len(paces),
+            slowest=min(paces.values()),
+            fastest=max(paces.values()),
+        )
+        for run, pace in paces.items():
+            run.pace = pace
+            self.book.orders.append(
+                decisions.PaceOrder(
+                    worker=worker.worker, run=run, percent=pace
+                )
+            )
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -0,0 +1,90 @@
+"""What is due by time alone: repeated stops, stalled runs, ended leases."""
+
+import datetime
+
+from turmerichook._internal.dispatch import decisions
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import run_book
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import deployment
+
+# A stop without an answer is sent again after this time.
+STOP_REPEAT = datetime.timedelta(milliseconds=700)
+# A run whose progress stands still for this long is started elsewhere.
+STALL_LIMIT = datetime.timedelta(seconds=2)
+# Margin for the stop of a run when its worker is about to leave.
+LEAVING_MARGIN = datetime.timedelta(seconds=1)
+
+
+class Watchdog:
+    """Looks after the runs of all workers."""
+
+    def __init__(self, *, book: run_book.RunBook, timing: deployment.Timing):
+        self.book = book
+        self.timing = timing
+
+    def tick(self, now: datetime.timedelta) -> None:
+        """Do what is due: repeat stops, move stalled runs, expire leases."""
+        for worker in list(self.book.workers.values()):
+            if not worker.runs:
+                if not worker.listed and not worker.reachable:
+                    del self.book.workers[worker.worker]
+                continue
+            if not worker.reachable and worker.lapsed_at is not None:
+                if now > worker.lapsed_at + self.timing.stop_timeout:
+                    self._expire(worker, now)
+            self._tick_runs(worker, now)
+
+    def _tick_runs(
+        self, worker: fleet.Worker, now: datetime.timedelta
+    ) -> None:
+        leaving = worker.entry is not None and (
+            worker.entry.state is deployment.WorkerState.DRAINING
+        )
+        for run in list(worker.runs.values()):
+            if run.phase is fleet.RunPhase.STOPPING:
+                if not run.stop_accepted and worker.reachable:
+                    if now - run.stop_sent >= STOP_REPEAT:
+                        run.stop_sent = now
+                        self.book.orders.append(
+                            decisions.StopOrder(worker=worker.worker, run=run)
+                        )
+            elif run.phase is fleet.RunPhase.RUNNING and run.wanted:
+                if leaving and self._must_leave(worker, run, now):
+                    self.book.stop(worker, run, now, "worker-leaves")
+                elif self._stalled(worker, run, now):
+                    self.book.stop(worker, run, now, "stalled")
+
+    def _must_leave(
+        self, worker: fleet.Worker, run: fleet.Run, now: datetime.timedelta
+    ) -> bool:
+        if run.step.long_running:
+            return True
+        if worker.remaining_at is None:
+            return False
+        return now > worker.remaining_at - LEAVING_MARGIN
+
+    def _stalled(
+        self, worker: fleet.Worker, run: fleet.Run, now: datetime.timedelta
+    ) -> bool:
+        if run.step.filler or run.percent >= 100:
+            return False
+        limit = max(STALL_LIMIT, run.step.estimate)
+        return worker.reachable and now - run.moved > limit
+
+    def _expire(self, worker: fleet.Worker, now: datetime.timedelta) -> None:
+        lost = [
+            run
+            for run in worker.runs.values()
+            if run.phase is not fleet.RunPhase.ASSIGNED
+        ]
+        if not lost:
+            return
+        logs.emit(
+            events.DispatchEvent.WORKER_LAPSED,
+            worker=worker.worker,
+            runs=len(lost),
+        )
+        for run in lost:
+            self.book.lose(worker, run, "lapsed", now)
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -10,6 +10,7 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import events as dispatch_events
+from turmerichook._internal.dispatch import feeds
 from turmerichook._internal.dispatch import leader as leaders
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import orders
@@ -50,7 +51,7 @@
     open_storage: collections.abc.Callable[[str], interface.Storage]
     open_workers: collections.abc.Callable[[], orders.Workers]
     call_format: callers.CallFormat
-    registry_format: leaders.RegistryFormat
+    registry_format: feeds.RegistryFormat
     operator_format: operators.OperatorFormat
     ready_path: str
     metrics_path: str
