Let a starving task use room that is kept for another

Two reservations at most, and none against starving tasks. Test: test_small_task_takes_room_kept_for_a_big_one (fails before).

--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -24,6 +24,9 @@
 # without regard to what it slows down. The site's promise is 3 s.
 PATIENCE = datetime.timedelta(seconds=2)
 
+# Workers whose room is kept together at once; more would keep short tasks out.
+RESERVED_MAX = 2
+
 # Gives a task to a worker under a run number.
 Assign = collections.abc.Callable[
     [
@@ -206,6 +209,7 @@
         overdue = self.now - waiting.since > PATIENCE and not any(
             record.worker for record in records.values()
         )
+        starving = waiting.starving(self.now)
         chosen: list[Choice] = []
         for task, last in waiting.tasks.items():
             if len(chosen) == limit:
@@ -217,14 +221,15 @@
                 closed=self.closed,
                 on_worker=counts,
                 last=last,
-                reserved=self.reserved,
+                # What one starving task waits for may be room for another.
+                reserved=() if starving else self.reserved,
                 interference=self.interference,
                 overdue=overdue and not chosen,
                 now=self.now,
             )
             if isinstance(worker, outcomes.Absent):
                 _log_wait(waiting, worker)
-                if waiting.starving(self.now):
+                if starving and len(self.reserved) < RESERVED_MAX:
                     self._keep_room(waiting, counts)
                 break
             counts[worker.worker] += 1
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -12,6 +12,7 @@
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.dispatch import waiting
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
@@ -304,6 +305,28 @@
                         worker.end(task, model.EndKind.DONE)
         assert rig.now - began < 4 * SECOND
 
+    def test_small_task_takes_room_kept_for_a_big_one(self):
+        """Guards against room that nobody may use.
+
+        Seen on batbayar-seam mix --seed 213281775761.
+        """
+        rig = Rig("a")
+        rig.submit(fakes.job("0" * 16, fakes.step(10)))
+        rig.step()
+        for number, cores in ((1, 16), (2, 6)):
+            step = fakes.step(
+                long_running=True,
+                demand=resources.Resources(
+                    millicores=cores * 1000, memory_mib=1000
+                ),
+            )
+            rig.submit(fakes.job(f"{number:016x}", step))
+            rig.advance(waiting.PATIENCE + MS)
+        rig.advance(waiting.PATIENCE)
+        rig.step()
+        running = {task.job for task in rig.workers["a"].running}
+        assert f"{2:016x}" in running
+
 
 class TestCancellation:
     """A canceled job stops and starts nothing more."""
