Round the time left down when it is passed on to an endpoint

By the code, a gateway that takes less than half a millisecond rounds 2.9996 s up to 3.000 s, so that the endpoint gets the whole timeout; the new test shows it (fails before).

--- a/src/turmerichook/_internal/routing/relay.py
+++ b/src/turmerichook/_internal/routing/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 
 from turmerichook._internal.http import client
 from turmerichook._internal.http import heads
@@ -73,6 +74,11 @@
     return headers if len(kept) == len(headers) else kept
 
 
+def _whole_milliseconds(left: float) -> bytes:
+    """Return seconds as text, rounded down but for the last millisecond."""
+    return f"{max(1, math.floor(left * 1000)) / 1000:.3f}".encode()
+
+
 def request_head(
     *,
     head: heads.RequestHead,
@@ -91,7 +97,7 @@
     if not any(key == b"host" for key, _ in headers):
         headers.append((b"host", address.encode()))
     headers += [
-        (requests.TIMEOUT_HEADER, f"{max(left, 0.001):.3f}".encode()),
+        (requests.TIMEOUT_HEADER, _whole_milliseconds(left)),
         (requests.ATTEMPT_HEADER, str(attempt).encode()),
         (EXCHANGE_HEADER, exchange_id),
         (TASK_HEADER, task.encode()),
