Remove work done twice and code without a reader, found in the read-through

- Waiting tasks of a new job were queued twice; restored ones are queued first, newly opened occurrences by their opening alone.
- Keys of old final jobs beyond a commit's room were forgotten in memory but never removed from the store; the limit now applies to both.
- The two store adapters map failed exchanges in one place (storage/failures).
- Run.began and the result of Dispatcher.cancel had no reader.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -86,8 +86,8 @@
         if progress.canceled or progress.failed:
             self.book.stop_all(job, now)
         else:
-            self.open_due(job, wall, now)
             self.book.enqueue(job, progress.waiting(), now)
+            self.open_due(job, wall, now)
 
     def _queue(self, spec: model.JobSpec) -> deployment.Queue:
         found = self.configuration.queue(spec.queue)
@@ -134,16 +134,13 @@
                 if not job.progress.state.final:
                     self.open_due(job, wall, now)
 
-    def cancel(self, job_id: ids.JobId, now: datetime.timedelta) -> bool:
-        """Cancel a job; tell whether it is known."""
+    def cancel(self, job_id: ids.JobId, now: datetime.timedelta) -> None:
+        """Cancel a job that is not final yet."""
         job = self.jobs.get(job_id)
-        if job is None:
-            return job_id in self.final
-        if not job.progress.state.final:
+        if job is not None and not job.progress.state.final:
             job.progress.canceled = True
             self.book.stop_all(job, now)
             self.dirty[job_id] = None
-        return True
 
     # Registry
 
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -59,7 +59,6 @@
     settled: int = 0
     fenced: bool = False
     wanted: bool = True
-    began: datetime.timedelta = ZERO
     percent: int = -1
     moved: datetime.timedelta = ZERO
     reading: int | None = None
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -234,19 +234,19 @@
             room -= 1
         if now - self.cleaned >= CLEANUP_INTERVAL and room > 0:
             self.cleaned = now
-            removals += self._expired(now)[:room]
+            removals += self._expired(now, room)
         return writes, removals
 
-    def _expired(self, now: datetime.timedelta) -> list[str]:
+    def _expired(self, now: datetime.timedelta, most: int) -> list[str]:
         limit = now - self.timing.state_retention * RETENTION_FACTOR
         expired = [
             job_id
             for job_id, since in self.dispatcher.final.items()
             if since < limit
         ]
-        for job_id in expired[: commits.ROOM]:
+        for job_id in expired[:most]:
             del self.dispatcher.final[job_id]
-        return [keys.progress(job_id) for job_id in expired[: commits.ROOM]]
+        return [keys.progress(job_id) for job_id in expired[:most]]
 
     def _send_orders(self) -> None:
         for order in self.dispatcher.take_orders():
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -198,7 +198,7 @@
         match outcome:
             case orders.Accepted():
                 run.phase = fleet.RunPhase.RUNNING
-                run.began = run.moved = now
+                run.moved = now
                 if not run.wanted:
                     self.book.stop(worker, run, now, "not-wanted")
             case orders.Refused(reason=reason):
--- a/src/turmerichook/_internal/platform/store_calls.py
+++ b/src/turmerichook/_internal/platform/store_calls.py
@@ -11,6 +11,7 @@
 from turmerichook._internal.http import calls
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import fields
+from turmerichook._internal.storage import failures
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
 
@@ -132,9 +133,7 @@
                 method="GET", target=target, timeout=timeout
             )
         except exceptions.ExchangeError as error:
-            raise exceptions.StoreUnavailableError(
-                message=f"the store cannot be read: {error.message}",
-            ) from error
+            raise failures.of_read(error) from error
 
     async def _write(
         self, method: str, target: str, document: typing.Any
@@ -149,14 +148,7 @@
                 timeout=CALL_TIMEOUT_S,
             )
         except exceptions.ExchangeError as error:
-            message = f"the store did not confirm: {error.message}"
-            if error.progress is exceptions.Progress.NOTHING_SENT:
-                raise exceptions.StoreUnavailableError(
-                    message=message
-                ) from error
-            raise exceptions.StoreOutcomeUnknownError(
-                message=message
-            ) from error
+            raise failures.of_write(error) from error
 
 
 def _transaction(commit: interface.Commit) -> dict[str, typing.Any]:
--- a/src/turmerichook/_internal/providers/store_http.py
+++ b/src/turmerichook/_internal/providers/store_http.py
@@ -15,6 +15,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
 from turmerichook._internal.providers import store
+from turmerichook._internal.storage import failures
 from turmerichook import exceptions
 
 # Connections for calls that do not wait.
@@ -150,9 +151,7 @@
                 method="GET", target=target, timeout=timeout or self.timeout
             )
         except exceptions.ExchangeError as error:
-            raise exceptions.StoreUnavailableError(
-                message=f"the store cannot be read: {error.message}",
-            ) from error
+            raise failures.of_read(error) from error
 
     async def _write(
         self, method: str, target: str, document: typing.Any
@@ -166,14 +165,7 @@
                 timeout=self.timeout,
             )
         except exceptions.ExchangeError as error:
-            message = f"the store did not confirm: {error.message}"
-            if error.progress is exceptions.Progress.NOTHING_SENT:
-                raise exceptions.StoreUnavailableError(
-                    message=message
-                ) from error
-            raise exceptions.StoreOutcomeUnknownError(
-                message=message
-            ) from error
+            raise failures.of_write(error) from error
 
 
 def _quote(key: str) -> str:
