Ask the advisor for queues whose policy allows only some workers

Cause: jobs of a queue with an advisor never started, which loses every one of them. Starts carry the ticket; without a usable one nothing is placed, and a refused or expired one is asked for again. An advisor that does not answer is asked again each 250 ms; its loss and return are logged.

--- a/src/turmerichook/_internal/dispatch/decisions.py
+++ b/src/turmerichook/_internal/dispatch/decisions.py
@@ -14,6 +14,7 @@
     run: fleet.Run
     payload: str
     checkpoint: ids.CheckpointId
+    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -15,8 +15,10 @@
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import run_book
 from turmerichook._internal.dispatch import settlement
+from turmerichook._internal.dispatch import waiting
 from turmerichook._internal.dispatch import watchdog
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
@@ -200,6 +202,7 @@
         return self.waiting.place(
             workers=self.workers.values(),
             closed=self.closed_zones,
+            approved=lambda step: self._approved(step, now),
             assign=self.assign,
             interference=self.interference,
             now=now,
@@ -207,6 +210,27 @@
             limit=limit,
         )
 
+    def _approved(
+        self, step: waiting.WaitingStep, now: datetime.timedelta
+    ) -> frozenset[ids.WorkerId] | None:
+        if step.job.queue.advisor is None:
+            return None
+        return self.book.advice.approved(step.key, now)
+
+    def next_question(
+        self, now: datetime.timedelta, wall: datetime.timedelta
+    ) -> orders.Question | None:
+        """Return what the advisor is to be asked next, if anything."""
+        if all(queue.advisor is None for queue in self.configuration.queues):
+            return None
+        workers = self.workers.values()
+        return self.book.advice.next_question(
+            steps=self.waiting.by_urgency(workers=workers, now=now, wall=wall),
+            workers=workers,
+            closed=self.closed_zones,
+            now=now,
+        )
+
     def assign(
         self,
         job: jobs.Job,
@@ -281,7 +305,11 @@
                 worker = self.workers.get(worker_id)
                 if worker is None or worker.runs.get(run.task) is not run:
                     continue
-                if not run.wanted or not self._may_start(worker):
+                ticket = self.book.advice.ticket(
+                    run.task.step_key, worker, now
+                )
+                allowed = bool(ticket) or save.job.queue.advisor is None
+                if not (run.wanted and allowed and self._may_start(worker)):
                     self.book.lose(worker, run, "not-sent", now)
                     continue
                 run.phase = fleet.RunPhase.STARTING
@@ -292,6 +320,7 @@
                         run=run,
                         payload=save.job.spec.payload,
                         checkpoint=record.checkpoint,
+                        ticket=ticket,
                     )
                 )
             if save.state.final:
@@ -320,6 +349,7 @@
             return
         self.final[job.spec.job] = now
         self.dirty.pop(job.spec.job, None)
+        self.book.advice.drop(job.spec.job)
         self._note_saved(job.unsaved_ends)
         logs.emit(
             events.DispatchEvent.JOB_ENDED,
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -168,3 +168,18 @@
         level=events.Level.WARNING,
         summary="the new leader cannot read the stored jobs yet",
     )
+    ADVICE_TAKEN = events.Event(
+        number=7050,
+        level=events.Level.INFO,
+        summary="the advisor has named the workers that may run a step",
+    )
+    ADVISOR_LOST = events.Event(
+        number=7051,
+        level=events.Level.WARNING,
+        summary="the advisor gives no usable answer",
+    )
+    ADVISOR_REGAINED = events.Event(
+        number=7052,
+        level=events.Level.INFO,
+        summary="the advisor answers again",
+    )
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -39,6 +39,11 @@
 # it must be readable, in which late copies of a submission are recognised.
 RETENTION_FACTOR = 5
 CLEANUP_INTERVAL = datetime.timedelta(seconds=5)
+# How soon new tasks of an advised queue are noticed, and the pause after a
+# question without an answer.
+ADVICE_PAUSE = datetime.timedelta(milliseconds=50)
+ADVICE_RETRY_PAUSE = datetime.timedelta(milliseconds=250)
+MILLISECOND = datetime.timedelta(milliseconds=1)
 LEASE_MARGIN = datetime.timedelta(seconds=1)
 # Time for orders under way when the term ends.
 HANDOVER_TIME_S = 0.3
@@ -53,6 +58,7 @@
         term: leadership.Term,
         storage: interface.Storage,
         workers: orders.Workers,
+        advisor: orders.Advisor | None = None,
         registry_format: feeds.RegistryFormat,
         configuration: deployment.Configuration,
         closed_zones: collections.abc.Collection[ids.ZoneId],
@@ -63,6 +69,7 @@
         self.term = term
         self.storage = storage
         self.workers = workers
+        self.advisor = advisor
         self.timing = timing
         self.metrics = metrics
         self.clock = clock
@@ -100,6 +107,8 @@
             await self.feeds.recover(self.term)
             self._spawn(self.feeds.inbox.run())
             self._spawn(self.feeds.registry.run())
+            if self.advisor is not None:
+                self._spawn(self._ask_advisor(self.advisor))
             await self._rounds()
         finally:
             await self._close()
@@ -123,6 +132,8 @@
             task.cancel()
         for worker in self.sessions:
             self.workers.forget(worker)
+        if self.advisor is not None:
+            self.advisor.close()
         logs.emit(
             events.DispatchEvent.LEADERSHIP_LOST,
             epoch=self.term.token,
@@ -156,6 +167,39 @@
         self.sessions[worker_id] = session
         self._spawn(session.run())
 
+    async def _ask_advisor(self, advisor: orders.Advisor) -> None:
+        """Ask about one step after the other while tasks wait for it."""
+        reachable = True
+        while True:
+            now = self.clock.uptime()
+            question = self.dispatcher.next_question(now, self.feeds.wall())
+            if question is None:
+                await self.clock.sleep(ADVICE_PAUSE)
+                continue
+            try:
+                advice = await advisor.advise(question)
+            except exceptions.AdvisorUnavailableError as error:
+                if reachable:
+                    logs.emit(
+                        events.DispatchEvent.ADVISOR_LOST, error=str(error)
+                    )
+                reachable = False
+                await self.clock.sleep(ADVICE_RETRY_PAUSE)
+                continue
+            if not reachable:
+                logs.emit(events.DispatchEvent.ADVISOR_REGAINED)
+            reachable = True
+            logs.emit(
+                events.DispatchEvent.ADVICE_TAKEN,
+                job=question.step.job,
+                step=question.step.step,
+                asked=len(question.workers),
+                good=len(advice.tickets),
+                valid_ms=advice.validity // MILLISECOND,
+            )
+            self.dispatcher.book.advice.take(question, advice, now)
+            self.changed.set()
+
     # Rounds
 
     async def _rounds(self) -> None:
--- a/src/turmerichook/_internal/dispatch/orders.py
+++ b/src/turmerichook/_internal/dispatch/orders.py
@@ -143,6 +143,43 @@
     ends: tuple[EndRow, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Question:
+    """What the advisor is asked.
+
+    :param workers: with the incarnation that the answer will hold for.
+    """
+
+    step: model.StepKey
+    workers: dict[ids.WorkerId, int]
+    terms: deployment.AdvisorTerms
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Advice:
+    """The advisor's answer.
+
+    :param tickets: of the workers that may run the step; the others that
+        were asked about may not.
+    """
+
+    tickets: dict[ids.WorkerId, str]
+    validity: datetime.timedelta
+
+
+class Advisor(typing.Protocol):
+    """Tells which workers may run a step."""
+
+    async def advise(self, question: Question) -> Advice:
+        """Return the advice.
+
+        :raises AdvisorUnavailableError: if no usable answer came.
+        """
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 class Workers(typing.Protocol):
     """Calls to workers."""
 
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -41,6 +41,7 @@
     """Why a worker does not get a task."""
 
     NOT_LISTED = "not-listed"
+    NOT_APPROVED = "not-approved"
     OTHER_KIND = "other-kind"
     ZONE_CLOSED = "zone-closed"
     LEAVING = "leaving"
@@ -71,6 +72,7 @@
     service: ids.ServiceId,
     workers: collections.abc.Iterable[fleet.Worker],
     closed: collections.abc.Container[ids.ZoneId],
+    approved: collections.abc.Container[ids.WorkerId] | None,
     on_worker: collections.abc.Mapping[ids.WorkerId, int],
     last: ids.WorkerId,
     reserved: collections.abc.Container[ids.WorkerId],
@@ -81,6 +83,7 @@
     """Return the worker that a task goes to.
 
     :param closed: zones that must get no tasks.
+    :param approved: workers that the step's policy allows; None for all.
     :param on_worker: tasks of the step's occurrence on each worker.
     :param last: worker of the task's last run, which is avoided.
     :param reserved: workers whose room is kept for other tasks.
@@ -90,6 +93,9 @@
     best_score = 0.0
     obstacles: collections.Counter[Obstacle] = collections.Counter()
     for worker in workers:
+        if approved is not None and worker.worker not in approved:
+            obstacles[Obstacle.NOT_APPROVED] += 1
+            continue
         found = _obstacle(worker, step, service, closed, on_worker, now)
         if found is None and worker.worker in reserved and not step.filler:
             found = Obstacle.RESERVED
@@ -120,6 +126,7 @@
     service: ids.ServiceId,
     workers: collections.abc.Iterable[fleet.Worker],
     closed: collections.abc.Container[ids.ZoneId],
+    approved: collections.abc.Container[ids.WorkerId] | None,
     on_worker: collections.abc.Mapping[ids.WorkerId, int],
     reserved: collections.abc.Container[ids.WorkerId],
     now: datetime.timedelta,
@@ -128,6 +135,8 @@
     best: fleet.Worker | None = None
     best_free = 0
     for worker in workers:
+        if approved is not None and worker.worker not in approved:
+            continue
         found = _obstacle(worker, step, service, closed, on_worker, now)
         if found not in SHORTAGES or worker.worker in reserved:
             continue
@@ -140,6 +149,21 @@
     return best
 
 
+def could_run(
+    *,
+    worker: fleet.Worker,
+    step: model.Step,
+    service: ids.ServiceId,
+    closed: collections.abc.Container[ids.ZoneId],
+    now: datetime.timedelta,
+) -> bool:
+    """Tell whether a worker may run a step, now or once it has room."""
+    found = _obstacle(worker, step, service, closed, {}, now)
+    if found is not None and found not in SHORTAGES:
+        return False
+    return step.committed.fits(worker.entry.capacity)
+
+
 def _obstacle(
     worker: fleet.Worker,
     step: model.Step,
@@ -216,7 +240,7 @@
     interference: interferences.Interference,
 ) -> float:
     """Return how bad a worker is for a task."""
-    score = _load(worker)
+    score = load(worker)
     if worker.entry.cold:
         score += COLD_PENALTY
     if step.rack and step.rack != worker.entry.rack:
@@ -251,7 +275,7 @@
     return PACKING_WEIGHT if len(images) == 1 else 2 * MIXED_WEIGHT
 
 
-def _load(worker: fleet.Worker) -> float:
+def load(worker: fleet.Worker) -> float:
     """Return the share of the processors that is asked for."""
     capacity = worker.entry.capacity.millicores or 1
     return (worker.used.millicores + worker.filling) / capacity
--- a/src/turmerichook/_internal/dispatch/run_book.py
+++ b/src/turmerichook/_internal/dispatch/run_book.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 
+from turmerichook._internal.dispatch import advice as advices
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -30,6 +31,7 @@
         self.final: dict[ids.JobId, datetime.timedelta] = {}
         self.workers: dict[ids.WorkerId, fleet.Worker] = {}
         self.waiting = waiting.WaitingTasks()
+        self.advice = advices.AdviceBook()
         self.dirty: dict[ids.JobId, None] = {}
         self.orders: list[decisions.Order] = []
 
@@ -64,6 +66,7 @@
     def stop_all(self, job: jobs.Job, now: datetime.timedelta) -> None:
         """Stop all runs of a job and start no more."""
         self.waiting.drop(job.spec.job)
+        self.advice.drop(job.spec.job)
         for task in job.progress.assigned():
             worker = self.workers.get(job.progress.tasks[task].worker)
             run = worker.runs.get(task) if worker else None
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -166,6 +166,7 @@
                     token=self.term.token,
                     valid_until=worker.grant_lease(now, self.timing.lease_max),
                     checkpoint=order.checkpoint,
+                    ticket=order.ticket,
                 ),
             )
         self.dispatcher.settlement.take_start_outcome(
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -214,6 +214,8 @@
                     worker.full_until = now + fleet.FULL_PAUSE
                 elif reason is orders.RefusalReason.NOT_CONNECTED:
                     self.unreachable(worker, now)
+                elif reason is orders.RefusalReason.NO_TICKET:
+                    self.book.advice.refused(run.task.step_key, worker.worker)
                 elif reason is orders.RefusalReason.UNHEALTHY:
                     worker.full_until = now + fleet.SUSPENSION
                 self.book.lose(worker, run, f"refused-{reason.value}", now)
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -44,12 +44,10 @@
 ]
 
 
-class StepKey(typing.NamedTuple):
-    """Name of one occurrence of a step."""
-
-    job: ids.JobId
-    occurrence: int
-    step: int
+# Returns the workers that a step's policy allows; None if it allows all.
+Approved = collections.abc.Callable[
+    ["WaitingStep"], collections.abc.Container[ids.WorkerId] | None
+]
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -57,7 +55,7 @@
     """The waiting tasks of a step, each with the worker of its last run."""
 
     job: jobs.Job
-    key: StepKey
+    key: model.StepKey
     deadline: datetime.timedelta
     since: datetime.timedelta
     tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
@@ -84,8 +82,9 @@
 
         Long-running tasks give their room back only when their job is
         cancelled, so that short ones of the same priority go first, until the
-        long-running one starves and does not crowd them out. A job that cannot meet its objective any
-        more earns little by coming early, and waits behind those that can.
+        long-running one starves and does not crowd them out. A job that cannot
+        meet its objective any more earns little by coming early, and waits
+        behind those that can.
         """
         late = wall + self.step.estimate > self.deadline
         return (
@@ -101,7 +100,7 @@
     """All tasks that wait for a worker."""
 
     def __init__(self):
-        self.steps: dict[StepKey, WaitingStep] = {}
+        self.steps: dict[model.StepKey, WaitingStep] = {}
 
     def __len__(self) -> int:
         return sum(len(step.tasks) for step in self.steps.values())
@@ -114,7 +113,7 @@
         now: datetime.timedelta,
     ) -> None:
         """Let a task wait."""
-        key = StepKey(task.job, task.occurrence, task.step)
+        key = task.step_key
         found = self.steps.get(key)
         if found is None:
             found = self.steps[key] = WaitingStep(
@@ -127,7 +126,7 @@
 
     def remove(self, task: model.TaskKey) -> None:
         """Let a task wait no longer."""
-        key = StepKey(task.job, task.occurrence, task.step)
+        key = task.step_key
         found = self.steps.get(key)
         if found is not None:
             found.tasks.pop(task, None)
@@ -139,11 +138,26 @@
         for key in [key for key in self.steps if key.job == job]:
             del self.steps[key]
 
+    def by_urgency(
+        self,
+        *,
+        workers: collections.abc.Iterable[fleet.Worker],
+        now: datetime.timedelta,
+        wall: datetime.timedelta,
+    ) -> list[WaitingStep]:
+        """Return the steps with waiting tasks, the most urgent first."""
+        steps = self.steps.values()
+        crowded = any(s.starving(now) for s in steps) and _crowded(workers)
+        return sorted(
+            steps, key=lambda step: step.order(now, wall, crowded=crowded)
+        )
+
     def place(
         self,
         *,
         workers: collections.abc.Collection[fleet.Worker],
         closed: collections.abc.Container[ids.ZoneId],
+        approved: Approved,
         assign: Assign,
         interference: interferences.Interference,
         now: datetime.timedelta,
@@ -154,17 +168,12 @@
         round_ = _Round(
             workers=workers,
             closed=closed,
+            approved=approved,
             interference=interference,
             now=now,
         )
         placed = 0
-        crowded = any(
-            step.starving(now) for step in self.steps.values()
-        ) and _crowded(workers)
-        for waiting in sorted(
-            self.steps.values(),
-            key=lambda step: step.order(now, wall, crowded=crowded),
-        ):
+        for waiting in self.by_urgency(workers=workers, now=now, wall=wall):
             if placed >= limit:
                 break
             if waiting.step.gang:
@@ -192,6 +201,7 @@
 
     workers: collections.abc.Collection[fleet.Worker]
     closed: collections.abc.Container[ids.ZoneId]
+    approved: Approved
     interference: interferences.Interference
     now: datetime.timedelta
     # Workers whose room is being kept together for a starving task.
@@ -217,6 +227,7 @@
         """Choose workers as if each task took its room at once."""
         step = waiting.step
         counts = _tasks_by_worker(waiting)
+        approved = self.approved(waiting)
         records = waiting.job.progress.tasks
         overdue = self.now - waiting.since > PATIENCE and not any(
             record.worker for record in records.values()
@@ -231,6 +242,7 @@
                 service=waiting.job.queue.service,
                 workers=self.workers,
                 closed=self.closed,
+                approved=approved,
                 on_worker=counts,
                 last=last,
                 # What one starving task waits for may be room for another.
@@ -242,7 +254,7 @@
             if isinstance(worker, outcomes.Absent):
                 _log_wait(waiting, worker)
                 if starving and len(self.reserved) < RESERVED_MAX:
-                    self._keep_room(waiting, counts)
+                    self._keep_room(waiting, counts, approved)
                 break
             counts[worker.worker] += 1
             worker.reserve(step)
@@ -254,7 +266,10 @@
         return chosen
 
     def _keep_room(
-        self, waiting: WaitingStep, counts: collections.Counter
+        self,
+        waiting: WaitingStep,
+        counts: collections.Counter,
+        approved: collections.abc.Container[ids.WorkerId] | None,
     ) -> None:
         """Keep others off the worker that will have room first.
 
@@ -265,6 +280,7 @@
             service=waiting.job.queue.service,
             workers=self.workers,
             closed=self.closed,
+            approved=approved,
             on_worker=counts,
             reserved=self.reserved,
             now=self.now,
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -50,6 +50,7 @@
     ]
     open_storage: collections.abc.Callable[[str], interface.Storage]
     open_workers: collections.abc.Callable[[], orders.Workers]
+    open_advisor: collections.abc.Callable[[str], orders.Advisor]
     call_format: callers.CallFormat
     registry_format: feeds.RegistryFormat
     operator_format: operators.OperatorFormat
@@ -203,10 +204,14 @@
         await asyncio.Event().wait()
 
     def _new_leader(self, term: leadership.Term) -> leaders.Leader:
+        advisor = None
+        if self.settings.advisor:
+            advisor = self.adapter.open_advisor(self.settings.advisor)
         return leaders.Leader(
             term=term,
             storage=self.storage,
             workers=self.adapter.open_workers(),
+            advisor=advisor,
             registry_format=self.adapter.registry_format,
             configuration=self.operators.configuration,
             closed_zones=self.operators.closed_zones,
--- a/src/turmerichook/_internal/models/deployment.py
+++ b/src/turmerichook/_internal/models/deployment.py
@@ -55,6 +55,20 @@
     timing: Timing
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdvisorTerms:
+    """How the advisor of a queue answers.
+
+    :param decision: time that an answer takes.
+    :param each_worker: more time for each worker that is asked about.
+    :param validity: how long a ticket is valid.
+    """
+
+    decision: datetime.timedelta
+    each_worker: datetime.timedelta
+    validity: datetime.timedelta
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Queue:
     """Where callers hand jobs in.
@@ -64,7 +78,8 @@
     :param max_attempts: failed runs of one task after which the job fails.
     :param slack_factor: objective in units of the job's longest chain.
     :param latency_objective: added to that.
-    :param advised: whether only workers that the advisor names may be used.
+    :param advisor: terms of the advisor that names the workers that may be
+        used; None if all may.
     """
 
     queue: ids.QueueId
@@ -76,7 +91,7 @@
     slack_factor: float
     latency_objective: datetime.timedelta
     timeout: datetime.timedelta
-    advised: bool = False
+    advisor: AdvisorTerms | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/turmerichook/_internal/platform/adapter.py
+++ b/src/turmerichook/_internal/platform/adapter.py
@@ -4,6 +4,7 @@
 from turmerichook._internal.intake import operators
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.platform import advisor_calls
 from turmerichook._internal.platform import caller_calls
 from turmerichook._internal.platform import documents
 from turmerichook._internal.platform import settings_file
@@ -47,6 +48,9 @@
             address=address
         ),
         open_workers=worker_calls.PlatformWorkers,
+        open_advisor=lambda address: advisor_calls.PlatformAdvisor(
+            address=address
+        ),
         call_format=caller_calls,
         registry_format=RegistryFormat(),
         operator_format=OperatorFormat(),
--- /dev/null
+++ b/src/turmerichook/_internal/platform/advisor_calls.py
@@ -0,0 +1,77 @@
+"""Calls to the service that tells which workers may run a step."""
+
+import datetime
+import json
+
+from turmerichook._internal.dispatch import orders
+from turmerichook._internal.http import addresses
+from turmerichook._internal.http import calls
+from turmerichook._internal.models import ids
+from turmerichook._internal.platform import fields
+from turmerichook import exceptions
+
+CONNECT_TIMEOUT_S = 0.6
+# Time beyond that of the decision itself after which the call has failed.
+ANSWER_MARGIN = datetime.timedelta(seconds=1)
+
+
+class PlatformAdvisor:
+    """An ``orders.Advisor`` over the platform's HTTP call."""
+
+    def __init__(self, *, address: str):
+        host, port = addresses.split(address)
+        self.pool = calls.CallPool(
+            host=host,
+            port=port,
+            # It answers one call at a time to each host.
+            connections=1,
+            connect_timeout=CONNECT_TIMEOUT_S,
+        )
+
+    async def advise(self, question: orders.Question) -> orders.Advice:
+        key, terms = question.step, question.terms
+        document = {
+            "step": f"{key.job}.{key.occurrence}.{key.step}",
+            "workers": list(question.workers),
+        }
+        needed = terms.decision + terms.each_worker * len(question.workers)
+        try:
+            answer = await self.pool.call(
+                method="POST",
+                target="/v1/advise",
+                body=json.dumps(document).encode(),
+                headers=[(b"content-type", b"application/json")],
+                timeout=(needed + ANSWER_MARGIN).total_seconds(),
+            )
+            if answer.status != 200:
+                raise exceptions.MessageError(
+                    message=f"status {answer.status}"
+                )
+            return _advice(fields.parse(answer.body), terms.validity)
+        except (
+            exceptions.ExchangeError,
+            exceptions.MessageError,
+        ) as error:
+            raise exceptions.AdvisorUnavailableError(
+                message=error.message
+            ) from error
+
+    def close(self) -> None:
+        self.pool.close()
+
+
+def _advice(document: dict, validity: datetime.timedelta) -> orders.Advice:
+    tickets: dict[ids.WorkerId, str] = {}
+    for row in fields.listing(document, "good"):
+        if (
+            not isinstance(row, list)
+            or len(row) != 2
+            or not all(isinstance(part, str) for part in row)
+        ):
+            raise exceptions.MessageError(
+                message=f"not a worker with a ticket: {str(row)[:50]}"
+            )
+        tickets[ids.WorkerId(row[0])] = row[1]
+    if "validity-ms" in document:
+        validity = fields.milliseconds(document, "validity-ms")
+    return orders.Advice(tickets=tickets, validity=validity)
--- a/src/turmerichook/_internal/platform/documents.py
+++ b/src/turmerichook/_internal/platform/documents.py
@@ -102,7 +102,19 @@
         timeout=datetime.timedelta(
             milliseconds=fields.number(row, "timeout-ms", 0)
         ),
-        advised="advisor" in row,
+        advisor=_advisor(row),
+    )
+
+
+def _advisor(row: dict[str, typing.Any]) -> deployment.AdvisorTerms | None:
+    if not row.get("advisor"):
+        return None
+    terms = fields.table(row, "advisor")
+    return deployment.AdvisorTerms(
+        decision=fields.milliseconds(terms, "decision-ms", 0),
+        # The "period" is the time that each worker in a question adds.
+        each_worker=fields.milliseconds(terms, "period-ms", 0),
+        validity=fields.milliseconds(terms, "validity-ms"),
     )
 
 
--- a/src/turmerichook/_internal/workflow/model.py
+++ b/src/turmerichook/_internal/workflow/model.py
@@ -44,6 +44,14 @@
     ALONE = "alone"
 
 
+class StepKey(typing.NamedTuple):
+    """Name of one occurrence of a step."""
+
+    job: ids.JobId
+    occurrence: int
+    step: int
+
+
 class TaskKey(typing.NamedTuple):
     """Name of one task.
 
@@ -55,6 +63,11 @@
     step: int
     index: int
 
+    @property
+    def step_key(self) -> StepKey:
+        """Name of the task's step."""
+        return StepKey(self.job, self.occurrence, self.step)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Step:
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -196,6 +196,13 @@
     exit_status = EXIT_UNREACHABLE
 
 
+class AdvisorUnavailableError(TurmerichookError):
+    """The service that names the workers for a step gave no usable answer."""
+
+    reference = "advisor-unavailable"
+    exit_status = EXIT_UNREACHABLE
+
+
 class IncarnationEndedError(TurmerichookError):
     """A worker's incarnation has ended; what ran in it has ended too."""
 
--- a/tests/dispatch/test_leader.py
+++ b/tests/dispatch/test_leader.py
@@ -37,6 +37,8 @@
         self.clock = clocks.SystemClock()
         self.storage = memory.MemoryStorage(clock=self.clock)
         self.workers = fakes.FakeWorkers(*names)
+        self.configuration = fakes.CONFIGURATION
+        self.advisor = None
         for name in names:
             self.storage.put(f"workers/{name}", b"")
 
@@ -56,7 +58,8 @@
             storage=self.storage,
             workers=self.workers,
             registry_format=Registry(),
-            configuration=fakes.CONFIGURATION,
+            configuration=self.configuration,
+            advisor=self.advisor,
             closed_zones=(),
             timing=fakes.TIMING,
             metrics=registry.Registry(),
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -59,6 +59,7 @@
     """Choose among workers with defaults for what is not given."""
     given = {
         "closed": (),
+        "approved": None,
         "on_worker": {},
         "last": ids.WorkerId(""),
         "reserved": (),
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import datetime
+import json
 
 import pytest
 
 from standins import batch_platform
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.http import server as servers
+from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.platform import advisor_calls
 from turmerichook._internal.platform import documents
 from turmerichook._internal.platform import store_calls
 from turmerichook._internal.platform import worker_calls
@@ -222,3 +226,56 @@
                 )
 
         with_worker(test)
+
+
+def advise(status, document):
+    """Ask an advisor that gives one answer; return its and our view."""
+
+    async def scenario():
+        asked = []
+
+        async def answer(exchange):
+            asked.append(json.loads(await exchange.read_all()))
+            await exchange.respond_json(document=document, status=status)
+
+        server = servers.Server(handler=answer)
+        port = await server.start(host="127.0.0.1", port=0)
+        advisor = advisor_calls.PlatformAdvisor(address=f"127.0.0.1:{port}")
+        question = orders.Question(
+            step=TASK.step_key,
+            workers={ids.WorkerId("i-1"): 1, ids.WorkerId("i-2"): 1},
+            terms=deployment.AdvisorTerms(
+                decision=10 * MS, each_worker=MS, validity=2000 * MS
+            ),
+        )
+        try:
+            return await advisor.advise(question), asked
+        finally:
+            advisor.close()
+            await server.stop(grace=0.0)
+
+    return asyncio.run(scenario())
+
+
+class TestAdvisor:
+    """The service that names the workers for a step."""
+
+    def test_tickets(self):
+        """Guards against advice that is not understood."""
+        good = {"good": [["i-2", "c81e"]], "validity-ms": 3000}
+        found, asked = advise(200, good)
+        assert found == orders.Advice(
+            tickets={ids.WorkerId("i-2"): "c81e"}, validity=3000 * MS
+        )
+        assert asked == [
+            {"step": "0" * 16 + ".0.0", "workers": ["i-1", "i-2"]}
+        ]
+
+    @pytest.mark.parametrize(
+        "status, document",
+        [(429, {}), (200, {"good": [["i-2"]]}), (200, {"good": "i-2"})],
+    )
+    def test_unusable_answer(self, status, document):
+        """Guards against a missing answer that forbids all workers."""
+        with pytest.raises(exceptions.AdvisorUnavailableError):
+            advise(status, document)
