--- a/src/turmerichook/_internal/platform/documents.py
+++ b/src/turmerichook/_internal/platform/documents.py
@@ -114,7 +114,8 @@
         decision=fields.milliseconds(terms, "decision-ms", 0),
         # The "period" is the time that each worker in a question adds.
         each_worker=fields.milliseconds(terms, "period-ms", 0),
-        validity=fields.milliseconds(terms, "validity-ms"),
+        # An answer of the advisor names it too.
+        validity=fields.milliseconds(terms, "validity-ms", 0),
     )
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -123,6 +123,25 @@
         assert decoded.find("other.example", "/lohu/1") is None
         assert decoded.services[0].guarded
 
+    def test_queue_with_an_advisor(self):
+        """Guards against a policy that is overlooked."""
+        terms = {"decision-ms": 30, "period-ms": 2, "validity-ms": 3000}
+        decoded = documents.configuration(
+            encode(
+                {
+                    "version": 7,
+                    "routes": [ROUTE, {**ROUTE, "advisor": terms}],
+                    "services": [],
+                    "limits": {"max-body-bytes": 262144},
+                }
+            )
+        )
+        free, advised = decoded.queues
+        assert free.advisor is None
+        assert advised.advisor == deployment.AdvisorTerms(
+            decision=30 * MS, each_worker=2 * MS, validity=3000 * MS
+        )
+
     @pytest.mark.parametrize("value", [b"", b"[]", b'{"version": "7"}'])
     def test_unreadable(self, value):
         """Guards against a crash on a value of another writer."""
