Place jobs that nobody waits for any more last, and reckon with later steps

Cause: under a backlog late jobs went by their objective's time alone, so that those beyond three objectives, which earn nothing, went before younger ones, and a job counted as timely by its next step alone.

--- a/src/turmerichook/_internal/dispatch/jobs.py
+++ b/src/turmerichook/_internal/dispatch/jobs.py
@@ -35,14 +35,15 @@
         """The job as accepted."""
         return self.progress.spec
 
-    def deadline(self, occurrence: int) -> datetime.timedelta:
-        """Return the Unix time of the latency objective."""
+    def deadline(
+        self, occurrence: int, factor: float = 1.0
+    ) -> datetime.timedelta:
+        """Return the Unix time of the latency objective, or a multiple."""
         due = self.spec.accepted
         if self.spec.repetition is not None:
             due = self.spec.repetition.due(occurrence)
-        chain = datetime.timedelta(seconds=self.progress.chain_seconds())
-        slack = chain * self.queue.slack_factor
-        return due + slack + self.queue.latency_objective
+        slack = self.progress.chain() * self.queue.slack_factor
+        return due + factor * (slack + self.queue.latency_objective)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -24,6 +24,9 @@
 # without regard to what it slows down. The site's promise is 3 s.
 PATIENCE = datetime.timedelta(seconds=2)
 
+# Multiple of a job's objective up to which a late result is paid for.
+LATE_FACTOR = 3.0
+
 # Workers whose room is kept together at once; more would keep short tasks out.
 RESERVED_MAX = 2
 
@@ -52,11 +55,17 @@
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class WaitingStep:
-    """The waiting tasks of a step, each with the worker of its last run."""
+    """The waiting tasks of a step, each with the worker of its last run.
+
+    :param useful_until: when a result is worth nothing any more.
+    :param chain: time from the step's start to the job's end.
+    """
 
     job: jobs.Job
     key: model.StepKey
     deadline: datetime.timedelta
+    useful_until: datetime.timedelta
+    chain: datetime.timedelta
     since: datetime.timedelta
     tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
         default_factory=dict
@@ -77,16 +86,17 @@
         wall: datetime.timedelta,
         *,
         crowded: bool,
-    ) -> tuple[int, bool, bool, bool, datetime.timedelta]:
+    ) -> tuple[int, bool, bool, int, datetime.timedelta]:
         """Return the sort key: priority, then the objective's time.
 
         Long-running tasks give their room back only when their job is
         cancelled, so that short ones of the same priority go first, until the
         long-running one starves and does not crowd them out. A job that cannot
         meet its objective any more earns little by coming early, and waits
-        behind those that can.
+        behind those that can; one that is too late for any use comes last.
         """
-        late = wall + self.step.estimate > self.deadline
+        end = wall + self.chain
+        late = (end > self.deadline) + (end > self.useful_until)
         return (
             self.job.queue.priority,
             crowded or not self.starving(now),
@@ -120,6 +130,8 @@
                 job=job,
                 key=key,
                 deadline=job.deadline(task.occurrence),
+                useful_until=job.deadline(task.occurrence, LATE_FACTOR),
+                chain=job.progress.chain_from(task.step),
                 since=now,
             )
         found.tasks[task] = last
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import datetime
 import enum
 
 from turmerichook._internal.models import ids
@@ -147,13 +148,27 @@
             for earlier in self.spec.steps[number].after
         )
 
-    def chain_seconds(self) -> float:
+    def chain_from(self, number: int) -> datetime.timedelta:
+        """Return the estimated run time of the longest chain from a step."""
+        return self._chains()[number]
+
+    def chain(self) -> datetime.timedelta:
         """Return the estimated run time of the longest chain of steps."""
-        ends: list[float] = []
-        for step in self.spec.steps:
-            begin = max((ends[number] for number in step.after), default=0.0)
-            ends.append(begin + step.estimate.total_seconds())
-        return max(ends, default=0.0)
+        return max(self._chains(), default=datetime.timedelta())
+
+    def _chains(self) -> list[datetime.timedelta]:
+        steps = self.spec.steps
+        lengths = [datetime.timedelta()] * len(steps)
+        for first in reversed(range(len(steps))):
+            later = (
+                lengths[other]
+                for other in range(first + 1, len(steps))
+                if first in steps[other].after
+            )
+            lengths[first] = steps[first].estimate + max(
+                later, default=datetime.timedelta()
+            )
+        return lengths
 
     def _is_waiting(self, task: model.TaskKey) -> bool:
         record = self.tasks.get(task)
