Rank workers once for each step, and rest backlogs of fillers between rounds

Each task was compared with each of 246 workers, and each waiting step again in each round. Change: a step's workers are ranked once, and only the chosen one again; a step of fillers that found nothing rests for 150 ms. Also: loads are expected not to stay in a trough, and a slow serving task weighs 2.5 cores of filler work.

--- a/src/turmerichook/_internal/dispatch/interference.py
+++ b/src/turmerichook/_internal/dispatch/interference.py
@@ -42,8 +42,9 @@
 FLOOR_FIRST = 0.2
 MAX_PAIRS = 4096
 # Cores of filler work that a serving task over its target outweighs. A slow
-# task is charged four times over, and its job is worth about as much a core.
-SLOW_TASK_COST = 4.0
+# task of about three cores is charged four times over, and a core of it is
+# worth a fifth of one that runs batch with an objective.
+SLOW_TASK_COST = 2.5
 
 Cores = collections.abc.Mapping[ids.ImageId, float]
 
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -10,6 +10,7 @@
 import collections.abc
 import datetime
 import enum
+import heapq
 
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
@@ -35,6 +36,8 @@
 FILLER_OVERCOMMIT = 1.15
 # Fillers run for seconds, in which the loads beside them change by about this.
 FILL_SPREAD = 0.06
+# Loads rise within a filler's run time, so that a trough is not relied on.
+LOAD_AHEAD = 0.58
 
 
 class Obstacle(enum.Enum):
@@ -66,58 +69,103 @@
 )
 
 
-def choose(
-    *,
-    step: model.Step,
-    service: ids.ServiceId,
-    workers: collections.abc.Iterable[fleet.Worker],
-    closed: collections.abc.Container[ids.ZoneId],
-    approved: collections.abc.Container[ids.WorkerId] | None,
-    on_worker: collections.abc.Mapping[ids.WorkerId, int],
-    last: ids.WorkerId,
-    reserved: collections.abc.Container[ids.WorkerId],
-    interference: interferences.Interference,
-    overdue: bool,
-    now: datetime.timedelta,
-) -> fleet.Worker | outcomes.Absent:
-    """Return the worker that a task goes to.
-
-    :param closed: zones that must get no tasks.
-    :param approved: workers that the step's policy allows; None for all.
-    :param on_worker: tasks of the step's occurrence on each worker.
-    :param last: worker of the task's last run, which is avoided.
-    :param reserved: workers whose room is kept for other tasks.
-    :param overdue: whether the job has waited for too long.
+class Ranking:
+    """Workers for the tasks of one step, the best first.
+
+    The tasks of a step are alike, so that after a choice only the chosen
+    worker is looked at again: with hundreds of workers a look at all of them
+    for each task would take longer than the tasks run.
     """
-    best: fleet.Worker | None = None
-    best_score = 0.0
-    obstacles: collections.Counter[Obstacle] = collections.Counter()
-    for worker in workers:
-        if approved is not None and worker.worker not in approved:
-            obstacles[Obstacle.NOT_APPROVED] += 1
-            continue
-        found = _obstacle(worker, step, service, closed, on_worker, now)
-        if found is None and worker.worker in reserved and not step.filler:
-            found = Obstacle.RESERVED
-        if found is None and step.filler:
-            found = _filler_obstacle(worker, step, interference, overdue)
+
+    def __init__(
+        self,
+        *,
+        step: model.Step,
+        service: ids.ServiceId,
+        workers: collections.abc.Iterable[fleet.Worker],
+        closed: collections.abc.Container[ids.ZoneId],
+        approved: collections.abc.Container[ids.WorkerId] | None,
+        on_worker: collections.abc.Mapping[ids.WorkerId, int],
+        reserved: collections.abc.Container[ids.WorkerId],
+        interference: interferences.Interference,
+        overdue: bool,
+        now: datetime.timedelta,
+    ):
+        """Rank the workers.
+
+        :param closed: zones that must get no tasks.
+        :param approved: workers that the step's policy allows; None for all.
+        :param on_worker: tasks of the step's occurrence on each worker.
+        :param reserved: workers whose room is kept for other tasks.
+        :param overdue: whether the job has waited for too long.
+        """
+        self.step = step
+        self.service = service
+        self.closed = closed
+        self.approved = approved
+        self.on_worker = on_worker
+        self.reserved = reserved
+        self.interference = interference
+        self.overdue = overdue
+        self.now = now
+        self.obstacles: collections.Counter[Obstacle] = collections.Counter()
+        # Score, order among equals, and worker.
+        self.heap: list[tuple[float, int, fleet.Worker]] = []
+        for number, worker in enumerate(workers):
+            self._rank(number, worker)
+        self.taken = 0
+
+    def take(self, last: ids.WorkerId) -> fleet.Worker | outcomes.Absent:
+        """Return the worker that a task goes to, and unrank it.
+
+        :param last: worker of the task's last run, which is avoided.
+        """
+        if not self.heap:
+            return outcomes.Absent(
+                reason=outcomes.Reason.NO_FIT, detail=self._detail()
+            )
+        best = heapq.heappop(self.heap)
+        if best[2].worker == last and self.heap:
+            if best[0] + REPEAT_PENALTY > self.heap[0][0]:
+                best = heapq.heapreplace(self.heap, best)
+        self.taken = best[1]
+        return best[2]
+
+    def put_back(self, worker: fleet.Worker) -> None:
+        """Rank the worker again that was taken last."""
+        self._rank(self.taken, worker)
+
+    def _rank(self, number: int, worker: fleet.Worker) -> None:
+        found = self._obstacle(worker)
         if found is not None:
-            obstacles[found] += 1
-            continue
-        score = _score(worker, step, last, interference)
-        if best is None or score < best_score:
-            best, best_score = worker, score
-    if best is None:
-        return outcomes.Absent(
-            reason=outcomes.Reason.NO_FIT,
-            detail=",".join(
-                f"{obstacle.value}:{count}"
-                for obstacle, count in sorted(
-                    obstacles.items(), key=lambda item: item[0].value
-                )
-            ),
+            self.obstacles[found] += 1
+            return
+        score = _score(worker, self.step, self.interference)
+        heapq.heappush(self.heap, (score, number, worker))
+
+    def _obstacle(self, worker: fleet.Worker) -> Obstacle | None:
+        step = self.step
+        if self.approved is not None and worker.worker not in self.approved:
+            return Obstacle.NOT_APPROVED
+        found = _obstacle(
+            worker, step, self.service, self.closed, self.on_worker, self.now
+        )
+        if found is None and not step.filler:
+            if worker.worker in self.reserved:
+                return Obstacle.RESERVED
+        if found is None and step.filler:
+            return _filler_obstacle(
+                worker, step, self.interference, self.overdue
+            )
+        return found
+
+    def _detail(self) -> str:
+        return ",".join(
+            f"{obstacle.value}:{count}"
+            for obstacle, count in sorted(
+                self.obstacles.items(), key=lambda item: item[0].value
+            )
         )
-    return best
 
 
 def roomiest(
@@ -236,7 +284,6 @@
 def _score(
     worker: fleet.Worker,
     step: model.Step,
-    last: ids.WorkerId,
     interference: interferences.Interference,
 ) -> float:
     """Return how bad a worker is for a task."""
@@ -245,8 +292,6 @@
         score += COLD_PENALTY
     if step.rack and step.rack != worker.entry.rack:
         score += WRONG_RACK_PENALTY
-    if worker.worker == last:
-        score += REPEAT_PENALTY
     if step.filler:
         score += HARM_WEIGHT * _harm(worker, step, interference)
     elif step.latency_target:
@@ -321,7 +366,7 @@
         coefficient = interference.coefficient(image, step.image)
         load = interferences.LOAD_MEAN
         if run.load is not None:
-            load = run.load.mean
+            load = max(run.load.mean, LOAD_AHEAD)
         limit = interference.pressure(image, target, target)
         excess = load + interference.added(image, cores) - limit
         cost += coefficient * interferences.marginal_cost(excess, FILL_SPREAD)
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -27,6 +27,10 @@
 # Multiple of a job's objective up to which a late result is paid for.
 LATE_FACTOR = 3.0
 
+# A step of fillers that no worker could take is not tried again before. A
+# backlog tried against hundreds of workers each round would fill a processor.
+BLOCKED_PAUSE = datetime.timedelta(milliseconds=150)
+
 # Workers whose room is kept together at once; more would keep short tasks out.
 RESERVED_MAX = 2
 
@@ -67,6 +71,7 @@
     useful_until: datetime.timedelta
     chain: datetime.timedelta
     since: datetime.timedelta
+    blocked_until: datetime.timedelta = fleet.ZERO
     tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
         default_factory=dict
     )
@@ -188,6 +193,8 @@
         for waiting in self.by_urgency(workers=workers, now=now, wall=wall):
             if placed >= limit:
                 break
+            if waiting.step.filler and now < waiting.blocked_until:
+                continue
             if waiting.step.gang:
                 chosen = round_.choose_gang(waiting)
             else:
@@ -246,25 +253,28 @@
         )
         starving = waiting.starving(self.now)
         chosen: list[Choice] = []
+        ranking: placement.Ranking | None = None
         for task, last in waiting.tasks.items():
             if len(chosen) == limit:
                 break
-            worker = placement.choose(
-                step=step,
-                service=waiting.job.queue.service,
-                workers=self.workers,
-                closed=self.closed,
-                approved=approved,
-                on_worker=counts,
-                last=last,
-                # What one starving task waits for may be room for another.
-                reserved=() if starving else self.reserved,
-                interference=self.interference,
-                overdue=overdue and not chosen,
-                now=self.now,
-            )
+            if ranking is None:
+                ranking = placement.Ranking(
+                    step=step,
+                    service=waiting.job.queue.service,
+                    workers=self.workers,
+                    closed=self.closed,
+                    approved=approved,
+                    on_worker=counts,
+                    # What a starving task waits for may be room for another.
+                    reserved=() if starving else self.reserved,
+                    interference=self.interference,
+                    overdue=overdue,
+                    now=self.now,
+                )
+            worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
                 _log_wait(waiting, worker)
+                waiting.blocked_until = self.now + BLOCKED_PAUSE
                 if starving and len(self.reserved) < RESERVED_MAX:
                     self._keep_room(waiting, counts, approved)
                 break
@@ -273,6 +283,11 @@
             record = records.get(task)
             run = ids.Attempt(record.run + 1 if record else 1)
             chosen.append(Choice(task, worker, run))
+            if overdue:
+                # Only one task of an overdue job goes wherever there is room.
+                overdue, ranking = False, None
+            else:
+                ranking.put_back(worker)
         for choice in chosen:
             choice.worker.release(step)
         return chosen
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -68,9 +68,11 @@
         "now": NOW,
         **fields,
     }
-    return placement.choose(
+    last = given.pop("last")
+    ranking = placement.Ranking(
         step=step, service=fakes.SERVICE, workers=workers, **given
     )
+    return ranking.take(last)
 
 
 def model_of(**coefficients):
@@ -233,3 +235,54 @@
         ]
         assert choose(serving("other"), workers).worker == "b"
         assert choose(serving("front"), workers).worker == "a"
+
+
+class Counted:
+    """Closed zones, none, that count how often they are asked for."""
+
+    def __init__(self):
+        self.asked = 0
+
+    def __contains__(self, zone):
+        self.asked += 1
+        return False
+
+
+class TestManyWorkers:
+    """Pattern: wide steps and hundreds of workers."""
+
+    def test_looks_at_workers_grow_with_the_step_not_with_their_product(self):
+        """Guards against a leader that is busy with choices alone.
+
+        Seen on dzwon-ops-grown, 246 workers: all 8 hunted days broke rules.
+        """
+        closed = Counted()
+        workers = [worker(str(number)) for number in range(300)]
+        step = fakes.step(40)
+        ranking = placement.Ranking(
+            step=step,
+            service=fakes.SERVICE,
+            workers=workers,
+            closed=closed,
+            approved=None,
+            on_worker={},
+            reserved=(),
+            interference=interference.Interference(),
+            overdue=False,
+            now=NOW,
+        )
+        chosen = []
+        for _ in range(40):
+            found = ranking.take(ids.WorkerId(""))
+            found.reserve(step)
+            ranking.put_back(found)
+            chosen.append(found)
+        assert len(set(chosen)) == 40
+        assert closed.asked <= 300 + 40
+
+    def test_worker_of_the_last_run_is_avoided(self):
+        """Guards against a task that fails again and again in one place."""
+        workers = [worker("a"), worker("b", fakes.step(1))]
+        last = ids.WorkerId("a")
+        assert choose(fakes.step(1), workers, last=last).worker == "b"
+        assert choose(fakes.step(1), workers[:1], last=last).worker == "a"
