Let hosts with less than one processor claim the leader's lease later

Ruled out: store calls (not refused) and placement alone (ranked once for each step before this). Change: a claim waits longer where the settings give less than a processor.

--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -23,6 +23,10 @@
 RETRY_PAUSE = datetime.timedelta(milliseconds=400)
 # Candidates claim after a random part of this, so that few collide.
 CLAIM_SPREAD_S = 0.08
+# Longer pause for a host that has half a processor. All hosts of a site start
+# within 0.3 s.
+SMALL_HOST_DELAY_S = 0.5
+PROCESSORS_MIN = 0.1
 
 
 class Term:
@@ -76,18 +80,20 @@
         storage: interface.Storage,
         clock: clocks.Clock,
         draw: random.Random,
+        processors: float = 1.0,
     ):
         self.node = node
         self.storage = storage
         self.clock = clock
         self.draw = draw
+        self.processors = processors
 
     async def win(self) -> Term:
         """Return once this process is the leader."""
         while True:
             try:
                 await self._wait_for_vacancy()
-                await asyncio.sleep(self.draw.random() * CLAIM_SPREAD_S)
+                await asyncio.sleep(self._claim_delay())
                 term = await self._claim()
             except exceptions.TurmerichookError as error:
                 logs.emit(events.DispatchEvent.CLAIM_FAILED, error=str(error))
@@ -96,6 +102,16 @@
             if term is not None:
                 return term
 
+    def _claim_delay(self) -> float:
+        """Return the pause before a claim in seconds.
+
+        A leader of hundreds of workers needs a whole processor, so that
+        hosts with less come after those that have one.
+        """
+        lacking = max(0.0, 1.0 / max(self.processors, PROCESSORS_MIN) - 1.0)
+        spread = self.draw.random() * CLAIM_SPREAD_S
+        return spread + lacking * SMALL_HOST_DELAY_S
+
     async def _wait_for_vacancy(self) -> None:
         page = await self.storage.page(keys.LEADER_PREFIX)
         revision = page.revision
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -179,6 +179,7 @@
             storage=self.storage,
             clock=self.clock,
             draw=random.Random(self.settings.node),
+            processors=self.settings.processors,
         )
         while not self.stopping.is_set():
             await self.operators.known.wait()
--- a/src/turmerichook/_internal/models/deployment.py
+++ b/src/turmerichook/_internal/models/deployment.py
@@ -40,6 +40,7 @@
     :param admin_listen: for metrics, or empty.
     :param advisor: of the service that tells which workers may run a step,
         or empty.
+    :param processors: that the process may use.
     """
 
     node: ids.NodeId
@@ -53,6 +54,7 @@
     admin_listen: str
     lease_ttl_min: datetime.timedelta
     timing: Timing
+    processors: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/turmerichook/_internal/platform/settings_file.py
+++ b/src/turmerichook/_internal/platform/settings_file.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform lays beside each process."""
 
 import datetime
+import math
 import pathlib
 import tomllib
 import typing
@@ -44,6 +45,7 @@
         listen=_address(document, "bind-addresses.http"),
         health_listen=_address(document, "bind-addresses.readiness"),
         admin_listen=_optional_address(document, "bind-addresses.admin"),
+        processors=_processors(document),
         lease_ttl_min=_milliseconds(document, "platform.ttl-min-ms"),
         timing=deployment.Timing(
             # "hold" is the platform's word for the lease of running tasks.
@@ -107,6 +109,14 @@
     return found
 
 
+def _processors(document: dict[str, typing.Any]) -> float:
+    # The quota is the share of each of the host's cores.
+    keys = ("limits.cpu-quota", "limits.cpu-cores")
+    if any(_find(document, key) is None for key in keys):
+        return 1.0
+    return math.prod(_number(document, key) for key in keys)
+
+
 def _milliseconds(
     document: dict[str, typing.Any], key: str
 ) -> datetime.timedelta:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -96,6 +96,13 @@
         with pytest.raises(exceptions.SettingsError):
             settings_file.parse({**SETTINGS, key: value})
 
+    def test_processors(self):
+        """Guards against a small host that leads like a large one."""
+        limits = {"cpu-quota": 0.5, "cpu-cores": 3}
+        found = settings_file.parse({**SETTINGS, "limits": limits})
+        assert found.processors == 1.5
+        assert settings_file.parse(SETTINGS).processors == 1.0
+
     def test_missing_file(self, tmp_path):
         """Guards against an untyped error at start."""
         with pytest.raises(exceptions.SettingsError):
