--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -9,11 +9,12 @@
 import collections
 import collections.abc
 import datetime
-import enum
 import heapq
 
+from turmerichook._internal.dispatch import filling
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
+from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
@@ -23,50 +24,10 @@
 COLD_PENALTY = 0.5
 WRONG_RACK_PENALTY = 1.0
 REPEAT_PENALTY = 2.0
-# Weight of what a filler costs the serving tasks beside it.
-HARM_WEIGHT = 1.0
 # Weight of packing serving tasks of one image onto few workers, and of
 # leaving a worker with several images as it is.
 PACKING_WEIGHT = 3.0
 MIXED_WEIGHT = 1.0
-# Share of its declared processors that a serving task uses on average.
-SERVING_USE = 0.5
-# Fillers seldom use all that they ask for, so that somewhat more may be placed
-# than would fit.
-FILLER_OVERCOMMIT = 1.15
-# Fillers run for seconds, in which the loads beside them change by about this.
-FILL_SPREAD = 0.06
-# Loads rise within a filler's run time, so that a trough is not relied on.
-LOAD_AHEAD = 0.58
-
-
-class Obstacle(enum.Enum):
-    """Why a worker does not get a task."""
-
-    NOT_LISTED = "not-listed"
-    NOT_APPROVED = "not-approved"
-    OTHER_KIND = "other-kind"
-    ZONE_CLOSED = "zone-closed"
-    LEAVING = "leaving"
-    OUT_OF_REACH = "out-of-reach"
-    HAS_REFUSED = "has-refused"
-    SUSPECTED = "suspected"
-    ENOUGH_OF_STEP = "enough-of-step"
-    RESERVED = "reserved"
-    NO_PROCESSORS = "no-processors"
-    NO_MEMORY = "no-memory"
-    NO_ACCELERATORS = "no-accelerators"
-    NO_IDLE_PROCESSORS = "no-idle-processors"
-    SLOWS_SERVICES = "slows-services"
-
-
-SHORTAGES = frozenset(
-    (
-        Obstacle.NO_PROCESSORS,
-        Obstacle.NO_MEMORY,
-        Obstacle.NO_ACCELERATORS,
-    )
-)
 
 
 class Ranking:
@@ -108,7 +69,9 @@
         self.interference = interference
         self.overdue = overdue
         self.now = now
-        self.obstacles: collections.Counter[Obstacle] = collections.Counter()
+        self.obstacles: collections.Counter[obstacles.Obstacle] = (
+            collections.Counter()
+        )
         # Score, order among equals, and worker.
         self.heap: list[tuple[float, int, fleet.Worker]] = []
         for number, worker in enumerate(workers):
@@ -143,18 +106,18 @@
         score = _score(worker, self.step, self.interference)
         heapq.heappush(self.heap, (score, number, worker))
 
-    def _obstacle(self, worker: fleet.Worker) -> Obstacle | None:
+    def _obstacle(self, worker: fleet.Worker) -> obstacles.Obstacle | None:
         step = self.step
         if self.approved is not None and worker.worker not in self.approved:
-            return Obstacle.NOT_APPROVED
+            return obstacles.Obstacle.NOT_APPROVED
         found = _obstacle(
             worker, step, self.service, self.closed, self.on_worker, self.now
         )
         if found is None and not step.filler:
             if worker.worker in self.reserved:
-                return Obstacle.RESERVED
+                return obstacles.Obstacle.RESERVED
         if found is None and step.filler:
-            return _filler_obstacle(
+            return filling.obstacle(
                 worker, step, self.interference, self.overdue
             )
         return found
@@ -186,7 +149,7 @@
         if approved is not None and worker.worker not in approved:
             continue
         found = _obstacle(worker, step, service, closed, on_worker, now)
-        if found not in SHORTAGES or worker.worker in reserved:
+        if found not in obstacles.SHORTAGES or worker.worker in reserved:
             continue
         if not step.committed.fits(worker.entry.capacity):
             continue
@@ -207,7 +170,7 @@
 ) -> bool:
     """Tell whether a worker may run a step, now or once it has room."""
     found = _obstacle(worker, step, service, closed, {}, now)
-    if found is not None and found not in SHORTAGES:
+    if found is not None and found not in obstacles.SHORTAGES:
         return False
     return step.committed.fits(worker.entry.capacity)
 
@@ -219,65 +182,45 @@
     closed: collections.abc.Container[ids.ZoneId],
     on_worker: collections.abc.Mapping[ids.WorkerId, int],
     now: datetime.timedelta,
-) -> Obstacle | None:
+) -> obstacles.Obstacle | None:
     """Return why a worker must not get a task of a step, if it must not."""
     entry = worker.entry
     if entry is None or not worker.listed:
-        return Obstacle.NOT_LISTED
+        return obstacles.Obstacle.NOT_LISTED
     if entry.service != service or (
         step.label and step.label not in entry.labels
     ):
-        return Obstacle.OTHER_KIND
+        return obstacles.Obstacle.OTHER_KIND
     if entry.zone in closed:
-        return Obstacle.ZONE_CLOSED
+        return obstacles.Obstacle.ZONE_CLOSED
     if entry.state is not deployment.WorkerState.READY:
-        return Obstacle.LEAVING
+        return obstacles.Obstacle.LEAVING
     if not worker.looked or not worker.reachable:
-        return Obstacle.OUT_OF_REACH
+        return obstacles.Obstacle.OUT_OF_REACH
     if now < worker.full_until:
-        return Obstacle.HAS_REFUSED
+        return obstacles.Obstacle.HAS_REFUSED
     if len(worker.failing) >= fleet.SUSPECT_FAILURES:
         # After the suspension one task at a time shows whether it recovered.
         if now < worker.suspended_until or worker.runs:
-            return Obstacle.SUSPECTED
+            return obstacles.Obstacle.SUSPECTED
     limit = step.max_per_worker
     if limit and on_worker.get(worker.worker, 0) >= limit:
-        return Obstacle.ENOUGH_OF_STEP
+        return obstacles.Obstacle.ENOUGH_OF_STEP
     return _shortage(worker, step)
 
 
-def _shortage(worker: fleet.Worker, step: model.Step) -> Obstacle | None:
+def _shortage(
+    worker: fleet.Worker, step: model.Step
+) -> obstacles.Obstacle | None:
     """Return what a worker has too little of for a task."""
     wanted = worker.used.plus(step.committed)
     capacity = worker.entry.capacity
     if wanted.millicores > capacity.millicores:
-        return Obstacle.NO_PROCESSORS
+        return obstacles.Obstacle.NO_PROCESSORS
     if wanted.memory_mib > capacity.memory_mib:
-        return Obstacle.NO_MEMORY
+        return obstacles.Obstacle.NO_MEMORY
     if wanted.accelerators > capacity.accelerators:
-        return Obstacle.NO_ACCELERATORS
-    return None
-
-
-def _filler_obstacle(
-    worker: fleet.Worker,
-    step: model.Step,
-    interference: interferences.Interference,
-    overdue: bool,
-) -> Obstacle | None:
-    """Return why a worker must not get one more filler.
-
-    One whose job would stand still otherwise goes anywhere but to services
-    that are slow already: its pace follows what it does there.
-    """
-    if worker.hot_since is not None:
-        return Obstacle.SLOWS_SERVICES
-    if overdue:
-        return None
-    if step.demand.millicores > _unused(worker):
-        return Obstacle.NO_IDLE_PROCESSORS
-    if _harm(worker, step, interference) > 1.0:
-        return Obstacle.SLOWS_SERVICES
+        return obstacles.Obstacle.NO_ACCELERATORS
     return None
 
 
@@ -293,7 +236,7 @@
     if step.rack and step.rack != worker.entry.rack:
         score += WRONG_RACK_PENALTY
     if step.filler:
-        score += HARM_WEIGHT * _harm(worker, step, interference)
+        score += filling.harm(worker, step, interference)
     elif step.latency_target:
         score += _mixture(worker, step)
     return score
@@ -324,50 +267,3 @@
     """Return the share of the processors that is asked for."""
     capacity = worker.entry.capacity.millicores or 1
     return (worker.used.millicores + worker.filling) / capacity
-
-
-def _unused(worker: fleet.Worker) -> float:
-    """Return the processors that more fillers would get, in thousandths."""
-    serving = sum(
-        run.step.demand.millicores
-        for run in worker.runs.values()
-        if run.step.latency_target
-    )
-    used = worker.used.millicores - serving * (1 - SERVING_USE)
-    idle = worker.entry.capacity.millicores - used
-    slowed = sum(
-        run.step.demand.millicores * (100 - run.pace) / 100
-        for run in worker.runs.values()
-        if run.step.filler
-    )
-    return idle * FILLER_OVERCOMMIT - worker.filling + slowed
-
-
-def _harm(
-    worker: fleet.Worker,
-    step: model.Step,
-    interference: interferences.Interference,
-) -> float:
-    """Return what a filler costs the serving tasks beside it.
-
-    :returns: the cost of a core of the filler, in units of its own worth.
-    """
-    cores: dict[ids.ImageId, float] = collections.defaultdict(float)
-    cores[step.image] = step.demand.millicores / 1000
-    for run in worker.runs.values():
-        if run.step.filler:
-            cores[run.step.image] += run.full_use / 1000
-    cost = 0.0
-    for run in worker.runs.values():
-        target = run.step.latency_target
-        if not target:
-            continue
-        image = run.step.image
-        coefficient = interference.coefficient(image, step.image)
-        load = interferences.LOAD_MEAN
-        if run.load is not None:
-            load = max(run.load.mean, LOAD_AHEAD)
-        limit = interference.pressure(image, target, target)
-        excess = load + interference.added(image, cores) - limit
-        cost += coefficient * interferences.marginal_cost(excess, FILL_SPREAD)
-    return cost
