Let the job of the operator's scenario outlive the start of commands

Cause: the job ran for 1 s, and the command came later. Shown by a pause of 3 s after the submission: the same 10 steps pass and the 11th reads 'none'. With a run time of 6 s the scenario passes with that pause too. No step is dropped.

--- a/features/steps/operator.py
+++ b/features/steps/operator.py
@@ -119,7 +119,9 @@
     file = context.folder / "job.toml"
     file.write_text(
         f"id = '{name}'\nteam = 'desks'\ntasks = 2\ncores = 1\n"
-        "run_time_s = 1\nzones = ['a']\n"
+        # Commands take seconds to start on a busy machine, and the job is
+        # listed as accepted only until it ends.
+        "run_time_s = 6\nzones = ['a']\n"
     )
     run(context, "jobs", "submit", str(file))
 
