Judge workers by one set of conditions, and weigh a filler's harm once

Found in the read-through. The six conditions of a step were passed on one by one to three functions, each with the advisor's approval as a case of its own; they are one data class now, and the approval is an obstacle like the others. The harm of a filler was worked out twice for each worker, for the obstacle and for the score, and the price of pressure on a service once for each filler; both are worked out once. Loops over serving runs and fillers that pacing, placement and filling wrote each for themselves are methods of the worker. A method that only called another is gone.

--- a/src/turmerichook/_internal/dispatch/advice.py
+++ b/src/turmerichook/_internal/dispatch/advice.py
@@ -10,6 +10,7 @@
 import datetime
 
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import placement
 from turmerichook._internal.dispatch import waiting
@@ -83,17 +84,19 @@
             if terms is None:
                 continue
             known = self.opinions.get(step.key, {})
+            conditions = obstacles.Conditions(
+                step=step.step,
+                service=step.job.queue.service,
+                closed=closed,
+                approved=None,
+                on_worker={},
+                now=now,
+            )
             asked = [
                 worker
                 for worker in workers
                 if _worth_asking(known.get(worker.worker), worker, now)
-                and placement.could_run(
-                    worker=worker,
-                    step=step.step,
-                    service=step.job.queue.service,
-                    closed=closed,
-                    now=now,
-                )
+                and conditions.allow(worker)
             ]
             if asked:
                 asked.sort(key=placement.load)
--- a/src/turmerichook/_internal/dispatch/filling.py
+++ b/src/turmerichook/_internal/dispatch/filling.py
@@ -27,12 +27,9 @@
 
 
 def obstacle(
-    worker: fleet.Worker,
-    step: model.Step,
-    interference: interferences.Interference,
-    overdue: bool,
+    worker: fleet.Worker, step: model.Step, overdue: bool
 ) -> obstacles.Obstacle | None:
-    """Return why a worker must not get one more filler.
+    """Return why a worker must not get one more filler, harm apart.
 
     One whose job would stand still otherwise goes anywhere but to services
     that are slow already: its pace follows what it does there.
@@ -43,24 +40,17 @@
         return None
     if step.demand.millicores > _unused(worker):
         return obstacles.Obstacle.NO_IDLE_PROCESSORS
-    if harm(worker, step, interference) > HARM_MAX:
-        return obstacles.Obstacle.SLOWS_SERVICES
     return None
 
 
 def _unused(worker: fleet.Worker) -> float:
     """Return the processors that more fillers would get, in thousandths."""
-    serving = sum(
-        run.step.demand.millicores
-        for run in worker.runs.values()
-        if run.step.latency_target
-    )
+    serving = sum(run.step.demand.millicores for run in worker.serving())
     used = worker.used.millicores - serving * (1 - SERVING_USE)
     idle = worker.entry.capacity.millicores - used
     slowed = sum(
         run.step.demand.millicores * (100 - run.pace) / 100
-        for run in worker.runs.values()
-        if run.step.filler
+        for run in worker.fillers()
     )
     return idle * FILLER_OVERCOMMIT - worker.filling + slowed
 
@@ -76,14 +66,11 @@
     """
     cores: dict[ids.ImageId, float] = collections.defaultdict(float)
     cores[step.image] = step.demand.millicores / 1000
-    for run in worker.runs.values():
-        if run.step.filler:
-            cores[run.step.image] += run.full_use / 1000
+    for run in worker.fillers():
+        cores[run.step.image] += run.full_use / 1000
     cost = 0.0
-    for run in worker.runs.values():
+    for run in worker.serving():
         target = run.step.latency_target
-        if not target:
-            continue
         image = run.step.image
         coefficient = interference.coefficient(image, step.image)
         load = interferences.LOAD_MEAN
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -1,5 +1,6 @@
 """What the leader believes of each worker: its runs, clock and health."""
 
+import collections.abc
 import dataclasses
 import datetime
 import enum
@@ -131,6 +132,14 @@
         self.release(run.step)
         return run
 
+    def serving(self) -> collections.abc.Iterator[Run]:
+        """Return the runs that have a latency target."""
+        return (r for r in self.runs.values() if r.step.latency_target)
+
+    def fillers(self) -> collections.abc.Iterator[Run]:
+        """Return the runs that take what processors the others leave."""
+        return (r for r in self.runs.values() if r.step.filler)
+
     def reserve(self, step: model.Step) -> None:
         """Count what a task of a step takes."""
         self.used = self.used.plus(step.committed)
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -1,7 +1,15 @@
 """Reasons why a worker does not get a task."""
 
+import collections.abc
+import dataclasses
+import datetime
 import enum
 
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import model
+
 
 class Obstacle(enum.Enum):
     """Why a worker does not get a task."""
@@ -30,3 +38,72 @@
         Obstacle.NO_ACCELERATORS,
     )
 )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Conditions:
+    """Where the tasks of one step may go.
+
+    :param closed: zones that must get no tasks.
+    :param approved: workers that the step's policy allows; None for all.
+    :param on_worker: tasks of the step's occurrence on each worker.
+    """
+
+    step: model.Step
+    service: ids.ServiceId
+    closed: collections.abc.Container[ids.ZoneId]
+    approved: collections.abc.Container[ids.WorkerId] | None
+    on_worker: collections.abc.Mapping[ids.WorkerId, int]
+    now: datetime.timedelta
+
+    def obstacle(self, worker: fleet.Worker) -> Obstacle | None:
+        """Return why a worker must not get a task, if it must not."""
+        entry, step = worker.entry, self.step
+        if self.approved is not None and worker.worker not in self.approved:
+            return Obstacle.NOT_APPROVED
+        if entry is None or not worker.listed:
+            return Obstacle.NOT_LISTED
+        if entry.service != self.service or (
+            step.label and step.label not in entry.labels
+        ):
+            return Obstacle.OTHER_KIND
+        if entry.zone in self.closed:
+            return Obstacle.ZONE_CLOSED
+        if entry.state is not deployment.WorkerState.READY:
+            return Obstacle.LEAVING
+        if not worker.looked or not worker.reachable:
+            return Obstacle.OUT_OF_REACH
+        if self.now < worker.full_until:
+            return Obstacle.HAS_REFUSED
+        if len(worker.failing) >= fleet.SUSPECT_FAILURES:
+            # After the suspension one task at a time shows whether it
+            # recovered.
+            if self.now < worker.suspended_until or worker.runs:
+                return Obstacle.SUSPECTED
+        limit = step.max_per_worker
+        if limit and self.on_worker.get(worker.worker, 0) >= limit:
+            return Obstacle.ENOUGH_OF_STEP
+        return self._shortage(worker)
+
+    def lacks_only_room(self, worker: fleet.Worker) -> bool:
+        """Tell whether a worker gets no task until it has more room."""
+        return self.obstacle(worker) in SHORTAGES and self._fits(worker)
+
+    def allow(self, worker: fleet.Worker) -> bool:
+        """Tell whether a worker may run the step, now or once it has room."""
+        found = self.obstacle(worker)
+        return (found is None or found in SHORTAGES) and self._fits(worker)
+
+    def _fits(self, worker: fleet.Worker) -> bool:
+        return self.step.committed.fits(worker.entry.capacity)
+
+    def _shortage(self, worker: fleet.Worker) -> Obstacle | None:
+        wanted = worker.used.plus(self.step.committed)
+        capacity = worker.entry.capacity
+        if wanted.millicores > capacity.millicores:
+            return Obstacle.NO_PROCESSORS
+        if wanted.memory_mib > capacity.memory_mib:
+            return Obstacle.NO_MEMORY
+        if wanted.accelerators > capacity.accelerators:
+            return Obstacle.NO_ACCELERATORS
+        return None
--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -1,8 +1,8 @@
 """Pace of filler tasks beside tasks that have a latency target.
 
-Each reading of a tail teaches the interference model. While a tail is near or
-over its target, the fillers that are blamed most are slowed down first; once
-all tails are predicted to stay well below, they go faster again.
+Each reading of a tail teaches the interference model. Fillers are slowed down,
+those that cost the serving tasks most first, until each is worth what it costs
+them, and go faster again once that is so with a margin.
 """
 
 import collections
@@ -40,7 +40,7 @@
 ) -> None:
     """Teach the model what a worker's report has shown."""
     neighbours = used_cores(worker)
-    for run in serving_runs(worker):
+    for run in worker.serving():
         if run.reading is None or run.percent < 100:
             continue
         if run.load is None:
@@ -55,26 +55,19 @@
         )
 
 
-def serving_runs(
-    worker: fleet.Worker,
-) -> collections.abc.Iterator[fleet.Run]:
-    """Return the runs that have a latency target."""
-    return (run for run in worker.runs.values() if run.step.latency_target)
-
-
 def used_cores(worker: fleet.Worker) -> dict[ids.ImageId, float]:
     """Return the cores that fillers were measured to use, by image."""
     cores: dict[ids.ImageId, float] = collections.defaultdict(float)
-    for run in worker.runs.values():
-        if run.step.filler and run.reading:
-            cores[run.step.image] += _cores(run)
+    for run in worker.fillers():
+        if run.reading:
+            cores[run.step.image] += run.reading / 1000
     return cores
 
 
 def worst_ratio(worker: fleet.Worker) -> float:
     """Return the highest tail latency in units of its target."""
     return max(
-        (_ratio(r) for r in serving_runs(worker) if r.reading is not None),
+        (_ratio(r) for r in worker.serving() if r.reading is not None),
         default=0.0,
     )
 
@@ -86,9 +79,7 @@
 ) -> Paces:
     """Return the fillers whose pace changes, with their new one."""
     fillers = [
-        run
-        for run in worker.runs.values()
-        if run.step.filler and run.phase is fleet.RunPhase.RUNNING
+        run for run in worker.fillers() if run.phase is fleet.RunPhase.RUNNING
     ]
     if worst_ratio(worker) <= 1.0:
         worker.hot_since = None
@@ -99,7 +90,7 @@
     hot = fleet.ZERO if worker.hot_since is None else now - worker.hot_since
     excess = {
         run: _excess(run, model)
-        for run in serving_runs(worker)
+        for run in worker.serving()
         if run.reading is not None and run.percent >= 100
     }
     if hot >= STOP_AFTER:
@@ -121,12 +112,15 @@
 ) -> Paces:
     """Choose paces at which fillers are worth what they cost others."""
     paces = {run: run.pace for run in fillers}
+    prices = {
+        serving: interference.marginal_cost(over, PACE_SPREAD)
+        for serving, over in excess.items()
+    }
 
     def cost(filler: fleet.Run) -> float:
         return sum(
-            model.coefficient(serving.step.image, filler.step.image)
-            * interference.marginal_cost(over, PACE_SPREAD)
-            for serving, over in excess.items()
+            model.coefficient(serving.step.image, filler.step.image) * price
+            for serving, price in prices.items()
         )
 
     def change(filler: fleet.Run, pace: int) -> None:
@@ -136,6 +130,9 @@
             excess[serving] += cores * model.coefficient(
                 serving.step.image, filler.step.image
             )
+            prices[serving] = interference.marginal_cost(
+                excess[serving], PACE_SPREAD
+            )
 
     for filler in sorted(fillers, key=cost, reverse=True):
         while paces[filler] and cost(filler) > SLOW_DOWN_COST:
@@ -150,7 +147,7 @@
 
 
 def _excess(run: fleet.Run, model: interference.Interference) -> float:
-    """Return how far a task is over the pressure of its target, soon."""
+    """Return how far a task is over the pressure of its target."""
     target = run.step.latency_target
     image = run.step.image
     limit = model.pressure(image, target, target)
@@ -167,7 +164,3 @@
 
 def _ratio(run: fleet.Run) -> float:
     return _tail(run) / run.step.latency_target
-
-
-def _cores(run: fleet.Run) -> float:
-    return (run.reading or 0) / 1000
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -8,14 +8,12 @@
 
 import collections
 import collections.abc
-import datetime
 import heapq
 
 from turmerichook._internal.dispatch import filling
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import obstacles
-from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
 from turmerichook._internal.workflow import model
@@ -41,34 +39,21 @@
     def __init__(
         self,
         *,
-        step: model.Step,
-        service: ids.ServiceId,
+        conditions: obstacles.Conditions,
         workers: collections.abc.Iterable[fleet.Worker],
-        closed: collections.abc.Container[ids.ZoneId],
-        approved: collections.abc.Container[ids.WorkerId] | None,
-        on_worker: collections.abc.Mapping[ids.WorkerId, int],
         reserved: collections.abc.Container[ids.WorkerId],
         interference: interferences.Interference,
         overdue: bool,
-        now: datetime.timedelta,
     ):
         """Rank the workers.
 
-        :param closed: zones that must get no tasks.
-        :param approved: workers that the step's policy allows; None for all.
-        :param on_worker: tasks of the step's occurrence on each worker.
         :param reserved: workers whose room is kept for other tasks.
         :param overdue: whether the job has waited for too long.
         """
-        self.step = step
-        self.service = service
-        self.closed = closed
-        self.approved = approved
-        self.on_worker = on_worker
+        self.conditions = conditions
         self.reserved = reserved
         self.interference = interference
         self.overdue = overdue
-        self.now = now
         self.obstacles: collections.Counter[obstacles.Obstacle] = (
             collections.Counter()
         )
@@ -99,28 +84,29 @@
         self._rank(self.taken, worker)
 
     def _rank(self, number: int, worker: fleet.Worker) -> None:
+        step = self.conditions.step
         found = self._obstacle(worker)
+        harm = 0.0
+        if found is None and step.filler:
+            harm = filling.harm(worker, step, self.interference)
+            if harm > filling.HARM_MAX and not self.overdue:
+                found = obstacles.Obstacle.SLOWS_SERVICES
         if found is not None:
             self.obstacles[found] += 1
             return
-        score = _score(worker, self.step, self.interference)
+        score = _score(worker, step) + harm
         heapq.heappush(self.heap, (score, number, worker))
 
     def _obstacle(self, worker: fleet.Worker) -> obstacles.Obstacle | None:
-        step = self.step
-        if self.approved is not None and worker.worker not in self.approved:
-            return obstacles.Obstacle.NOT_APPROVED
-        found = _obstacle(
-            worker, step, self.service, self.closed, self.on_worker, self.now
-        )
-        if found is None and not step.filler:
-            if worker.worker in self.reserved:
-                return obstacles.Obstacle.RESERVED
-        if found is None and step.filler:
-            return filling.obstacle(
-                worker, step, self.interference, self.overdue
-            )
-        return found
+        step = self.conditions.step
+        found = self.conditions.obstacle(worker)
+        if found is not None:
+            return found
+        if step.filler:
+            return filling.obstacle(worker, step, self.overdue)
+        if worker.worker in self.reserved:
+            return obstacles.Obstacle.RESERVED
+        return None
 
     def _detail(self) -> str:
         return ",".join(
@@ -133,111 +119,30 @@
 
 def roomiest(
     *,
-    step: model.Step,
-    service: ids.ServiceId,
+    conditions: obstacles.Conditions,
     workers: collections.abc.Iterable[fleet.Worker],
-    closed: collections.abc.Container[ids.ZoneId],
-    approved: collections.abc.Container[ids.WorkerId] | None,
-    on_worker: collections.abc.Mapping[ids.WorkerId, int],
     reserved: collections.abc.Container[ids.WorkerId],
-    now: datetime.timedelta,
 ) -> fleet.Worker | None:
     """Return the worker with the most room that only lacks more of it."""
     best: fleet.Worker | None = None
     best_free = 0
     for worker in workers:
-        if approved is not None and worker.worker not in approved:
-            continue
-        found = _obstacle(worker, step, service, closed, on_worker, now)
-        if found not in obstacles.SHORTAGES or worker.worker in reserved:
+        if worker.worker in reserved or not conditions.lacks_only_room(worker):
             continue
-        if not step.committed.fits(worker.entry.capacity):
-            continue
-        capacity = worker.entry.capacity.millicores
-        free = capacity - worker.used.millicores
+        free = worker.entry.capacity.millicores - worker.used.millicores
         if best is None or free > best_free:
             best, best_free = worker, free
     return best
 
 
-def could_run(
-    *,
-    worker: fleet.Worker,
-    step: model.Step,
-    service: ids.ServiceId,
-    closed: collections.abc.Container[ids.ZoneId],
-    now: datetime.timedelta,
-) -> bool:
-    """Tell whether a worker may run a step, now or once it has room."""
-    found = _obstacle(worker, step, service, closed, {}, now)
-    if found is not None and found not in obstacles.SHORTAGES:
-        return False
-    return step.committed.fits(worker.entry.capacity)
-
-
-def _obstacle(
-    worker: fleet.Worker,
-    step: model.Step,
-    service: ids.ServiceId,
-    closed: collections.abc.Container[ids.ZoneId],
-    on_worker: collections.abc.Mapping[ids.WorkerId, int],
-    now: datetime.timedelta,
-) -> obstacles.Obstacle | None:
-    """Return why a worker must not get a task of a step, if it must not."""
-    entry = worker.entry
-    if entry is None or not worker.listed:
-        return obstacles.Obstacle.NOT_LISTED
-    if entry.service != service or (
-        step.label and step.label not in entry.labels
-    ):
-        return obstacles.Obstacle.OTHER_KIND
-    if entry.zone in closed:
-        return obstacles.Obstacle.ZONE_CLOSED
-    if entry.state is not deployment.WorkerState.READY:
-        return obstacles.Obstacle.LEAVING
-    if not worker.looked or not worker.reachable:
-        return obstacles.Obstacle.OUT_OF_REACH
-    if now < worker.full_until:
-        return obstacles.Obstacle.HAS_REFUSED
-    if len(worker.failing) >= fleet.SUSPECT_FAILURES:
-        # After the suspension one task at a time shows whether it recovered.
-        if now < worker.suspended_until or worker.runs:
-            return obstacles.Obstacle.SUSPECTED
-    limit = step.max_per_worker
-    if limit and on_worker.get(worker.worker, 0) >= limit:
-        return obstacles.Obstacle.ENOUGH_OF_STEP
-    return _shortage(worker, step)
-
-
-def _shortage(
-    worker: fleet.Worker, step: model.Step
-) -> obstacles.Obstacle | None:
-    """Return what a worker has too little of for a task."""
-    wanted = worker.used.plus(step.committed)
-    capacity = worker.entry.capacity
-    if wanted.millicores > capacity.millicores:
-        return obstacles.Obstacle.NO_PROCESSORS
-    if wanted.memory_mib > capacity.memory_mib:
-        return obstacles.Obstacle.NO_MEMORY
-    if wanted.accelerators > capacity.accelerators:
-        return obstacles.Obstacle.NO_ACCELERATORS
-    return None
-
-
-def _score(
-    worker: fleet.Worker,
-    step: model.Step,
-    interference: interferences.Interference,
-) -> float:
+def _score(worker: fleet.Worker, step: model.Step) -> float:
     """Return how bad a worker is for a task."""
     score = load(worker)
     if worker.entry.cold:
         score += COLD_PENALTY
     if step.rack and step.rack != worker.entry.rack:
         score += WRONG_RACK_PENALTY
-    if step.filler:
-        score += filling.harm(worker, step, interference)
-    elif step.latency_target:
+    if step.latency_target and not step.filler:
         score += _mixture(worker, step)
     return score
 
@@ -249,11 +154,7 @@
     all of them down, so that fillers find workers where they do no harm.
     Images that must mix do so on few workers, which are mixed already.
     """
-    images = {
-        run.step.image
-        for run in worker.runs.values()
-        if run.step.latency_target
-    }
+    images = {run.step.image for run in worker.serving()}
     if not images:
         return 0.0
     if images == {step.image}:
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -14,6 +14,7 @@
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.dispatch import placement
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
@@ -227,26 +228,20 @@
     reserved: set[ids.WorkerId] = dataclasses.field(default_factory=set)
 
     def choose(self, waiting: WaitingStep, limit: int) -> list[Choice]:
-        """Choose workers for as many of a step's tasks as fit."""
-        return self._reserve(waiting, limit)
+        """Choose workers for as many of a step's tasks as fit.
 
-    def choose_gang(self, waiting: WaitingStep) -> list[Choice]:
-        """Choose workers for all members, under one run number, or none."""
-        count = waiting.step.count
-        if len(waiting.tasks) < count:
-            # Members of the former run have not all ended yet.
-            return []
-        chosen = self._reserve(waiting, count)
-        if len(chosen) < count:
-            return []
-        run = max(choice.run for choice in chosen)
-        return [choice._replace(run=run) for choice in chosen]
-
-    def _reserve(self, waiting: WaitingStep, limit: int) -> list[Choice]:
-        """Choose workers as if each task took its room at once."""
+        Each choice counts as if the task took its room at once.
+        """
         step = waiting.step
         counts = _tasks_by_worker(waiting)
-        approved = self.approved(waiting)
+        conditions = obstacles.Conditions(
+            step=step,
+            service=waiting.job.queue.service,
+            closed=self.closed,
+            approved=self.approved(waiting),
+            on_worker=counts,
+            now=self.now,
+        )
         records = waiting.job.progress.tasks
         overdue = self.now - waiting.since > PATIENCE and not any(
             record.worker for record in records.values()
@@ -259,24 +254,19 @@
                 break
             if ranking is None:
                 ranking = placement.Ranking(
-                    step=step,
-                    service=waiting.job.queue.service,
+                    conditions=conditions,
                     workers=self.workers,
-                    closed=self.closed,
-                    approved=approved,
-                    on_worker=counts,
                     # What a starving task waits for may be room for another.
                     reserved=() if starving else self.reserved,
                     interference=self.interference,
                     overdue=overdue,
-                    now=self.now,
                 )
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
                 _log_wait(waiting, worker)
                 waiting.blocked_until = self.now + BLOCKED_PAUSE
                 if starving and len(self.reserved) < RESERVED_MAX:
-                    self._keep_room(waiting, counts, approved)
+                    self._keep_room(conditions)
                 break
             counts[worker.worker] += 1
             worker.reserve(step)
@@ -292,25 +282,27 @@
             choice.worker.release(step)
         return chosen
 
-    def _keep_room(
-        self,
-        waiting: WaitingStep,
-        counts: collections.Counter,
-        approved: collections.abc.Container[ids.WorkerId] | None,
-    ) -> None:
+    def choose_gang(self, waiting: WaitingStep) -> list[Choice]:
+        """Choose workers for all members, under one run number, or none."""
+        count = waiting.step.count
+        if len(waiting.tasks) < count:
+            # Members of the former run have not all ended yet.
+            return []
+        chosen = self.choose(waiting, count)
+        if len(chosen) < count:
+            return []
+        run = max(choice.run for choice in chosen)
+        return [choice._replace(run=run) for choice in chosen]
+
+    def _keep_room(self, conditions: obstacles.Conditions) -> None:
         """Keep others off the worker that will have room first.
 
         Short tasks would take each piece of room as it becomes free.
         """
         worker = placement.roomiest(
-            step=waiting.step,
-            service=waiting.job.queue.service,
+            conditions=conditions,
             workers=self.workers,
-            closed=self.closed,
-            approved=approved,
-            on_worker=counts,
             reserved=self.reserved,
-            now=self.now,
         )
         if worker is not None:
             self.reserved.add(worker.worker)
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -5,6 +5,7 @@
 from tests.dispatch import fakes
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference
+from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.dispatch import placement
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
@@ -55,6 +56,19 @@
     )
 
 
+def rank(step, workers, *, reserved, interference, overdue, **fields):
+    """Rank workers under the conditions that the other fields give."""
+    return placement.Ranking(
+        conditions=obstacles.Conditions(
+            step=step, service=fakes.SERVICE, **fields
+        ),
+        workers=workers,
+        reserved=reserved,
+        interference=interference,
+        overdue=overdue,
+    )
+
+
 def choose(step, workers, **fields):
     """Choose among workers with defaults for what is not given."""
     given = {
@@ -69,9 +83,7 @@
         **fields,
     }
     last = given.pop("last")
-    ranking = placement.Ranking(
-        step=step, service=fakes.SERVICE, workers=workers, **given
-    )
+    ranking = rank(step, workers, **given)
     return ranking.take(last)
 
 
@@ -259,10 +271,9 @@
         closed = Counted()
         workers = [worker(str(number)) for number in range(300)]
         step = fakes.step(40)
-        ranking = placement.Ranking(
-            step=step,
-            service=fakes.SERVICE,
-            workers=workers,
+        ranking = rank(
+            step,
+            workers,
             closed=closed,
             approved=None,
             on_worker={},
