--- a/src/turmerichook/_internal/clock.py
+++ b/src/turmerichook/_internal/clock.py
@@ -7,6 +7,9 @@
 import typing
 
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
 class Clock(typing.Protocol):
     """Source of time that is passed into everything that needs one."""
 
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
 import collections.abc
 import datetime
 
+from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -27,8 +28,6 @@
 from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import stored
 
-MILLISECOND = datetime.timedelta(milliseconds=1)
-
 
 class Dispatcher:
     """State of the leader."""
@@ -78,7 +77,7 @@
             queue=progress.spec.queue,
             steps=len(progress.spec.steps),
             tasks=sum(step.count for step in progress.spec.steps),
-            age_ms=round((wall - progress.spec.accepted) / MILLISECOND),
+            age_ms=round((wall - progress.spec.accepted) / clocks.MILLISECOND),
             state=progress.state.value,
         )
         for task in progress.assigned():
@@ -242,22 +241,19 @@
         """Give a task to a worker."""
         record = job.progress.assign(task, worker.worker, run)
         step = job.spec.steps[task.step]
-        worker.add(
-            fleet.Run(
-                task=task,
-                run=run,
-                step=step,
-                phase=fleet.RunPhase.ASSIGNED,
-                moved=now,
-            )
+        placed = fleet.Run(
+            task=task,
+            run=run,
+            step=step,
+            phase=fleet.RunPhase.ASSIGNED,
+            moved=now,
         )
+        worker.add(placed)
         self.dirty[job.spec.job] = None
-        logs.emit(
+        run_book.log_run(
             events.DispatchEvent.TASK_PLACED,
-            job=task.job,
-            task=run_book.task_text(task),
-            run=run,
-            worker=worker.worker,
+            worker,
+            placed,
             zone=worker.entry.zone,
             used=worker.used.millicores,
             filling=worker.filling,
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -43,7 +43,6 @@
 # question without an answer.
 ADVICE_PAUSE = datetime.timedelta(milliseconds=50)
 ADVICE_RETRY_PAUSE = datetime.timedelta(milliseconds=250)
-MILLISECOND = datetime.timedelta(milliseconds=1)
 LEASE_MARGIN = datetime.timedelta(seconds=1)
 # Time for orders under way when the term ends.
 HANDOVER_TIME_S = 0.3
@@ -195,7 +194,7 @@
                 step=question.step.step,
                 asked=len(question.workers),
                 good=len(advice.tickets),
-                valid_ms=advice.validity // MILLISECOND,
+                valid_ms=advice.validity // clocks.MILLISECOND,
             )
             self.dispatcher.book.advice.take(question, advice, now)
             self.changed.set()
--- a/src/turmerichook/_internal/dispatch/run_book.py
+++ b/src/turmerichook/_internal/dispatch/run_book.py
@@ -2,12 +2,14 @@
 
 import collections.abc
 import datetime
+import typing
 
 from turmerichook._internal.dispatch import advice as advices
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import waiting
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
@@ -88,14 +90,7 @@
         run.phase = fleet.RunPhase.STOPPING
         run.stop_sent = now
         run.stop_accepted = False
-        logs.emit(
-            events.DispatchEvent.RUN_STOPPED,
-            job=run.task.job,
-            task=task_text(run.task),
-            run=run.run,
-            worker=worker.worker,
-            reason=reason,
-        )
+        log_run(events.DispatchEvent.RUN_STOPPED, worker, run, reason=reason)
         self.orders.append(decisions.StopOrder(worker=worker.worker, run=run))
 
     def lose(
@@ -103,14 +98,7 @@
     ) -> None:
         """Note that a run has certainly ended or never began."""
         worker.remove(run.task)
-        logs.emit(
-            events.DispatchEvent.RUN_LOST,
-            job=run.task.job,
-            task=task_text(run.task),
-            run=run.run,
-            worker=worker.worker,
-            reason=reason,
-        )
+        log_run(events.DispatchEvent.RUN_LOST, worker, run, reason=reason)
         job = self.jobs.get(run.task.job)
         if job is None:
             return
@@ -138,6 +126,19 @@
             self.waiting.add(job, task, worker, now)
 
 
-def task_text(task: model.TaskKey) -> str:
-    """Return a task's name within its job."""
-    return f"{task.occurrence}.{task.step}.{task.index}"
+def log_run(
+    event: events.DispatchEvent,
+    worker: fleet.Worker,
+    run: fleet.Run | orders.EndRow,
+    **fields: typing.Any,
+) -> None:
+    """Log what became of a run, with the names by which it is found."""
+    task = run.task
+    logs.emit(
+        event,
+        job=task.job,
+        task=f"{task.occurrence}.{task.step}.{task.index}",
+        run=run.run,
+        worker=worker.worker,
+        **fields,
+    )
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -127,12 +127,10 @@
         run = worker.runs.get(end.task)
         job = self.book.jobs.get(end.task.job)
         matched = run is not None and run.run == end.run
-        logs.emit(
+        run_book.log_run(
             events.DispatchEvent.RUN_ENDED,
-            job=end.task.job,
-            task=run_book.task_text(end.task),
-            run=end.run,
-            worker=worker.worker,
+            worker,
+            end,
             kind=end.kind.value,
             number=end.number,
             known=matched,
@@ -202,12 +200,10 @@
                 if not run.wanted:
                     self.book.stop(worker, run, now, "not-wanted")
             case orders.Refused(reason=reason):
-                logs.emit(
+                run_book.log_run(
                     events.DispatchEvent.START_REFUSED,
-                    job=run.task.job,
-                    task=run_book.task_text(run.task),
-                    run=run.run,
-                    worker=worker.worker,
+                    worker,
+                    run,
                     reason=reason.value,
                 )
                 if reason is orders.RefusalReason.NO_ROOM:
@@ -221,12 +217,10 @@
                 self.book.lose(worker, run, f"refused-{reason.value}", now)
             case orders.Unknown(detail=detail):
                 run.phase = fleet.RunPhase.UNCERTAIN
-                logs.emit(
+                run_book.log_run(
                     events.DispatchEvent.START_UNKNOWN,
-                    job=run.task.job,
-                    task=run_book.task_text(run.task),
-                    run=run.run,
-                    worker=worker.worker,
+                    worker,
+                    run,
                     detail=detail,
                 )
 
--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -174,9 +174,7 @@
                     job,
                     reason=outcome.value,
                 )
-                await self._refuse(
-                    exchange, 503, "store-unavailable", RETRY_AFTER_S
-                )
+                await self._refuse_for_store(exchange)
             case _:
                 self._log(events.IntakeEvent.JOB_OUTCOME_UNKNOWN, queue, job)
                 await self._refuse(exchange, 504, "outcome-unknown")
@@ -211,9 +209,7 @@
                     job=job,
                     reason=found.value,
                 )
-                await self._refuse(
-                    exchange, 503, "store-unavailable", RETRY_AFTER_S
-                )
+                await self._refuse_for_store(exchange)
 
     async def _cancel(
         self,
@@ -249,9 +245,7 @@
     ) -> None:
         count = await self.jobs.pending(queue.queue, until)
         if isinstance(count, job_store.Unsettled):
-            await self._refuse(
-                exchange, 503, "store-unavailable", RETRY_AFTER_S
-            )
+            await self._refuse_for_store(exchange)
             return
         await exchange.respond(status=200, body=self.form.pending_body(count))
 
@@ -267,6 +261,9 @@
         )
         logs.emit(event, job=job, queue=queue.queue, **fields)
 
+    async def _refuse_for_store(self, exchange: server.Exchange) -> None:
+        await self._refuse(exchange, 503, "store-unavailable", RETRY_AFTER_S)
+
     async def _refuse(
         self,
         exchange: server.Exchange,
--- a/src/turmerichook/_internal/platform/advisor_calls.py
+++ b/src/turmerichook/_internal/platform/advisor_calls.py
@@ -8,9 +8,9 @@
 from turmerichook._internal.http import calls
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import fields
+from turmerichook._internal.platform import worker_calls
 from turmerichook import exceptions
 
-CONNECT_TIMEOUT_S = 0.6
 # Time beyond that of the decision itself after which the call has failed.
 ANSWER_MARGIN = datetime.timedelta(seconds=1)
 
@@ -25,13 +25,13 @@
             port=port,
             # It answers one call at a time to each host.
             connections=1,
-            connect_timeout=CONNECT_TIMEOUT_S,
+            connect_timeout=worker_calls.CONNECT_TIMEOUT_S,
         )
 
     async def advise(self, question: orders.Question) -> orders.Advice:
-        key, terms = question.step, question.terms
+        terms = question.terms
         document = {
-            "step": f"{key.job}.{key.occurrence}.{key.step}",
+            "step": worker_calls.step_name(question.step),
             "workers": list(question.workers),
         }
         needed = terms.decision + terms.each_worker * len(question.workers)
--- a/src/turmerichook/_internal/platform/fields.py
+++ b/src/turmerichook/_internal/platform/fields.py
@@ -4,6 +4,7 @@
 import json
 import typing
 
+from turmerichook._internal import clock as clocks
 from turmerichook import exceptions
 
 
@@ -88,6 +89,11 @@
     return _typed(document, key, dict, None)
 
 
+def whole_milliseconds(span: datetime.timedelta) -> int:
+    """Return a span as the platform writes it, cut off to milliseconds."""
+    return span // clocks.MILLISECOND
+
+
 def milliseconds(
     document: dict[str, typing.Any], key: str, default: int | None = None
 ) -> datetime.timedelta:
--- a/src/turmerichook/_internal/platform/worker_calls.py
+++ b/src/turmerichook/_internal/platform/worker_calls.py
@@ -54,7 +54,7 @@
             "task": task_name(order.task),
             "run": order.run,
             "spec": order.payload,
-            "deadline-ms": _milliseconds(order.valid_until),
+            "deadline-ms": fields.whole_milliseconds(order.valid_until),
             "fencing-token": order.token,
         }
         if order.checkpoint:
@@ -98,10 +98,12 @@
             "ack-cursor": order.acknowledged,
         }
         if order.lease_until is not None:
-            document["deadline-ms"] = _milliseconds(order.lease_until)
+            document["deadline-ms"] = fields.whole_milliseconds(
+                order.lease_until
+            )
         wait = min(order.wait, WAIT_MAX)
         if wait:
-            document["wait-ms"] = _milliseconds(wait)
+            document["wait-ms"] = fields.whole_milliseconds(wait)
         pool = self._pool(self.renewal_pools, entry, RENEWAL_CONNECTIONS)
         try:
             answer = await self._call(
@@ -182,9 +184,14 @@
         return pool
 
 
+def step_name(step: model.StepKey) -> str:
+    """Return the platform's name of a step."""
+    return f"{step.job}.{step.occurrence}.{step.step}"
+
+
 def task_name(task: model.TaskKey) -> str:
     """Return the platform's name of a task."""
-    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+    return f"{step_name(task.step_key)}.{task.index}"
 
 
 def parse_task_name(name: str) -> model.TaskKey:
@@ -273,7 +280,3 @@
         kind=model.EndKind(kind),
         checkpoint=ids.CheckpointId(checkpoint),
     )
-
-
-def _milliseconds(span: datetime.timedelta) -> int:
-    return span // datetime.timedelta(milliseconds=1)
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -5,6 +5,7 @@
 
 import msgpack
 
+from turmerichook._internal import clock as clocks
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
@@ -17,7 +18,6 @@
     progresses.Phase.ASSIGNED,
     progresses.Phase.DONE,
 )
-MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 def encode_spec(spec: model.JobSpec) -> bytes:
@@ -56,7 +56,7 @@
             service=service,
             payload=payload,
             steps=tuple(_decode_step(step) for step in steps),
-            accepted=accepted * MILLISECOND,
+            accepted=accepted * clocks.MILLISECOND,
             repetition=_decode_repetition(repetition),
         )
     except (TypeError, ValueError, IndexError) as error:
@@ -178,7 +178,7 @@
         demand=resources.Resources(
             millicores=row[1], memory_mib=row[2], accelerators=row[3]
         ),
-        estimate=row[4] * MILLISECOND,
+        estimate=row[4] * clocks.MILLISECOND,
         after=tuple(row[5]),
         checkpointing=bool(flags & 1),
         gang=bool(flags & 2),
@@ -190,7 +190,7 @@
         rack=row[8],
         max_per_worker=row[9],
         image=row[10],
-        latency_target=row[11] * MILLISECOND,
+        latency_target=row[11] * clocks.MILLISECOND,
         max_missing=row[12],
     )
 
@@ -202,13 +202,13 @@
         return None
     return model.Repetition(
         count=row[0],
-        first=row[1] * MILLISECOND,
-        interval=row[2] * MILLISECOND,
+        first=row[1] * clocks.MILLISECOND,
+        interval=row[2] * clocks.MILLISECOND,
     )
 
 
 def _ms(span: datetime.timedelta) -> int:
-    return span // MILLISECOND
+    return span // clocks.MILLISECOND
 
 
 def _unpack(job: ids.JobId, value: bytes) -> list[typing.Any]:
