Share the HTTP exchange of the two store clients

The platform's store client repeated the reads, writes, watches and closing of the older one, down to the error that tells whether a write had an effect. Both call storage/exchange.py now; the module with those errors is gone into it, since nothing else used it. Requests, time-outs and errors stay the same.

--- a/src/turmerichook/_internal/platform/store_calls.py
+++ b/src/turmerichook/_internal/platform/store_calls.py
@@ -3,15 +3,13 @@
 import base64
 import binascii
 import datetime
-import json
 import typing
-import urllib.parse
 
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import calls
 from turmerichook._internal.models import ids
 from turmerichook._internal.platform import fields
-from turmerichook._internal.storage import failures
+from turmerichook._internal.storage import exchange
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
 
@@ -30,24 +28,28 @@
 
     def __init__(self, *, address: str):
         host, port = addresses.split(address)
-        self.pool = calls.CallPool(
-            host=host, port=port, connections=CONNECTIONS
-        )
-        self.watch_pool = calls.CallPool(
-            host=host, port=port, connections=WATCH_CONNECTIONS
+        self.exchange = exchange.StoreExchange(
+            host=host,
+            port=port,
+            connections=CONNECTIONS,
+            watch_connections=WATCH_CONNECTIONS,
+            timeout=CALL_TIMEOUT_S,
+            headers=[(b"content-type", b"application/json")],
         )
 
     async def get(self, key: str) -> interface.Item | None:
-        answer = await self._read(f"/v1/kv-key?key={_quote(key)}")
+        answer = await self.exchange.read(
+            f"/v1/kv-key?key={exchange.quote(key)}"
+        )
         if answer.status == 404:
             return None
         return _item(_document(answer))
 
     async def page(self, prefix: str, *, after: str = "") -> interface.Page:
-        target = f"/v1/kv-range?prefix={_quote(prefix)}"
+        target = f"/v1/kv-range?prefix={exchange.quote(prefix)}"
         if after:
-            target += f"&after={_quote(after)}"
-        document = _document(await self._read(target))
+            target += f"&after={exchange.quote(after)}"
+        document = _document(await self.exchange.read(target))
         return interface.Page(
             items=tuple(
                 _item(row) for row in fields.listing(document, "items")
@@ -63,11 +65,9 @@
         after: ids.Revision,
         wait: datetime.timedelta,
     ) -> interface.Changes:
-        milliseconds = wait // datetime.timedelta(milliseconds=1)
-        answer = await self._read(
-            f"/v1/kv-watch?prefix={_quote(prefix)}&after={after}"
-            f"&wait-ms={milliseconds}",
-            pool=self.watch_pool,
+        answer = await self.exchange.watch(
+            f"/v1/kv-watch?prefix={exchange.quote(prefix)}&after={after}"
+            f"&wait-ms={fields.whole_milliseconds(wait)}",
             timeout=wait.total_seconds() + WATCH_MARGIN_S,
         )
         if answer.status == 410:
@@ -85,7 +85,9 @@
     async def commit(
         self, commit: interface.Commit
     ) -> interface.Committed | interface.Conflict:
-        answer = await self._write("POST", "/v1/kv-txn", _transaction(commit))
+        answer = await self.exchange.write(
+            "POST", "/v1/kv-txn", _transaction(commit)
+        )
         if answer.status == 404:
             raise exceptions.LeaseLapsedError(message="the lease has ended")
         if answer.status == 412:
@@ -97,14 +99,17 @@
         )
 
     async def grant_lease(self, ttl: datetime.timedelta) -> ids.LeaseId:
-        milliseconds = ttl // datetime.timedelta(milliseconds=1)
-        answer = await self._write(
-            "POST", "/v1/kv-lease", {"ttl-ms": milliseconds}
+        answer = await self.exchange.write(
+            "POST",
+            "/v1/kv-lease",
+            {"ttl-ms": fields.whole_milliseconds(ttl)},
         )
         return ids.LeaseId(str(fields.integer(_done(answer), "lease")))
 
     async def renew_lease(self, lease: ids.LeaseId) -> None:
-        answer = await self._write("POST", f"/v1/kv-keep/{lease}", None)
+        answer = await self.exchange.write(
+            "POST", f"/v1/kv-keep/{lease}", None
+        )
         if answer.status == 404:
             raise exceptions.LeaseLapsedError(
                 message="the lease has ended", context=lease
@@ -112,43 +117,15 @@
         _done(answer)
 
     async def end_lease(self, lease: ids.LeaseId) -> None:
-        answer = await self._write("DELETE", f"/v1/kv-lease-end/{lease}", None)
+        answer = await self.exchange.write(
+            "DELETE", f"/v1/kv-lease-end/{lease}", None
+        )
         if answer.status != 404:
             _done(answer)
 
     def close(self) -> None:
         """Close idle connections."""
-        self.pool.close()
-        self.watch_pool.close()
-
-    async def _read(
-        self,
-        target: str,
-        *,
-        pool: calls.CallPool | None = None,
-        timeout: float = CALL_TIMEOUT_S,
-    ) -> calls.Answer:
-        try:
-            return await (pool or self.pool).call(
-                method="GET", target=target, timeout=timeout
-            )
-        except exceptions.ExchangeError as error:
-            raise failures.of_read(error) from error
-
-    async def _write(
-        self, method: str, target: str, document: typing.Any
-    ) -> calls.Answer:
-        body = b"" if document is None else json.dumps(document).encode()
-        try:
-            return await self.pool.call(
-                method=method,
-                target=target,
-                body=body,
-                headers=[(b"content-type", b"application/json")],
-                timeout=CALL_TIMEOUT_S,
-            )
-        except exceptions.ExchangeError as error:
-            raise failures.of_write(error) from error
+        self.exchange.close()
 
 
 def _transaction(commit: interface.Commit) -> dict[str, typing.Any]:
@@ -171,10 +148,6 @@
     }
 
 
-def _quote(key: str) -> str:
-    return urllib.parse.quote(key, safe="/")
-
-
 def _done(answer: calls.Answer) -> dict[str, typing.Any]:
     """Return the document of a write's answer."""
     if answer.status == 200:
--- a/src/turmerichook/_internal/providers/store_http.py
+++ b/src/turmerichook/_internal/providers/store_http.py
@@ -7,15 +7,13 @@
 import base64
 import binascii
 import datetime
-import json
 import typing
-import urllib.parse
 
 from turmerichook._internal.http import calls
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
 from turmerichook._internal.providers import store
-from turmerichook._internal.storage import failures
+from turmerichook._internal.storage import exchange
 from turmerichook import exceptions
 
 # Connections for calls that do not wait.
@@ -35,16 +33,16 @@
         port: int,
         timeout: datetime.timedelta = datetime.timedelta(seconds=2),
     ):
-        self.timeout = timeout.total_seconds()
-        self.pool = calls.CallPool(
-            host=host, port=port, connections=CONNECTIONS
-        )
-        self.watch_pool = calls.CallPool(
-            host=host, port=port, connections=WATCH_CONNECTIONS
+        self.exchange = exchange.StoreExchange(
+            host=host,
+            port=port,
+            connections=CONNECTIONS,
+            watch_connections=WATCH_CONNECTIONS,
+            timeout=timeout.total_seconds(),
         )
 
     async def get(self, key: str) -> store.Entry | outcomes.Absent:
-        answer = await self._read("/v1/kv/" + _quote(key))
+        answer = await self.exchange.read("/v1/kv/" + exchange.quote(key))
         if answer.status == 404:
             return outcomes.Absent(
                 reason=outcomes.Reason.NO_SUCH_KEY, detail=key
@@ -69,25 +67,27 @@
             "expect": expect,
             "lease": lease,
         }
-        answer = await self._write("PUT", "/v1/kv/" + _quote(key), document)
+        answer = await self.exchange.write(
+            "PUT", "/v1/kv/" + exchange.quote(key), document
+        )
         _check_conflict(answer, key, expect)
         return ids.Version(int(_expect_ok(answer)["version"]))
 
     async def delete(self, key: str, *, expect: ids.Version) -> None:
-        target = f"/v1/kv/{_quote(key)}?expect={expect}"
-        answer = await self._write("DELETE", target, None)
+        target = f"/v1/kv/{exchange.quote(key)}?expect={expect}"
+        answer = await self.exchange.write("DELETE", target, None)
         _check_conflict(answer, key, expect)
         _expect_ok(answer)
 
     async def list(
         self, prefix: str, *, start: str = "", limit: int = 0
     ) -> store.Listing:
-        target = "/v1/range?prefix=" + _quote(prefix)
+        target = "/v1/range?prefix=" + exchange.quote(prefix)
         if start:
-            target += "&start=" + _quote(start)
+            target += "&start=" + exchange.quote(start)
         if limit:
             target += f"&limit={limit}"
-        answer = await self._read(target)
+        answer = await self.exchange.read(target)
         document = _expect_ok(answer)
         return store.Listing(
             revision=ids.Revision(document["revision"]),
@@ -103,10 +103,11 @@
     ) -> store.Changes:
         seconds = wait.total_seconds()
         target = (
-            f"/v1/watch?prefix={_quote(prefix)}&after={after}&wait={seconds}"
+            f"/v1/watch?prefix={exchange.quote(prefix)}&after={after}"
+            f"&wait={seconds}"
         )
-        answer = await self._read(
-            target, pool=self.watch_pool, timeout=self.timeout + seconds
+        answer = await self.exchange.watch(
+            target, timeout=self.exchange.timeout + seconds
         )
         document = _expect_ok(answer)
         return store.Changes(
@@ -117,11 +118,11 @@
 
     async def grant_lease(self, ttl: datetime.timedelta) -> ids.LeaseId:
         document = {"ttl": ttl.total_seconds()}
-        answer = await self._write("POST", "/v1/leases", document)
+        answer = await self.exchange.write("POST", "/v1/leases", document)
         return ids.LeaseId(_expect_ok(answer)["lease"])
 
     async def renew_lease(self, lease: ids.LeaseId) -> None:
-        answer = await self._write("PUT", f"/v1/leases/{lease}", None)
+        answer = await self.exchange.write("PUT", f"/v1/leases/{lease}", None)
         if answer.status == 404:
             raise exceptions.LeaseLapsedError(
                 message="the store does not know the lease",
@@ -130,46 +131,15 @@
         _expect_ok(answer)
 
     async def revoke_lease(self, lease: ids.LeaseId) -> None:
-        answer = await self._write("DELETE", f"/v1/leases/{lease}", None)
+        answer = await self.exchange.write(
+            "DELETE", f"/v1/leases/{lease}", None
+        )
         if answer.status != 404:
             _expect_ok(answer)
 
     def close(self) -> None:
         """Close idle connections."""
-        self.pool.close()
-        self.watch_pool.close()
-
-    async def _read(
-        self,
-        target: str,
-        *,
-        pool: calls.CallPool | None = None,
-        timeout: float | None = None,
-    ) -> calls.Answer:
-        try:
-            return await (pool or self.pool).call(
-                method="GET", target=target, timeout=timeout or self.timeout
-            )
-        except exceptions.ExchangeError as error:
-            raise failures.of_read(error) from error
-
-    async def _write(
-        self, method: str, target: str, document: typing.Any
-    ) -> calls.Answer:
-        body = b"" if document is None else json.dumps(document).encode()
-        try:
-            return await self.pool.call(
-                method=method,
-                target=target,
-                body=body,
-                timeout=self.timeout,
-            )
-        except exceptions.ExchangeError as error:
-            raise failures.of_write(error) from error
-
-
-def _quote(key: str) -> str:
-    return urllib.parse.quote(key, safe="/")
+        self.exchange.close()
 
 
 def _expect_ok(answer: calls.Answer) -> typing.Any:
