Show how far the leader is behind, and how old a queue's length is

The logs of the grown sites could not tell a leader that waits for commits from one that lacks processor time or from full workers, nor a count that is wrong from one that is old. The leader writes one line a second with its rounds, commits, their duration, its processor time and the age of the oldest unsaved change; written queue lengths are logged beside the number of jobs that no worker has begun; an answered length is logged with the time for which its revision has not changed.

No decision changes.

--- a/src/turmerichook/_internal/clock.py
+++ b/src/turmerichook/_internal/clock.py
@@ -22,6 +22,9 @@
     def uptime(self) -> datetime.timedelta:
         """Return a steady reading that also counts suspended time."""
 
+    def processor_time(self) -> datetime.timedelta:
+        """Return the processor time that this process has used."""
+
     async def sleep(self, delay: datetime.timedelta) -> None:
         """Suspend the calling task for ``delay``."""
 
@@ -40,6 +43,9 @@
             seconds=time.clock_gettime(time.CLOCK_BOOTTIME)
         )
 
+    def processor_time(self) -> datetime.timedelta:
+        return datetime.timedelta(seconds=time.process_time())
+
     async def sleep(self, delay: datetime.timedelta) -> None:
         await asyncio.sleep(delay.total_seconds())
 
@@ -65,6 +71,9 @@
     def uptime(self) -> datetime.timedelta:
         return self.elapsed
 
+    def processor_time(self) -> datetime.timedelta:
+        return datetime.timedelta()
+
     async def sleep(self, delay: datetime.timedelta) -> None:
         future = asyncio.get_running_loop().create_future()
         self.sequence += 1
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -7,6 +7,7 @@
 where a task may run.
 """
 
+import collections
 import collections.abc
 import datetime
 
@@ -141,7 +142,7 @@
         if job is not None and not job.progress.state.final:
             job.progress.canceled = True
             self.book.stop_all(job, now)
-            self.dirty[job_id] = None
+            self.book.note_change(job_id, now)
 
     # Registry
 
@@ -249,7 +250,7 @@
             moved=now,
         )
         worker.add(placed)
-        self.dirty[job.spec.job] = None
+        self.book.note_change(job.spec.job, now)
         run_book.log_run(
             events.DispatchEvent.TASK_PLACED,
             worker,
@@ -399,6 +400,16 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def not_begun(self) -> dict[ids.QueueId, int]:
+        """Return the number of jobs that no worker has begun by queue."""
+        return dict(
+            collections.Counter(
+                job.spec.queue
+                for job in self.jobs.values()
+                if not job.begun and not job.progress.state.final
+            )
+        )
+
 
 def _same_life(
     known: deployment.WorkerEntry | None, entry: deployment.WorkerEntry
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -168,6 +168,17 @@
         level=events.Level.WARNING,
         summary="the new leader cannot read the stored jobs yet",
     )
+    LEADER_LOAD = events.Event(
+        number=7044,
+        level=events.Level.INFO,
+        summary="what the leader did in a second, and how far it is behind",
+    )
+    QUEUE_LENGTHS_WRITTEN = events.Event(
+        number=7045,
+        level=events.Level.INFO,
+        summary="the numbers of jobs that have not begun go into the store",
+        limit=50,
+    )
     ADVICE_TAKEN = events.Event(
         number=7050,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/dispatch/jobs.py
+++ b/src/turmerichook/_internal/dispatch/jobs.py
@@ -23,11 +23,13 @@
 class Job:
     """An accepted job that is not final and durable yet.
 
+    :param begun: whether a worker is known to have begun one of its tasks.
     :param unsaved_ends: ends by worker that the next save makes durable.
     """
 
     progress: progresses.Progress
     queue: deployment.Queue
+    begun: bool = False
     unsaved_ends: list[End] = dataclasses.field(default_factory=list)
 
     @property
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -17,6 +17,7 @@
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import load
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.logs import setup as logs
@@ -70,8 +71,8 @@
         self.workers = workers
         self.advisor = advisor
         self.timing = timing
-        self.metrics = metrics
         self.clock = clock
+        self.meter = load.LoadMeter(metrics=metrics, clock=clock)
         self.log = commits.CommitLog(storage=storage, term=term, clock=clock)
         # What an earlier leader renewed last has ended by then.
         lease = timing.lease_max / (1 - fleet.CLOCK_ERROR)
@@ -220,13 +221,20 @@
         dispatcher.open_all_due(self.feeds.wall(), now)
         dispatcher.watchdog.tick(now)
         if self.term.has_authority():
+            began = self.clock.monotonic()
             placed = dispatcher.place(now, self.feeds.wall(), ROUND_TASKS)
+            self.meter.note_round(placed, self.clock.monotonic() - began)
             if placed == ROUND_TASKS:
                 self.changed.set()
         self._send_orders()
         await self._commit()
-        self.metrics.set("waiting_tasks", len(dispatcher.waiting))
-        self.metrics.set("jobs_live", len(dispatcher.jobs))
+        self.meter.report(
+            jobs=len(dispatcher.jobs),
+            waiting=len(dispatcher.waiting),
+            unsaved=len(dispatcher.dirty),
+            unsaved_for=dispatcher.book.unsaved_for(self.clock.uptime()),
+            orders=len(self.tasks),
+        )
 
     async def _commit(self) -> None:
         dispatcher = self.dispatcher
@@ -244,8 +252,7 @@
         began = self.clock.monotonic()
         if not await self.log.write(tuple(writes), tuple(removals)):
             return
-        elapsed = self.clock.monotonic() - began
-        self.metrics.observe("commit_seconds", elapsed.total_seconds())
+        self.meter.note_commit(len(saves), self.clock.monotonic() - began)
         now = self.clock.uptime()
         for order in dispatcher.committed(saves, now):
             self._send(order)
@@ -266,6 +273,11 @@
         if counts != self.pending and room:
             if now - self.pending_written >= PENDING_INTERVAL:
                 self.pending, self.pending_written = counts, now
+                logs.emit(
+                    events.DispatchEvent.QUEUE_LENGTHS_WRITTEN,
+                    lengths=counts,
+                    not_begun=self.dispatcher.not_begun(),
+                )
                 writes.append(
                     interface.Write(
                         key=keys.PENDING, value=msgpack.packb(counts)
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/load.py
@@ -0,0 +1,95 @@
+"""How much the leader does, and how far it is behind.
+
+One log line a second tells a leader that lacks processor time from one that
+waits for the store, and both from a site that is full.
+"""
+
+import datetime
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.metrics import registry
+
+REPORT_INTERVAL = datetime.timedelta(seconds=1)
+ZERO = datetime.timedelta()
+
+
+class LoadMeter:
+    """Counts a leader's work between two reports."""
+
+    def __init__(self, *, metrics: registry.Registry, clock: clocks.Clock):
+        self.metrics = metrics
+        self.clock = clock
+        self.since = clock.monotonic()
+        self.processor_since = clock.processor_time()
+        self.rounds = 0
+        self.placed = 0
+        self.commits = 0
+        self.saved = 0
+        self.placing = ZERO
+        self.committing = ZERO
+        self.longest_commit = ZERO
+
+    def note_round(self, placed: int, elapsed: datetime.timedelta) -> None:
+        """Count one round of placement."""
+        self.rounds += 1
+        self.placed += placed
+        self.placing += elapsed
+        self.metrics.observe("placement_seconds", elapsed.total_seconds())
+
+    def note_commit(self, saved: int, elapsed: datetime.timedelta) -> None:
+        """Count one commit."""
+        self.commits += 1
+        self.saved += saved
+        self.committing += elapsed
+        self.longest_commit = max(self.longest_commit, elapsed)
+        self.metrics.observe("commit_seconds", elapsed.total_seconds())
+
+    def report(
+        self,
+        *,
+        jobs: int,
+        waiting: int,
+        unsaved: int,
+        unsaved_for: datetime.timedelta,
+        orders: int,
+    ) -> None:
+        """Write the log line when it is due.
+
+        :param unsaved: jobs whose progress waits for a commit.
+        :param unsaved_for: how long the first of them has waited.
+        :param orders: orders for workers that are under way.
+        """
+        elapsed = self.clock.monotonic() - self.since
+        self.metrics.set("waiting_tasks", waiting)
+        self.metrics.set("jobs_live", jobs)
+        self.metrics.set("unsaved_jobs", unsaved)
+        self.metrics.set("unsaved_seconds", unsaved_for.total_seconds())
+        if elapsed < REPORT_INTERVAL:
+            return
+        processor = self.clock.processor_time() - self.processor_since
+        logs.emit(
+            events.DispatchEvent.LEADER_LOAD,
+            period_ms=elapsed // clocks.MILLISECOND,
+            processor_ms=processor // clocks.MILLISECOND,
+            rounds=self.rounds,
+            placed=self.placed,
+            placing_ms=self.placing // clocks.MILLISECOND,
+            commits=self.commits,
+            saved=self.saved,
+            committing_ms=self.committing // clocks.MILLISECOND,
+            longest_commit_ms=self.longest_commit // clocks.MILLISECOND,
+            jobs=jobs,
+            waiting=waiting,
+            unsaved=unsaved,
+            unsaved_ms=unsaved_for // clocks.MILLISECOND,
+            orders=orders,
+        )
+        self._reset()
+
+    def _reset(self) -> None:
+        self.since = self.clock.monotonic()
+        self.processor_since = self.clock.processor_time()
+        self.rounds = self.placed = self.commits = self.saved = 0
+        self.placing = self.committing = self.longest_commit = ZERO
--- a/src/turmerichook/_internal/dispatch/run_book.py
+++ b/src/turmerichook/_internal/dispatch/run_book.py
@@ -24,7 +24,8 @@
     """State that all parts of the dispatcher share.
 
     :ivar final: final jobs and our time at which each became durable.
-    :ivar dirty: jobs whose progress must be made durable, in order.
+    :ivar dirty: jobs whose progress must be made durable, in order, and our
+        time of the first change.
     :ivar orders: decisions that wait to be sent.
     """
 
@@ -34,9 +35,17 @@
         self.workers: dict[ids.WorkerId, fleet.Worker] = {}
         self.waiting = waiting.WaitingTasks()
         self.advice = advices.AdviceBook()
-        self.dirty: dict[ids.JobId, None] = {}
+        self.dirty: dict[ids.JobId, datetime.timedelta] = {}
         self.orders: list[decisions.Order] = []
 
+    def note_change(self, job: ids.JobId, now: datetime.timedelta) -> None:
+        """Note that a job's progress must be made durable."""
+        self.dirty.setdefault(job, now)
+
+    def unsaved_for(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return how long the first of the changed jobs has waited."""
+        return now - next(iter(self.dirty.values()), now)
+
     def enqueue(
         self,
         job: jobs.Job,
@@ -119,7 +128,7 @@
         record = job.progress.return_to_queue(
             task, checkpoint=checkpoint, failed=failed
         )
-        self.dirty[job.spec.job] = None
+        self.note_change(job.spec.job, now)
         if failed and record.failures >= job.queue.max_attempts:
             self.fail(job, now)
         if not job.progress.state.final:
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -94,7 +94,10 @@
             run.moved = now
         run.reading = row.reading
         job = self.book.jobs.get(row.task.job)
-        if job is not None and row.checkpoint:
+        if job is None:
+            return
+        job.begun = True
+        if row.checkpoint:
             record = job.progress.tasks.get(row.task)
             if record is not None and record.run == row.run:
                 record.checkpoint = row.checkpoint
@@ -150,7 +153,8 @@
         job.unsaved_ends.append(
             jobs.End(worker.worker, worker.incarnation, end.number)
         )
-        self.book.dirty[job.spec.job] = None
+        job.begun = True
+        self.book.note_change(job.spec.job, now)
         step = job.spec.steps[end.task.step]
         if end.kind is model.EndKind.DONE and not step.long_running:
             if step.gang:
@@ -197,6 +201,7 @@
             case orders.Accepted():
                 run.phase = fleet.RunPhase.RUNNING
                 run.moved = now
+                self._note_begun(run)
                 if not run.wanted:
                     self.book.stop(worker, run, now, "not-wanted")
             case orders.Refused(reason=reason):
@@ -224,6 +229,11 @@
                     detail=detail,
                 )
 
+    def _note_begun(self, run: fleet.Run) -> None:
+        job = self.book.jobs.get(run.task.job)
+        if job is not None:
+            job.begun = True
+
     def take_stop_outcome(
         self,
         worker: fleet.Worker,
--- a/src/turmerichook/_internal/intake/events.py
+++ b/src/turmerichook/_internal/intake/events.py
@@ -57,6 +57,12 @@
         summary="a request is not valid",
         limit=100,
     )
+    QUEUE_LENGTH_ANSWERED = events.Event(
+        number=7209,
+        level=events.Level.INFO,
+        summary="a queue's length was told",
+        limit=100,
+    )
     CONFIGURATION_IN_FORCE = events.Event(
         number=7220,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/intake/job_store.py
+++ b/src/turmerichook/_internal/intake/job_store.py
@@ -6,6 +6,8 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import keys
+from turmerichook._internal.intake import events
+from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import interface
 from turmerichook._internal.workflow import model
@@ -50,6 +52,8 @@
         self.storage = storage
         self.clock = clock
         self.final: dict[ids.JobId, model.JobState] = {}
+        # Revision of the queues' lengths, and when it was read first.
+        self.lengths_seen = (interface.ABSENT, datetime.timedelta())
 
     async def submit(
         self, spec: model.JobSpec, until: datetime.timedelta
@@ -152,12 +156,21 @@
     ) -> int | Unsettled:
         """Return the number of a queue's jobs that have not begun."""
         item = await self._read(keys.PENDING, until)
-        match item:
-            case Unsettled():
-                return item
-            case None:
-                return 0
-        return stored.decode_counts(item.value).get(queue, 0)
+        if isinstance(item, Unsettled):
+            return item
+        revision = item.revision if item else interface.ABSENT
+        now = self.clock.monotonic()
+        if revision != self.lengths_seen[0]:
+            self.lengths_seen = (revision, now)
+        count = stored.decode_counts(item.value).get(queue, 0) if item else 0
+        logs.emit(
+            events.IntakeEvent.QUEUE_LENGTH_ANSWERED,
+            queue=queue,
+            length=count,
+            revision=revision,
+            unchanged_ms=(now - self.lengths_seen[1]) // clocks.MILLISECOND,
+        )
+        return count
 
     async def _read(
         self, key: str, until: datetime.timedelta
