Remove the progress of old jobs as fast as jobs end

The store grew with each job on a busy site. Progress of final jobs is removed when it is ten minutes old, but only by one commit in 5 s and only in the entries which that commit had left: 29 at most, 2 beside a backlog, so 6 a second at most. The grown sites end 18 jobs a second.

Removals now ride along with each commit that has room (two entries of each are kept for what rides along), and get a commit of their own once in 5 s when nothing else is written. dispatch/housekeeping.py takes this part out of leader.py, together with cancellations of jobs that do not run; the final jobs are looked at from the oldest on, not all each time.

tests/dispatch/test_housekeeping.py shows that removals keep up with 18 jobs a second beside 20 commits a second with two entries left, that an idle leader writes 13 times a minute at most, and that nothing is removed early.

--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -15,6 +15,7 @@
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import feeds
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import housekeeping
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import load
@@ -34,10 +35,6 @@
 # Tasks that are placed at once; more wait for the next commit.
 PLACED_TASKS = 200
 PENDING_INTERVAL = datetime.timedelta(milliseconds=700)
-# Progress of final jobs is removed after this multiple of the time for which
-# it must be readable, in which late copies of a submission are recognised.
-RETENTION_FACTOR = 5
-CLEANUP_INTERVAL = datetime.timedelta(seconds=5)
 # How soon new tasks of an advised queue are noticed, and the pause after a
 # question without an answer.
 ADVICE_PAUSE = datetime.timedelta(milliseconds=50)
@@ -93,6 +90,12 @@
             changed=self.changed,
             on_worker=self._ensure_session,
         )
+        self.housekeeping = housekeeping.Housekeeping(
+            final=self.dispatcher.final,
+            stray_cancels=self.feeds.stray_cancels,
+            state_retention=timing.state_retention,
+            clock=clock,
+        )
         self.committer = committers.Committer(
             dispatcher=self.dispatcher,
             log=self.log,
@@ -109,7 +112,6 @@
         self.tasks: set[asyncio.Task] = set()
         self.pending: dict[ids.QueueId, int] | None = None
         self.pending_written = datetime.timedelta()
-        self.cleaned = datetime.timedelta()
 
     async def run(self) -> None:
         """Lead until the term ends."""
@@ -277,7 +279,6 @@
         """Return entries that ride along with a commit while there is room."""
         now = self.clock.uptime()
         writes: list[interface.Write] = []
-        removals: list[str] = []
         counts = self.dispatcher.pending()
         if counts != self.pending and room:
             if now - self.pending_written >= PENDING_INTERVAL:
@@ -293,24 +294,7 @@
                     )
                 )
                 room -= 1
-        while self.feeds.stray_cancels and room > 0:
-            removals.append(self.feeds.stray_cancels.pop())
-            room -= 1
-        if now - self.cleaned >= CLEANUP_INTERVAL and room > 0:
-            self.cleaned = now
-            removals += self._expired(now, room)
-        return writes, removals
-
-    def _expired(self, now: datetime.timedelta, most: int) -> list[str]:
-        limit = now - self.timing.state_retention * RETENTION_FACTOR
-        expired = [
-            job_id
-            for job_id, since in self.dispatcher.final.items()
-            if since < limit
-        ]
-        for job_id in expired[:most]:
-            del self.dispatcher.final[job_id]
-        return [keys.progress(job_id) for job_id in expired[:most]]
+        return writes, self.housekeeping.removals(room)
 
     def _send_orders(self) -> None:
         for order in self.dispatcher.take_orders():
