--- a/src/turmerichook/_internal/dispatch/committer.py
+++ b/src/turmerichook/_internal/dispatch/committer.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections.abc
-import typing
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import commits
@@ -33,17 +32,12 @@
 FOLLOW_UP_JOBS = SAVES_ROOM // 2
 
 
-class Extras(typing.Protocol):
-    """What rides along with commits."""
-
-    def __call__(self, room: int) -> tuple[list[interface.Write], list[str]]:
-        """Return writes and removals, at most as many as there is room."""
-
-
 class Committer:
     """Fills commits, and acts on them once they are durable.
 
     :param place: places waiting tasks of at most this many jobs.
+    :param removals: returns keys to remove besides, at most as many as there
+        is room for.
     :param send: sends a start that has been released.
     :param wake_session: called for each worker with an end that is durable.
     :param changed: set when changes are left that no round will notice.
@@ -55,7 +49,7 @@
         dispatcher: dispatchers.Dispatcher,
         log: commits.CommitLog,
         place: collections.abc.Callable[[int], None],
-        extras: Extras,
+        removals: collections.abc.Callable[[int], list[str]],
         send: collections.abc.Callable[[decisions.StartOrder], None],
         wake_session: collections.abc.Callable[[ids.WorkerId], None],
         changed: asyncio.Event,
@@ -65,7 +59,7 @@
         self.dispatcher = dispatcher
         self.log = log
         self.place = place
-        self.extras = extras
+        self.removals = removals
         self.send = send
         self.wake_session = wake_session
         self.changed = changed
@@ -91,11 +85,7 @@
         """Write what has changed; tell whether the term goes on."""
         saves = self.dispatcher.next_saves(SAVES_ROOM)
         writes, removals = _save_entries(saves)
-        extra_writes, extra_removals = self.extras(
-            commits.ROOM - len(writes) - len(removals)
-        )
-        writes += extra_writes
-        removals += extra_removals
+        removals += self.removals(commits.ROOM - len(writes) - len(removals))
         if not writes and not removals:
             return True
         left = len(self.dispatcher.dirty)
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -5,8 +5,6 @@
 import datetime
 import typing
 
-import msgpack
-
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import commits
 from turmerichook._internal.dispatch import committer as committers
@@ -16,10 +14,10 @@
 from turmerichook._internal.dispatch import feeds
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import housekeeping
-from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import load
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.dispatch import queue_lengths
 from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.metrics import registry
@@ -34,7 +32,6 @@
 ROUND_MAX = datetime.timedelta(milliseconds=200)
 # Tasks that are placed at once; more wait for the next commit.
 PLACED_TASKS = 200
-PENDING_INTERVAL = datetime.timedelta(milliseconds=700)
 # How soon new tasks of an advised queue are noticed, and the pause after a
 # question without an answer.
 ADVICE_PAUSE = datetime.timedelta(milliseconds=50)
@@ -100,18 +97,21 @@
             dispatcher=self.dispatcher,
             log=self.log,
             place=self._place,
-            extras=self._extra_entries,
+            removals=self.housekeeping.removals,
             send=self._send,
             wake_session=self._wake_session,
             changed=self.changed,
             meter=self.meter,
             clock=clock,
         )
-        # Reading of ``Clock.monotonic`` before which nothing is placed.
-        self.place_after = datetime.timedelta()
+        self.lengths = queue_lengths.QueueLengths(
+            storage=storage,
+            term=term,
+            dispatcher=self.dispatcher,
+            metrics=metrics,
+            clock=clock,
+        )
         self.tasks: set[asyncio.Task] = set()
-        self.pending: dict[ids.QueueId, int] | None = None
-        self.pending_written = datetime.timedelta()
 
     async def run(self) -> None:
         """Lead until the term ends."""
@@ -120,6 +120,7 @@
             await self.feeds.recover(self.term)
             self._spawn(self.feeds.inbox.run())
             self._spawn(self.feeds.registry.run())
+            self._spawn(self.lengths.run())
             if self.advisor is not None:
                 self._spawn(self._ask_advisor(self.advisor))
             self._spawn(self.committer.run())
@@ -252,9 +253,6 @@
             return
         dispatcher = self.dispatcher
         began = self.clock.monotonic()
-        if began < self.place_after:
-            self.changed.set()
-            return
         placed = dispatcher.place(
             self.clock.uptime(),
             self.feeds.wall(),
@@ -273,29 +271,6 @@
         if session is not None:
             session.wake.set()
 
-    def _extra_entries(
-        self, room: int
-    ) -> tuple[list[interface.Write], list[str]]:
-        """Return entries that ride along with a commit while there is room."""
-        now = self.clock.uptime()
-        writes: list[interface.Write] = []
-        counts = self.dispatcher.pending()
-        if counts != self.pending and room:
-            if now - self.pending_written >= PENDING_INTERVAL:
-                self.pending, self.pending_written = counts, now
-                logs.emit(
-                    events.DispatchEvent.QUEUE_LENGTHS_WRITTEN,
-                    lengths=counts,
-                    not_begun=self.dispatcher.not_begun(),
-                )
-                writes.append(
-                    interface.Write(
-                        key=keys.PENDING, value=msgpack.packb(counts)
-                    )
-                )
-                room -= 1
-        return writes, self.housekeeping.removals(room)
-
     def _send_orders(self) -> None:
         for order in self.dispatcher.take_orders():
             self._send(order)
--- a/tests/dispatch/test_committer.py
+++ b/tests/dispatch/test_committer.py
@@ -45,7 +45,9 @@
         self.on_commit = lambda commit: None
 
     async def commit(self, commit):
-        self.on_commit(commit)
+        # Queue lengths are kept up to date by other, smaller commits.
+        if keys.SEQUENCE in commit.expect:
+            self.on_commit(commit)
         await asyncio.sleep(COMMIT_TIME.total_seconds())
         await self.open.wait()
         return await super().commit(commit)
