Hold waiting steps only against workers that have changed

Callers on the grown sites got work late or not at all after a takeover: the leader spent its processor on placement that found nothing. Each round held every waiting step against every worker, steps times workers, although tens of workers change in 25 ms.

Workers now have a version that grows with each change that matters to placement. Room keeps what it has read of each, reads those again that have changed, and logs the changes; a step that found no worker keeps its position in that log and is held only against later changes. A step that fits is ranked against the best workers by load and rack, as many as it can need; whether a worker may run a task is still decided by the conditions of obstacles.py alone. Fillers, whose harm changes with each reading, keep their pause of 150 ms, and share it with those of the same image that ask for as much. Steps are sorted anew every 100 ms and new ones put in their place. Why a step waits is logged for one step in 100 ms, since it takes a look at all workers.

Ruled out: one ranking for steps with equal needs. Needs are drawn from continuous ranges on both sites, so that hardly two steps are alike.

--- a/src/turmerichook/_internal/dispatch/filling.py
+++ b/src/turmerichook/_internal/dispatch/filling.py
@@ -38,12 +38,12 @@
         return obstacles.Obstacle.SLOWS_SERVICES
     if overdue:
         return None
-    if step.demand.millicores > _unused(worker):
+    if step.demand.millicores > unused(worker):
         return obstacles.Obstacle.NO_IDLE_PROCESSORS
     return None
 
 
-def _unused(worker: fleet.Worker) -> float:
+def unused(worker: fleet.Worker) -> float:
     """Return the processors that more fillers would get, in thousandths."""
     serving = sum(run.step.demand.millicores for run in worker.serving())
     used = worker.used.millicores - serving * (1 - SERVING_USE)
@@ -64,12 +64,15 @@
 
     :returns: the cost of a core of the filler, in units of its own worth.
     """
+    serving = list(worker.serving())
+    if not serving:
+        return 0.0
     cores: dict[ids.ImageId, float] = collections.defaultdict(float)
     cores[step.image] = step.demand.millicores / 1000
     for run in worker.fillers():
         cores[run.step.image] += run.full_use / 1000
     cost = 0.0
-    for run in worker.serving():
+    for run in serving:
         target = run.step.latency_target
         image = run.step.image
         coefficient = interference.coefficient(image, step.image)
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import enum
+import typing
 
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import orders
@@ -79,12 +80,43 @@
         return min(asked, self.reading * 100 / self.pace)
 
 
+class Watched:
+    """An attribute of a worker that decides which tasks it may get.
+
+    A new value raises the worker's version. Reads find the value in the
+    instance at the usual cost, as there is no ``__get__``.
+    """
+
+    def __set_name__(self, owner: type, name: str):
+        self.name = name
+
+    def __set__(self, worker: "Worker", value: typing.Any):
+        fields = vars(worker)
+        if self.name not in fields or fields[self.name] != value:
+            fields[self.name] = value
+            worker.version += 1
+
+
 class Worker:
-    """One worker's ledger."""
+    """One worker's ledger.
+
+    :ivar version: grows with each change that matters to placement.
+    """
+
+    entry = Watched()
+    listed = Watched()
+    reachable = Watched()
+    looked = Watched()
+    suspended_until = Watched()
+    full_until = Watched()
+    hot_since = Watched()
+    # The paces of fillers change with it.
+    paced_at = Watched()
 
     def __init__(
         self, *, worker: ids.WorkerId, entry: deployment.WorkerEntry | None
     ):
+        self.version = 0
         self.worker = worker
         self.entry = entry
         # Whether the registry lists the worker.
@@ -110,7 +142,7 @@
         self.suspended_until = ZERO
         self.full_until = ZERO
         # Since when a tail latency has been over its target.
-        self.hot_since: datetime.timedelta | None = None
+        self.hot_since = None
         self.paced_at = ZERO
         self.remaining_at: datetime.timedelta | None = None
 
@@ -122,6 +154,7 @@
     def add(self, run: Run) -> None:
         """Count a run against the worker."""
         self.runs[run.task] = run
+        self.version += 1
         self.reserve(run.step)
 
     def remove(self, task: model.TaskKey) -> Run | None:
@@ -129,6 +162,7 @@
         run = self.runs.pop(task, None)
         if run is None:
             return None
+        self.version += 1
         self.release(run.step)
         return run
 
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -4,10 +4,12 @@
 import dataclasses
 import datetime
 import enum
+import functools
 
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
 
 
@@ -40,6 +42,33 @@
 )
 
 
+def closure(
+    worker: fleet.Worker,
+    closed: collections.abc.Container[ids.ZoneId],
+    now: datetime.timedelta,
+) -> Obstacle | None:
+    """Return why a worker must not get any task, if it must not.
+
+    :param closed: zones that must get no tasks.
+    """
+    entry = worker.entry
+    if entry is None or not worker.listed:
+        return Obstacle.NOT_LISTED
+    if entry.zone in closed:
+        return Obstacle.ZONE_CLOSED
+    if entry.state is not deployment.WorkerState.READY:
+        return Obstacle.LEAVING
+    if not worker.looked or not worker.reachable:
+        return Obstacle.OUT_OF_REACH
+    if now < worker.full_until:
+        return Obstacle.HAS_REFUSED
+    if len(worker.failing) >= fleet.SUSPECT_FAILURES:
+        # After the suspension one task at a time shows whether it recovered.
+        if now < worker.suspended_until or worker.runs:
+            return Obstacle.SUSPECTED
+    return None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Conditions:
     """Where the tasks of one step may go.
@@ -67,19 +96,9 @@
             step.label and step.label not in entry.labels
         ):
             return Obstacle.OTHER_KIND
-        if entry.zone in self.closed:
-            return Obstacle.ZONE_CLOSED
-        if entry.state is not deployment.WorkerState.READY:
-            return Obstacle.LEAVING
-        if not worker.looked or not worker.reachable:
-            return Obstacle.OUT_OF_REACH
-        if self.now < worker.full_until:
-            return Obstacle.HAS_REFUSED
-        if len(worker.failing) >= fleet.SUSPECT_FAILURES:
-            # After the suspension one task at a time shows whether it
-            # recovered.
-            if self.now < worker.suspended_until or worker.runs:
-                return Obstacle.SUSPECTED
+        found = closure(worker, self.closed, self.now)
+        if found is not None:
+            return found
         limit = step.max_per_worker
         if limit and self.on_worker.get(worker.worker, 0) >= limit:
             return Obstacle.ENOUGH_OF_STEP
@@ -94,16 +113,21 @@
         found = self.obstacle(worker)
         return (found is None or found in SHORTAGES) and self._fits(worker)
 
+    @functools.cached_property
+    def committed(self) -> resources.Resources:
+        """What a task takes of a worker's capacity."""
+        return self.step.committed
+
     def _fits(self, worker: fleet.Worker) -> bool:
-        return self.step.committed.fits(worker.entry.capacity)
+        return self.committed.fits(worker.entry.capacity)
 
     def _shortage(self, worker: fleet.Worker) -> Obstacle | None:
-        wanted = worker.used.plus(self.step.committed)
+        used, wanted = worker.used, self.committed
         capacity = worker.entry.capacity
-        if wanted.millicores > capacity.millicores:
+        if used.millicores + wanted.millicores > capacity.millicores:
             return Obstacle.NO_PROCESSORS
-        if wanted.memory_mib > capacity.memory_mib:
+        if used.memory_mib + wanted.memory_mib > capacity.memory_mib:
             return Obstacle.NO_MEMORY
-        if wanted.accelerators > capacity.accelerators:
+        if used.accelerators + wanted.accelerators > capacity.accelerators:
             return Obstacle.NO_ACCELERATORS
         return None
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -70,7 +70,7 @@
         """
         if not self.heap:
             return outcomes.Absent(
-                reason=outcomes.Reason.NO_FIT, detail=self._detail()
+                reason=outcomes.Reason.NO_FIT, detail=self.detail()
             )
         best = heapq.heappop(self.heap)
         if best[2].worker == last and self.heap:
@@ -108,7 +108,8 @@
             return obstacles.Obstacle.RESERVED
         return None
 
-    def _detail(self) -> str:
+    def detail(self) -> str:
+        """Return how many workers each obstacle was found on."""
         return ",".join(
             f"{obstacle.value}:{count}"
             for obstacle, count in sorted(
@@ -137,9 +138,7 @@
 
 def _score(worker: fleet.Worker, step: model.Step) -> float:
     """Return how bad a worker is for a task."""
-    score = load(worker)
-    if worker.entry.cold:
-        score += COLD_PENALTY
+    score = base_score(worker)
     if step.rack and step.rack != worker.entry.rack:
         score += WRONG_RACK_PENALTY
     if step.latency_target and not step.filler:
@@ -147,6 +146,12 @@
     return score
 
 
+def base_score(worker: fleet.Worker) -> float:
+    """Return how bad a worker is for any task."""
+    score = load(worker)
+    return score + COLD_PENALTY if worker.entry.cold else score
+
+
 def _mixture(worker: fleet.Worker, step: model.Step) -> float:
     """Return how badly a serving task goes with those on a worker.
 
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -1,7 +1,8 @@
 """Tasks that may start, and the order in which they are placed.
 
 Tasks of one step are alike, so that a step whose task found no worker is
-passed over for the rest of the round.
+passed over for the rest of the round, and after it until a worker that may
+have room for it has changed.
 """
 
 import collections
@@ -16,6 +17,9 @@
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.dispatch import placement
+from turmerichook._internal.dispatch import refusals
+from turmerichook._internal.dispatch import room as rooms
+from turmerichook._internal.dispatch import urgency
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
@@ -28,10 +32,18 @@
 # Multiple of a job's objective up to which a late result is paid for.
 LATE_FACTOR = 3.0
 
-# A step of fillers that no worker could take is not tried again before. A
-# backlog tried against hundreds of workers each round would fill a processor.
+# A step of fillers that no worker could take is not tried again before, nor
+# are those of the same image that ask for as much: the harm that fillers do
+# changes with each reading. A backlog tried against hundreds of workers each
+# round would fill a processor.
 BLOCKED_PAUSE = datetime.timedelta(milliseconds=150)
 
+# Why a step waits is found out and logged for one step at a time this often,
+# and for the same one not before the second time has passed: a look at all
+# workers for each step in each round would fill a processor.
+EXPLAIN_INTERVAL = datetime.timedelta(milliseconds=100)
+EXPLAIN_AGAIN = datetime.timedelta(seconds=30)
+
 # Workers whose room is kept together at once; more would keep short tasks out.
 RESERVED_MAX = 2
 
@@ -64,6 +76,9 @@
 
     :param useful_until: when a result is worth nothing any more.
     :param chain: time from the step's start to the job's end.
+    :param needs: what each task asks of a worker of the service.
+    :param tried: position in the log of changed workers up to which none had
+        room for a task.
     """
 
     job: jobs.Job
@@ -72,7 +87,11 @@
     useful_until: datetime.timedelta
     chain: datetime.timedelta
     since: datetime.timedelta
+    needs: rooms.Needs
+    service: ids.ServiceId
+    tried: int = rooms.UNTRIED
     blocked_until: datetime.timedelta = fleet.ZERO
+    explain_at: datetime.timedelta = fleet.ZERO
     tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
         default_factory=dict
     )
@@ -117,6 +136,12 @@
 
     def __init__(self):
         self.steps: dict[model.StepKey, WaitingStep] = {}
+        self.urgency: urgency.Urgency[WaitingStep] = urgency.Urgency()
+        # Whether long-running tasks leave too little to short ones.
+        self.crowded = False
+        self.room = rooms.Room()
+        self.refusals = refusals.Refusals()
+        self.explain_at = fleet.ZERO
 
     def __len__(self) -> int:
         return sum(len(step.tasks) for step in self.steps.values())
@@ -139,7 +164,10 @@
                 useful_until=job.deadline(task.occurrence, LATE_FACTOR),
                 chain=job.progress.chain_from(task.step),
                 since=now,
+                needs=rooms.needs_of(job.spec.steps[task.step]),
+                service=job.queue.service,
             )
+            self.urgency.add(found)
         found.tasks[task] = last
 
     def remove(self, task: model.TaskKey) -> None:
@@ -154,7 +182,7 @@
     def drop(self, job: ids.JobId) -> None:
         """Remove all tasks of a job."""
         for key in [key for key in self.steps if key.job == job]:
-            del self.steps[key]
+            self.steps.pop(key).tasks.clear()
 
     def by_urgency(
         self,
@@ -165,9 +193,14 @@
     ) -> list[WaitingStep]:
         """Return the steps with waiting tasks, the most urgent first."""
         steps = self.steps.values()
-        crowded = any(s.starving(now) for s in steps) and _crowded(workers)
-        return sorted(
-            steps, key=lambda step: step.order(now, wall, crowded=crowded)
+        if self.urgency.expired(now):
+            starving = any(step.starving(now) for step in steps)
+            self.crowded = starving and _crowded(workers)
+        return self.urgency.read(
+            items=steps,
+            key=lambda step: step.order(now, wall, crowded=self.crowded),
+            live=lambda step: step.tasks,
+            now=now,
         )
 
     def place(
@@ -183,27 +216,37 @@
         limit: int,
     ) -> int:
         """Give tasks to workers, the most urgent first; return how many."""
+        self.room.update(workers, closed, now)
+        self.refusals.clean(now)
         round_ = _Round(
             workers=workers,
             closed=closed,
             approved=approved,
             interference=interference,
             now=now,
+            room=self.room,
+            refusals=self.refusals,
+            reserved=self.room.kept,
         )
         placed = 0
         for waiting in self.by_urgency(workers=workers, now=now, wall=wall):
             if placed >= limit:
                 break
-            if waiting.step.filler and now < waiting.blocked_until:
-                continue
-            if waiting.step.gang:
-                chosen = round_.choose_gang(waiting)
-            else:
-                chosen = round_.choose(waiting, limit - placed)
+            chosen: list[Choice] = []
+            if not round_.hopeless(waiting):
+                if waiting.step.gang:
+                    chosen = round_.choose_gang(waiting)
+                else:
+                    chosen = round_.choose(waiting, limit - placed)
             for task, worker, run in chosen:
                 self.remove(task)
                 assign(waiting.job, task, worker, run, now)
+                self.room.refresh(worker)
             placed += len(chosen)
+            if self.explain_at <= now >= waiting.explain_at and waiting.tasks:
+                self.explain_at = now + EXPLAIN_INTERVAL
+                waiting.explain_at = now + EXPLAIN_AGAIN
+                round_.explain(waiting)
         return placed
 
 
@@ -224,8 +267,42 @@
     approved: Approved
     interference: interferences.Interference
     now: datetime.timedelta
+    room: rooms.Room
+    refusals: refusals.Refusals
     # Workers whose room is being kept together for a starving task.
-    reserved: set[ids.WorkerId] = dataclasses.field(default_factory=set)
+    reserved: set[ids.WorkerId]
+
+    def hopeless(self, waiting: WaitingStep) -> bool:
+        """Tell quickly that no worker can take a step's tasks now."""
+        if waiting.service != waiting.job.queue.service:
+            waiting.service = waiting.job.queue.service
+            waiting.tried = rooms.UNTRIED
+        needs = waiting.needs
+        if needs.filler:
+            return self._paused(waiting)
+        if needs.long_running and waiting.starving(self.now):
+            # What is kept for others may do, or room is to be kept for it.
+            return len(self.reserved) >= RESERVED_MAX and not self._seats(
+                waiting
+            )
+        if self.room.may_fit(needs, waiting.tried):
+            return False
+        waiting.tried = self.room.position
+        return True
+
+    def _paused(self, waiting: WaitingStep) -> bool:
+        """Tell quickly that no worker takes a step's fillers now."""
+        if self.now < waiting.blocked_until:
+            return True
+        overdue = self._overdue(waiting)
+        if not overdue and not self.room.may_fill(waiting.needs):
+            return True
+        kind = _kind(waiting, overdue)
+        until = self.refusals.until(kind, waiting.needs, self.now)
+        if until is None:
+            return False
+        waiting.blocked_until = until
+        return True
 
     def choose(self, waiting: WaitingStep, limit: int) -> list[Choice]:
         """Choose workers for as many of a step's tasks as fit.
@@ -233,38 +310,31 @@
         Each choice counts as if the task took its room at once.
         """
         step = waiting.step
-        counts = _tasks_by_worker(waiting)
-        conditions = obstacles.Conditions(
-            step=step,
-            service=waiting.job.queue.service,
-            closed=self.closed,
-            approved=self.approved(waiting),
-            on_worker=counts,
-            now=self.now,
-        )
         records = waiting.job.progress.tasks
-        overdue = self.now - waiting.since > PATIENCE and not any(
-            record.worker for record in records.values()
-        )
-        starving = waiting.starving(self.now)
+        seats = [] if waiting.needs.filler else self._seats(waiting)
+        counts = _tasks_by_worker(waiting)
+        conditions = self._conditions(waiting, counts)
+        overdue = self._overdue(waiting)
         chosen: list[Choice] = []
         ranking: placement.Ranking | None = None
         for task, last in waiting.tasks.items():
             if len(chosen) == limit:
                 break
             if ranking is None:
-                ranking = placement.Ranking(
-                    conditions=conditions,
-                    workers=self.workers,
-                    # What a starving task waits for may be room for another.
-                    reserved=() if starving else self.reserved,
-                    interference=self.interference,
+                ranking = self._rank(
+                    waiting,
+                    conditions,
+                    seats,
+                    count=min(limit, len(waiting.tasks)),
                     overdue=overdue,
                 )
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
-                _log_wait(waiting, worker)
-                waiting.blocked_until = self.now + BLOCKED_PAUSE
+                if waiting.needs.filler:
+                    self._pause(waiting, conditions, overdue=overdue)
+                elif conditions.approved is None or not seats:
+                    waiting.tried = self.room.position
+                starving = waiting.starving(self.now)
                 if starving and len(self.reserved) < RESERVED_MAX:
                     self._keep_room(conditions)
                 break
@@ -282,12 +352,110 @@
             choice.worker.release(step)
         return chosen
 
+    def explain(self, waiting: WaitingStep) -> None:
+        """Log why no worker takes the step's tasks, if none does."""
+        ranking = placement.Ranking(
+            conditions=self._conditions(waiting, _tasks_by_worker(waiting)),
+            workers=self.workers,
+            reserved=self._reserved_from(waiting),
+            interference=self.interference,
+            overdue=self._overdue(waiting),
+        )
+        found = ranking.take(ids.WorkerId(""))
+        if isinstance(found, outcomes.Absent):
+            _log_wait(waiting, found.detail)
+        elif waiting.step.gang:
+            _log_wait(waiting, ranking.detail())
+
+    def _seats(self, waiting: WaitingStep) -> list[rooms.Seat]:
+        """Return the workers that may have room for a step's tasks."""
+        tried = rooms.UNTRIED if waiting.step.gang else waiting.tried
+        return self.room.seats_for(waiting.needs, waiting.service, tried)
+
+    def _conditions(
+        self, waiting: WaitingStep, counts: collections.Counter
+    ) -> obstacles.Conditions:
+        return obstacles.Conditions(
+            step=waiting.step,
+            service=waiting.job.queue.service,
+            closed=self.closed,
+            approved=self.approved(waiting),
+            on_worker=counts,
+            now=self.now,
+        )
+
+    def _reserved_from(
+        self, waiting: WaitingStep
+    ) -> collections.abc.Container[ids.WorkerId]:
+        """Return the workers whose room is kept for other tasks."""
+        # What a starving task waits for may be room for another.
+        return () if waiting.starving(self.now) else self.reserved
+
+    def _overdue(self, waiting: WaitingStep) -> bool:
+        """Tell whether a filler's job has had nothing running for long."""
+        return (
+            waiting.needs.filler
+            and self.now - waiting.since > PATIENCE
+            and not any(r.worker for r in waiting.job.progress.tasks.values())
+        )
+
+    def _rank(
+        self,
+        waiting: WaitingStep,
+        conditions: obstacles.Conditions,
+        seats: list[rooms.Seat],
+        *,
+        count: int,
+        overdue: bool,
+    ) -> placement.Ranking:
+        reserved = self._reserved_from(waiting)
+        needs = waiting.needs
+        if needs.filler:
+            seats = self.room.seats_for_filler(
+                needs, waiting.service, overdue=overdue
+            )
+        elif reserved:
+            seats = [s for s in seats if s.worker.worker not in reserved]
+        if conditions.approved is not None or waiting.step.max_per_worker:
+            seats = [s for s in seats if conditions.obstacle(s.worker) is None]
+        return placement.Ranking(
+            conditions=conditions,
+            workers=[s.worker for s in rooms.best(seats, needs, count)],
+            reserved=reserved,
+            interference=self.interference,
+            overdue=overdue,
+        )
+
+    def _pause(
+        self,
+        waiting: WaitingStep,
+        conditions: obstacles.Conditions,
+        *,
+        overdue: bool,
+    ) -> None:
+        """Let a step of fillers that no worker takes rest for a while."""
+        waiting.blocked_until = self.now + BLOCKED_PAUSE
+        restricted = waiting.step.max_per_worker or waiting.step.gang
+        if conditions.approved is None and not restricted:
+            self.refusals.note(
+                _kind(waiting, overdue),
+                waiting.needs,
+                now=self.now,
+                until=waiting.blocked_until,
+            )
+
     def choose_gang(self, waiting: WaitingStep) -> list[Choice]:
         """Choose workers for all members, under one run number, or none."""
         count = waiting.step.count
         if len(waiting.tasks) < count:
             # Members of the former run have not all ended yet.
             return []
+        if waiting.tried >= 0 and not waiting.starving(self.now):
+            if not self.room.seats_for(
+                waiting.needs, waiting.service, waiting.tried
+            ):
+                waiting.tried = self.room.position
+                return []
         chosen = self.choose(waiting, count)
         if len(chosen) < count:
             return []
@@ -335,13 +503,19 @@
     return counts
 
 
-def _log_wait(waiting: WaitingStep, absent: outcomes.Absent) -> None:
+def _kind(waiting: WaitingStep, overdue: bool) -> collections.abc.Hashable:
+    """Return what fillers have in common whose refusals can be compared."""
+    needs = waiting.needs
+    return waiting.service, needs.label, waiting.step.image, overdue
+
+
+def _log_wait(waiting: WaitingStep, detail: str) -> None:
     logs.emit(
         events.DispatchEvent.TASK_WAITS,
         job=waiting.key.job,
         step=waiting.key.step,
         tasks=len(waiting.tasks),
-        reason=absent.reason.value,
-        obstacles=absent.detail,
+        reason=outcomes.Reason.NO_FIT.value,
+        obstacles=detail,
         priority=waiting.job.queue.priority,
     )
