Send each request in one piece and check its headers once

A call wrote its head and its body to the socket one after the other, so that the worker was woken twice as well; ran an asyncio timeout and a task-wide cancellation around all of it; asked h11 for an event before anything had arrived; and let h11 check the same headers anew for each call.

A call with a body is written in one piece. The time limit is the deadline of the connection's reads, which the wire keeps with one timer, and only a call that must wait for a free connection runs under a timeout of its own. The headers of a pool's last call are kept as h11 has checked them and are sent again if they are the same. Progress and outcome of a broken call are as before; a call whose answer arrives in the same turn of the event loop as its time limit now takes the answer.

tests/http/test_call_pool.py::TestCost::test_one_write failed before with two writes; the other tests there passed and keep the outcomes.

--- a/src/turmerichook/_internal/http/calls.py
+++ b/src/turmerichook/_internal/http/calls.py
@@ -52,11 +52,15 @@
     ):
         self.host = host
         self.port = port
-        self.authority = authority or f"{host}:{port}"
+        self.host_header = (authority or f"{host}:{port}").encode()
         self.connect_timeout = connect_timeout
         self.limits = limits or heads.Limits()
         self.idle: list[client.ClientConnection] = []
         self.slots = asyncio.Semaphore(connections)
+        # Headers of the last request, which are often those of the next one,
+        # as they were given and as h11 has checked them.
+        self.last_headers: heads.Headers = ()
+        self.checked_headers: heads.Headers = ()
 
     async def call(
         self,
@@ -71,33 +75,25 @@
 
         :raises ExchangeError: with the progress made, also on a time-out.
         """
-        head = heads.RequestHead(
-            method=method,
-            target=target,
-            headers=[
-                (b"host", self.authority.encode()),
-                (b"content-length", str(len(body)).encode()),
-                *(headers or []),
-            ],
-        )
-        progress = exceptions.Progress.NOTHING_SENT
-        connection: client.ClientConnection | None = None
+        end = asyncio.get_running_loop().time() + timeout
+        if self.slots.locked():
+            await self._wait_for_slot(timeout)
+        else:
+            # Does not wait then, and so needs no time limit.
+            await self.slots.acquire()
         try:
-            async with asyncio.timeout(timeout), self.slots:
-                connection = await self._take()
-                answer = await self._exchange(connection, head, body)
-        except TimeoutError as error:
-            if connection is not None:
-                progress = connection.progress
-            raise exceptions.DeadlineExceededError(
-                message=f"no answer within {timeout:g} s",
-                progress=progress,
-                context=f"{self.host}:{self.port}",
-            ) from error
-        finally:
-            if connection is not None:
+            connection = self._idle() or await self._open(end)
+            connection.deadline = end
+            try:
+                return await self._exchange(
+                    connection, method, target, headers or (), body
+                )
+            finally:
                 self._give_back(connection)
-        return answer
+        except exceptions.DeadlineExceededError as error:
+            raise self._late(timeout, error.progress) from error
+        finally:
+            self.slots.release()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -105,16 +101,38 @@
             connection.close()
         self.idle.clear()
 
-    async def _take(self) -> client.ClientConnection:
+    async def _wait_for_slot(self, timeout: float) -> None:
+        try:
+            async with asyncio.timeout(timeout):
+                await self.slots.acquire()
+        except TimeoutError as error:
+            raise self._late(
+                timeout, exceptions.Progress.NOTHING_SENT
+            ) from error
+
+    def _late(
+        self, timeout: float, progress: exceptions.Progress
+    ) -> exceptions.DeadlineExceededError:
+        return exceptions.DeadlineExceededError(
+            message=f"no answer within {timeout:g} s",
+            progress=progress,
+            context=f"{self.host}:{self.port}",
+        )
+
+    def _idle(self) -> client.ClientConnection | None:
         while self.idle:
             connection = self.idle.pop()
             if connection.reusable:
                 return connection
             connection.close()
+        return None
+
+    async def _open(self, end: float) -> client.ClientConnection:
+        left = end - asyncio.get_running_loop().time()
         return await client.ClientConnection.open(
             host=self.host,
             port=self.port,
-            timeout=self.connect_timeout,
+            timeout=max(0.0, min(self.connect_timeout, left)),
             limits=self.limits,
         )
 
@@ -128,24 +146,28 @@
     async def _exchange(
         self,
         connection: client.ClientConnection,
-        head: heads.RequestHead,
+        method: str,
+        target: str,
+        headers: heads.Headers,
         body: bytes,
     ) -> Answer:
-        await connection.send_head(head)
-        if body:
-            await connection.send_body(body)
-        await connection.end_request()
+        given = [
+            (b"host", self.host_header),
+            (b"content-length", str(len(body)).encode()),
+            *headers,
+        ]
+        repeated = given == self.last_headers
+        head = heads.RequestHead(
+            method=method,
+            target=target,
+            headers=self.checked_headers if repeated else given,
+        )
+        checked = await connection.send_request(head, body)
+        if not repeated:
+            self.last_headers, self.checked_headers = given, checked
         response = await connection.receive_head()
-        pieces = bytearray()
-        async for piece in connection.body():
-            pieces += piece
-            if len(pieces) > self.limits.body_bytes:
-                raise exceptions.BodyTooLargeError(
-                    message="the response body exceeds the limit",
-                    context=f"{self.host}:{self.port}",
-                )
         return Answer(
             status=response.status,
             headers=response.headers,
-            body=bytes(pieces),
+            body=await connection.read_body(self.limits.body_bytes),
         )
--- a/src/turmerichook/_internal/http/client.py
+++ b/src/turmerichook/_internal/http/client.py
@@ -96,18 +96,27 @@
             raise self._failure(f"invalid request: {error}") from error
         await self._send(event)
 
-    async def send_request(self, head: heads.RequestHead) -> None:
-        """Send a whole request that has no body, in one piece."""
+    async def send_request(
+        self, head: heads.RequestHead, body: bytes = b""
+    ) -> heads.Headers:
+        """Send a whole request in one piece.
+
+        :returns: the headers as h11 has checked them; it does not check them
+            again when they are sent with another request.
+        """
         self.wire.quiet = False
         try:
             event = h11.Request(
                 method=head.method, target=head.target, headers=head.headers
             )
             data = self.protocol.send(event)
+            if body:
+                data += self.protocol.send(h11.Data(data=body))
             data += self.protocol.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise self._failure(f"invalid request: {error}") from error
         await self._write(data)
+        return event.headers
 
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body."""
@@ -119,6 +128,9 @@
 
     async def receive_head(self) -> heads.ResponseHead:
         """Return the head of the final response, passing over 1xx ones."""
+        if not self.protocol.trailing_data[0]:
+            # h11 has nothing of it to look at yet.
+            self.protocol.receive_data(await self._receive())
         while True:
             event = await self._next_event()
             match event:
@@ -145,6 +157,30 @@
                 case _:
                     raise self._failure("the response was cut off")
 
+    async def read_body(self, limit: int) -> bytes:
+        """Return the whole response body.
+
+        :param limit: largest number of bytes.
+        :raises BodyTooLargeError: if it is larger.
+        """
+        pieces = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Data():
+                    pieces.append(event.data)
+                    size += len(event.data)
+                    if size > limit:
+                        raise exceptions.BodyTooLargeError(
+                            message="the response body exceeds the limit",
+                            context=self.address,
+                        )
+                case h11.EndOfMessage():
+                    return b"".join(pieces)
+                case _:
+                    raise self._failure("the response was cut off")
+
     def buffered(self) -> tuple[bytes, bool]:
         """Return the body that has arrived, and whether it is whole."""
         pieces = []
@@ -200,13 +236,15 @@
             event = self._parse()
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self.wire.read(self._patience())
-            except TimeoutError as error:
-                raise self._late() from error
-            except OSError as error:
-                raise self._failure(f"receiving failed: {error}") from error
-            self.protocol.receive_data(data)
+            self.protocol.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self.wire.read(self._patience())
+        except TimeoutError as error:
+            raise self._late() from error
+        except OSError as error:
+            raise self._failure(f"receiving failed: {error}") from error
 
     def _patience(self) -> float | None:
         if self.deadline is None:
