Keep one timer for the reads of a connection

Each answer that a connection waits for took a timer of the event loop, which was cancelled when the answer came: a push onto the heap of timers, which has one entry or more for each of the leader's 500 connections, and a removal later.

A connection keeps the timer of an earlier read. When it runs out, it waits for what is left of the limit of the read that goes on then, if any; a read with a shorter limit replaces it, and the end of the connection cancels it.

tests/http/test_wire.py::TestCost failed before with 10 timers for 10 reads; the tests of limits there passed and keep them.

--- a/src/turmerichook/_internal/http/wire.py
+++ b/src/turmerichook/_internal/http/wire.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import math
 import socket
 import struct
 
@@ -39,6 +40,8 @@
         "lost",
         "error",
         "reader",
+        "reader_end",
+        "timer",
         "drainer",
         "held_back",
         "full",
@@ -61,6 +64,11 @@
         self.lost = False
         self.error: Exception | None = None
         self.reader: asyncio.Future | None = None
+        # Time of the event loop at which the reader gives up. The timer may
+        # be that of an earlier reading: it is not cancelled when data
+        # arrives, and waits for the rest of the time when it has run out.
+        self.reader_end = 0.0
+        self.timer: asyncio.TimerHandle | None = None
         self.drainer: asyncio.Future | None = None
         self.held_back = False
         self.full = False
@@ -105,6 +113,7 @@
         self.error = exc
         _wake(self.reader)
         _wake(self.drainer)
+        self._set_timer(None)
         if self.on_lost is not None:
             self.on_lost(self)
 
@@ -129,8 +138,9 @@
         """
         if not self.received and not self.ended:
             self.reader = self.loop.create_future()
+            self._limit_reader(limit)
             try:
-                await _within(self.reader, limit)
+                await self.reader
             finally:
                 self.reader = None
         data = self.received
@@ -144,6 +154,31 @@
             raise self.error
         return b""
 
+    def _limit_reader(self, limit: float | None) -> None:
+        if limit is None:
+            self.reader_end = math.inf
+            return
+        self.reader_end = self.loop.time() + limit
+        if self.timer is None or self.timer.when() > self.reader_end:
+            self._set_timer(self.reader_end)
+
+    def _set_timer(self, end: float | None) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if end is not None:
+            self.timer = self.loop.call_at(end, self._check_reader)
+
+    def _check_reader(self) -> None:
+        expired = self.timer.when()
+        self.timer = None
+        if self.reader is None:
+            return
+        if expired >= self.reader_end:
+            _expire(self.reader)
+        elif self.reader_end < math.inf:
+            self._set_timer(self.reader_end)
+
     async def write(self, data: bytes, limit: float | None) -> None:
         """Send, and wait while the peer takes nothing.
 
