Ask for no pause after a report whose ends wait for their commit

A session slept 5 ms after each report, so that a worker that does not wait is not asked in a loop.

TestReports::test_no_pause_before_the_end_is_durable failed before; the other tests of the session passed and keep the pause after reports without an end and the one report for all ends until a commit.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -15,7 +15,8 @@
 # How long a worker may wait for an end before it answers. Progress and tail
 # latencies are only seen in its answers.
 REPORT_WAIT = datetime.timedelta(milliseconds=600)
-# Shortest pause between reports, also of a worker that does not wait.
+# Shortest pause after a report without an end, also if the worker does not
+# wait. After one with an end the next is asked for once the end is durable.
 REPORT_PAUSE = datetime.timedelta(milliseconds=5)
 # Pause between reports while something must be settled.
 SETTLE_PAUSE = datetime.timedelta(milliseconds=80)
@@ -122,7 +123,7 @@
         self.changed.set()
         if self._unsettled():
             await self.clock.sleep(SETTLE_PAUSE)
-        else:
+        elif not worker.unsaved:
             await self.clock.sleep(REPORT_PAUSE)
 
     def _lease_until(self) -> datetime.timedelta | None:
