Weigh no fillers on a worker that serves nothing

Each report added up the cores of a worker's fillers by image and ordered the fillers by their cost twice, also on workers without a task that has a latency target, where there is nobody to slow them down for.

The cores are added up only if a serving task has told a tail, and fillers that all run at full pace are left alone where none has.

TestCost::test_nothing_to_learn failed before; test_slow_fillers_go_faster_alone passed and keeps the way back.

--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -39,10 +39,13 @@
     now: datetime.timedelta,
 ) -> None:
     """Teach the model what a worker's report has shown."""
-    neighbours = used_cores(worker)
-    for run in worker.serving():
-        if run.reading is None or run.percent < 100:
-            continue
+    told = [
+        run
+        for run in worker.serving()
+        if run.reading is not None and run.percent >= 100
+    ]
+    neighbours = used_cores(worker) if told else {}
+    for run in told:
         if run.load is None:
             run.load = model.new_load(now)
         model.observe(
@@ -111,6 +114,9 @@
     model: interference.Interference,
 ) -> Paces:
     """Choose paces at which fillers are worth what they cost others."""
+    if not excess and all(run.pace == 100 for run in fillers):
+        # There is nobody to slow down for, and nobody to speed up.
+        return {}
     paces = {run: run.pace for run in fillers}
     prices = {
         serving: interference.marginal_cost(over, PACE_SPREAD)
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -202,3 +202,28 @@
             host.model.coefficient(ids.ImageId("front"), ids.ImageId("light"))
             < 0.02
         )
+
+
+class TestCost:
+    """A worker without serving tasks costs no weighing."""
+
+    def test_nothing_to_learn(self, monkeypatch):
+        """Guards against sums over all fillers for each report."""
+        host = Host(filler("batch"), filler("index"))
+        host.worker.remove(host.serving.task)
+        weighed = []
+        monkeypatch.setattr(pacing, "used_cores", weighed.append)
+        pacing.learn(host.worker, host.model, host.now)
+        assert not weighed
+
+    def test_slow_fillers_go_faster_alone(self):
+        """Guards against fillers that stay slow once nobody needs it."""
+        host = Host(filler("batch"))
+        host.worker.remove(host.serving.task)
+        (run,) = host.fillers
+        run.pace = 0
+        for _ in range(4):
+            host.now += SECOND
+            changed = pacing.next_paces(host.worker, host.model, host.now)
+            run.pace = changed[run]
+        assert run.pace == 100
