Reuse the request event of a repeated head

The headers of a pool's last call were kept as h11 has checked them, but the event of the request was made anew for each call: 10.7 us for method, target and the marks of an event, of the 116 us that h11 takes for a call.

The pool keeps the head and its event, and sends the same event while method, target and headers are the same, as for renewals, whose bodies keep their length. The end of a message is one event for all.

tests/http/test_call_pool.py::TestHeaders::test_checked_once guards it; it does not run on the former code, which has no event to hand over. test_other_target and the tests of headers and lengths guard the cases in which the head differs.

The 10.7 us are from 5,000 events by themselves.

--- a/src/turmerichook/_internal/http/calls.py
+++ b/src/turmerichook/_internal/http/calls.py
@@ -8,6 +8,8 @@
 import json
 import typing
 
+import h11
+
 from turmerichook._internal.http import client
 from turmerichook._internal.http import heads
 from turmerichook import exceptions
@@ -57,10 +59,10 @@
         self.limits = limits or heads.Limits()
         self.idle: list[client.ClientConnection] = []
         self.slots = asyncio.Semaphore(connections)
-        # Headers of the last request, which are often those of the next one,
-        # as they were given and as h11 has checked them.
-        self.last_headers: heads.Headers = ()
-        self.checked_headers: heads.Headers = ()
+        # Head of the last request, which is often that of the next one, and
+        # the event that stands for it.
+        self.last_head: heads.RequestHead | None = None
+        self.last_request: h11.Request | None = None
 
     async def call(
         self,
@@ -151,20 +153,18 @@
         headers: heads.Headers,
         body: bytes,
     ) -> Answer:
-        given = [
-            (b"host", self.host_header),
-            (b"content-length", str(len(body)).encode()),
-            *headers,
-        ]
-        repeated = given == self.last_headers
         head = heads.RequestHead(
             method=method,
             target=target,
-            headers=self.checked_headers if repeated else given,
+            headers=[
+                (b"host", self.host_header),
+                (b"content-length", str(len(body)).encode()),
+                *headers,
+            ],
         )
-        checked = await connection.send_request(head, body)
-        if not repeated:
-            self.last_headers, self.checked_headers = given, checked
+        ready = self.last_request if head == self.last_head else None
+        self.last_request = await connection.send_request(head, body, ready)
+        self.last_head = head
         response = await connection.receive_head()
         return Answer(
             status=response.status,
--- a/src/turmerichook/_internal/http/client.py
+++ b/src/turmerichook/_internal/http/client.py
@@ -10,6 +10,8 @@
 from turmerichook._internal.http import wire as wires
 from turmerichook import exceptions
 
+END = h11.EndOfMessage()
+
 
 class ClientConnection:
     """One connection to a server.
@@ -97,26 +99,30 @@
         await self._send(event)
 
     async def send_request(
-        self, head: heads.RequestHead, body: bytes = b""
-    ) -> heads.Headers:
+        self,
+        head: heads.RequestHead,
+        body: bytes = b"",
+        ready: h11.Request | None = None,
+    ) -> h11.Request:
         """Send a whole request in one piece.
 
-        :returns: the headers as h11 has checked them; it does not check them
-            again when they are sent with another request.
+        :param ready: the event that an earlier request with the same head
+            returned, which h11 need not check again.
+        :returns: the event that stands for the head.
         """
         self.wire.quiet = False
         try:
-            event = h11.Request(
+            event = ready or h11.Request(
                 method=head.method, target=head.target, headers=head.headers
             )
             data = self.protocol.send(event)
             if body:
                 data += self.protocol.send(h11.Data(data=body))
-            data += self.protocol.send(h11.EndOfMessage())
+            data += self.protocol.send(END)
         except h11.LocalProtocolError as error:
             raise self._failure(f"invalid request: {error}") from error
         await self._write(data)
-        return event.headers
+        return event
 
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body."""
@@ -124,7 +130,7 @@
 
     async def end_request(self) -> None:
         """End the request."""
-        await self._send(h11.EndOfMessage())
+        await self._send(END)
 
     async def receive_head(self) -> heads.ResponseHead:
         """Return the head of the final response, passing over 1xx ones."""
--- a/tests/http/test_call_pool.py
+++ b/tests/http/test_call_pool.py
@@ -6,6 +6,7 @@
 import pytest
 
 from turmerichook._internal.http import calls
+from turmerichook._internal.http import client
 from turmerichook._internal.http import server as servers
 from turmerichook._internal.http import wire as wires
 from turmerichook import exceptions
@@ -115,6 +116,40 @@
         with_pool(test, handler=note)
         assert seen == ["a", "a", "b"]
 
+    def test_other_target(self):
+        """Guards against a call to the path of an earlier one."""
+        seen = []
+
+        async def note(exchange):
+            seen.append((exchange.head.method, exchange.head.target))
+            await echo(exchange)
+
+        async def test(pool):
+            for method, target in (("POST", "/a"), ("POST", "/b")):
+                await pool.call(method=method, target=target, timeout=5.0)
+            await pool.call(method="PUT", target="/b", timeout=5.0)
+
+        with_pool(test, handler=note)
+        assert seen == [("POST", "/a"), ("POST", "/b"), ("PUT", "/b")]
+
+    def test_checked_once(self, monkeypatch):
+        """Guards against headers that are checked anew for each call."""
+        events = []
+        send = client.ClientConnection.send_request
+
+        async def noted(connection, head, body=b"", ready=None):
+            events.append(await send(connection, head, body, ready))
+            return events[-1]
+
+        monkeypatch.setattr(client.ClientConnection, "send_request", noted)
+
+        async def test(pool):
+            for _ in range(3):
+                await call(pool)
+
+        with_pool(test)
+        assert events[0] is events[1] is events[2]
+
 
 class TestTimeLimit:
     """A call ends in time, and tells how far it came."""
