Ask workers less often while commits are far behind

Each answer lists all those ends and runs again.

The pause while ends wait for their commit stays 250 ms and grows with the age of the oldest unsaved change to 600 ms, the usual time between reports. An end that is told sooner than commits catch up can start nothing sooner. A worker with a run whose start or stop is not settled is asked as before.

TestReports::test_fewer_reports_while_commits_are_far_behind failed before (two reports in 0.55 s in place of one).

Ruled out: a pause that gathers ends while commits keep up.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -80,10 +80,20 @@
         self.wake.clear()
 
     async def _pause_while_unsaved(self) -> None:
-        end = self.clock.uptime() + RETRY_PAUSE
+        now = self.clock.uptime()
+        end = now + self._unsaved_pause(now)
         while self.worker.unsaved and self.clock.uptime() < end:
             await self._pause(end - self.clock.uptime())
 
+    def _unsaved_pause(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return how long the next report can wait for a commit."""
+        if self._unsettled():
+            return RETRY_PAUSE
+        # A worker answers at once while ends are not acknowledged. What it
+        # tells sooner than commits catch up can start nothing sooner.
+        behind = self.dispatcher.book.unsaved_for(now)
+        return min(REPORT_WAIT, max(RETRY_PAUSE, behind))
+
     async def _renew(self) -> None:
         worker = self.worker
         asked = self.dispatcher.settlement.next_mark()
--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -6,6 +6,7 @@
 from tests.dispatch import fakes
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.models import ids
@@ -126,3 +127,49 @@
             return before, reports[1]
 
         assert asyncio.run(scenario()) == ([0], 1)
+
+    def test_fewer_reports_while_commits_are_far_behind(self):
+        """Guards against four reports a second that name the same ends."""
+
+        async def scenario():
+            exchange = Exchange()
+            await exchange.start()
+            reports = []
+            renew = exchange.workers.renew
+
+            async def counted(entry, order):
+                reports.append(order.acknowledged)
+                return await renew(entry, order)
+
+            exchange.workers.renew = counted
+            exchange.worker.end(TASK, model.EndKind.DONE)
+            running = asyncio.create_task(exchange.session.run())
+            await asyncio.sleep(0.05)
+            exchange.dispatcher.book.dirty[TASK.job] -= 2 * fakes.SECOND
+            reports.clear()
+            await asyncio.sleep(0.55)
+            running.cancel()
+            return len(reports)
+
+        assert asyncio.run(scenario()) == 1
+
+    def test_lost_answer_is_settled_as_soon_as_before(self):
+        """Guards against a task that waits longer because commits are late."""
+
+        async def scenario():
+            exchange = Exchange()
+            await exchange.start()
+            now = exchange.clock.uptime()
+            exchange.dispatcher.book.note_change(
+                TASK.job, now - 2 * fakes.SECOND
+            )
+            pause = exchange.session._unsaved_pause
+            run = exchange.session.worker.runs[TASK]
+            pauses = [pause(now)]
+            run.phase = fleet.RunPhase.UNCERTAIN
+            return [*pauses, pause(now)]
+
+        assert asyncio.run(scenario()) == [
+            sessions.REPORT_WAIT,
+            sessions.RETRY_PAUSE,
+        ]
