Make the rows of a report as named tuples

A report names every run of its worker, ten and more on the grown sites, and a frozen data class with slots sets each field through a call of its own. As named tuples, like the key of a task, they are made in one step and stay immutable.

The tests of decoding and of reports are unchanged.

--- a/src/turmerichook/_internal/dispatch/orders.py
+++ b/src/turmerichook/_internal/dispatch/orders.py
@@ -98,8 +98,7 @@
 Outcome = Accepted | Refused | Unknown
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunningRow:
+class RunningRow(typing.NamedTuple):
     """A run that is on the worker.
 
     :param percent: how much of its work is done; 100 for a long-running
@@ -115,8 +114,7 @@
     reading: int | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EndRow:
+class EndRow(typing.NamedTuple):
     """A run that has ended on the worker.
 
     :param number: counts the worker's ends from 1 in each incarnation.
