--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -15,7 +15,8 @@
 # How long a worker may wait for an end before it answers. Progress and tail
 # latencies are only seen in its answers.
 REPORT_WAIT = datetime.timedelta(milliseconds=600)
-# Shortest pause between reports, also of a worker that does not wait.
+# Shortest pause after a report without an end, also if the worker does not
+# wait. After one with an end the next is asked for once the end is durable.
 REPORT_PAUSE = datetime.timedelta(milliseconds=5)
 # Pause between reports while something must be settled.
 SETTLE_PAUSE = datetime.timedelta(milliseconds=80)
@@ -79,10 +80,20 @@
         self.wake.clear()
 
     async def _pause_while_unsaved(self) -> None:
-        end = self.clock.uptime() + RETRY_PAUSE
+        now = self.clock.uptime()
+        end = now + self._unsaved_pause(now)
         while self.worker.unsaved and self.clock.uptime() < end:
             await self._pause(end - self.clock.uptime())
 
+    def _unsaved_pause(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return how long the next report can wait for a commit."""
+        if self._unsettled():
+            return RETRY_PAUSE
+        # A worker answers at once while ends are not acknowledged. What it
+        # tells sooner than commits catch up can start nothing sooner.
+        behind = self.dispatcher.book.unsaved_for(now)
+        return min(REPORT_WAIT, max(RETRY_PAUSE, behind))
+
     async def _renew(self) -> None:
         worker = self.worker
         asked = self.dispatcher.settlement.next_mark()
@@ -122,7 +133,7 @@
         self.changed.set()
         if self._unsettled():
             await self.clock.sleep(SETTLE_PAUSE)
-        else:
+        elif not worker.unsaved:
             await self.clock.sleep(REPORT_PAUSE)
 
     def _lease_until(self) -> datetime.timedelta | None:
