--- a/bench/measure_backlog.py
+++ b/bench/measure_backlog.py
@@ -63,7 +63,7 @@
         while not self.blocked():
             self.refill()
             self.now += ROUND
-            self.waiting.place(wall=self.now, **self.terms(), limit=LIMIT)
+            self.own_round()
         self.refill()
 
     def blocked(self) -> bool:
@@ -127,7 +127,9 @@
 
     def own_round(self) -> None:
         """Place what fits."""
-        self.waiting.place(wall=self.now, limit=LIMIT, **self.terms())
+        self.waiting.place(
+            wall=self.now, full=lambda: False, limit=LIMIT, **self.terms()
+        )
 
     def full_round(self) -> None:
         """Place what fits, by a full ranking."""
--- a/tests/dispatch/test_backlog.py
+++ b/tests/dispatch/test_backlog.py
@@ -81,6 +81,7 @@
             now=self.now,
             wall=self.now,
             limit=limit,
+            full=lambda: False,
         )
         self.now += ROUND
 
--- a/tests/dispatch/test_full_ranking.py
+++ b/tests/dispatch/test_full_ranking.py
@@ -67,7 +67,11 @@
         }
         if not self.full:
             self.book.waiting.place(
-                assign=self.assign, wall=now, limit=LIMIT, **terms
+                assign=self.assign,
+                full=lambda: False,
+                wall=now,
+                limit=LIMIT,
+                **terms,
             )
             return
         round_ = full_ranking.FullRanking(**terms)
