Renew the leader's lease without waiting for the renewal before

A renewal without an answer took the time-out of 1 s, the next one followed 0.5 s later, and two lost ones in a row outlast the lease of 2 s.

Renewals are now sent each 0.5 s whether or not those before were answered; the latest one that was confirmed counts, from the moment at which it was sent, as before. A late one extends the lease or finds that it has ended.

--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -51,6 +51,8 @@
         self.clock = clock
         self.ended = asyncio.Event()
         self.end_reason = ""
+        # Why the last renewal that failed did so.
+        self.renewal_error = ""
 
     def has_authority(self) -> bool:
         """Tell whether the store certainly holds the lease."""
@@ -170,31 +172,50 @@
         )
 
     async def keep(self, term: Term) -> None:
-        """Renew the lease until the term ends."""
+        """Renew the lease until the term ends.
+
+        Renewals do not wait for each other: where answers are lost, two
+        time-outs in a row are longer than the lease.
+        """
+        renewals: set[asyncio.Task[None]] = set()
         suspended = False
-        while not term.ended.is_set():
-            sent = self.clock.uptime()
-            try:
-                await self.storage.renew_lease(term.lease)
-                term.confirmed = sent
-            except exceptions.LeaseLapsedError:
-                term.end("lease-lapsed")
-                return
-            except exceptions.TurmerichookError as error:
-                if not suspended and not term.has_authority():
-                    suspended = True
-                    logs.emit(
-                        events.DispatchEvent.AUTHORITY_SUSPENDED,
-                        error=str(error),
-                        epoch=term.token,
-                    )
-            if suspended and term.has_authority():
-                suspended = False
-                logs.emit(
-                    events.DispatchEvent.AUTHORITY_RESTORED,
-                    epoch=term.token,
-                )
-            await clocks.wait_event(self.clock, term.ended, RENEW_INTERVAL)
+        try:
+            while not term.ended.is_set():
+                renewal = asyncio.create_task(self._renew(term))
+                renewals.add(renewal)
+                renewal.add_done_callback(renewals.discard)
+                await clocks.wait_event(self.clock, term.ended, RENEW_INTERVAL)
+                if suspended == term.has_authority():
+                    suspended = not suspended
+                    self._log_authority(term, suspended)
+        finally:
+            for renewal in renewals:
+                renewal.cancel()
+
+    async def _renew(self, term: Term) -> None:
+        sent = self.clock.uptime()
+        try:
+            await self.storage.renew_lease(term.lease)
+        except exceptions.LeaseLapsedError:
+            term.end("lease-lapsed")
+        except exceptions.TurmerichookError as error:
+            term.renewal_error = str(error)
+        else:
+            term.confirmed = max(term.confirmed, sent)
+
+    def _log_authority(self, term: Term, suspended: bool) -> None:
+        if term.ended.is_set():
+            return
+        if suspended:
+            logs.emit(
+                events.DispatchEvent.AUTHORITY_SUSPENDED,
+                error=term.renewal_error,
+                epoch=term.token,
+            )
+        else:
+            logs.emit(
+                events.DispatchEvent.AUTHORITY_RESTORED, epoch=term.token
+            )
 
     async def _give_back(self, lease: ids.LeaseId) -> None:
         try:
