Try a suspected worker again beside its services

Callers saw: services waited for room, and urgent jobs for a start, while workers with room got nothing.

Cause: a worker that failed tasks of three jobs gets none for 4 s, and then none as long as it runs anything. Services on it run on, so that it is never tried again. And once it was free, all tasks of a step could go there at once: the limit of one was only looked at before the step.

Fix: a run that is given to a suspected worker begins another suspension; a task that is done ends it at once. One task of a step at most goes there.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -17,7 +17,8 @@
 CLOCK_ERROR = 0.02
 # Different jobs that must fail in a row on a worker before it is suspected.
 SUSPECT_FAILURES = 3
-# How long a suspected worker gets no tasks, then one at a time.
+# How long a suspected worker gets no tasks, then one in each such span. It may
+# hold tasks that never end, so that the next one cannot wait for their ends.
 SUSPENSION = datetime.timedelta(seconds=4)
 # A filler's reading tells its full use from this progress and pace on.
 SETTLED_PERCENT = 15
@@ -119,10 +120,18 @@
         """Highest end up to which all are durable."""
         return min(self.unsaved) - 1 if self.unsaved else self.seen_end
 
+    @property
+    def suspected(self) -> bool:
+        """Whether it failed tasks of several jobs and none was done since."""
+        return len(self.failing) >= SUSPECT_FAILURES
+
     def add(self, run: Run) -> None:
         """Count a run against the worker."""
         self.runs[run.task] = run
         self.reserve(run.step)
+        if self.suspected:
+            # The run shows whether the worker has recovered.
+            self.suspended_until = run.moved + SUSPENSION
 
     def remove(self, task: model.TaskKey) -> Run | None:
         """Free what a run took."""
@@ -185,7 +194,7 @@
         if kind is not model.EndKind.FAILED:
             return False
         self.failing.add(run.task.job)
-        if len(self.failing) < SUSPECT_FAILURES:
+        if not self.suspected:
             return False
         suspected = now >= self.suspended_until
         self.suspended_until = now + SUSPENSION
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -75,11 +75,8 @@
             return Obstacle.OUT_OF_REACH
         if self.now < worker.full_until:
             return Obstacle.HAS_REFUSED
-        if len(worker.failing) >= fleet.SUSPECT_FAILURES:
-            # After the suspension one task at a time shows whether it
-            # recovered.
-            if self.now < worker.suspended_until or worker.runs:
-                return Obstacle.SUSPECTED
+        if worker.suspected and self.now < worker.suspended_until:
+            return Obstacle.SUSPECTED
         limit = step.max_per_worker
         if limit and self.on_worker.get(worker.worker, 0) >= limit:
             return Obstacle.ENOUGH_OF_STEP
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -284,7 +284,7 @@
             if overdue:
                 # Only one task of an overdue job goes wherever there is room.
                 overdue, ranking = False, None
-            else:
+            elif not worker.suspected:
                 ranking.put_back(worker)
         for choice in chosen:
             choice.worker.release(step)
--- a/tests/dispatch/test_lasting.py
+++ b/tests/dispatch/test_lasting.py
@@ -7,6 +7,7 @@
 
 from tests.dispatch import fakes
 from tests.dispatch import test_dispatcher
+from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
 
@@ -127,3 +128,55 @@
             assert not (room and site.now - ended > PROMISE)
             assert site.now - ended < 60 * SECOND
             room = site.play()
+
+
+class TestSuspectedWorker:
+    """Pattern: a worker fails all short tasks for a while; services go on."""
+
+    def suspect(self):
+        """Return a rig whose only worker runs a service and is suspected."""
+        rig = test_dispatcher.Rig("a")
+        rig.submit(fakes.job("f" * 16, fakes.step(long_running=True)))
+        rig.step()
+        for number in range(fleet.SUSPECT_FAILURES):
+            rig.submit(fakes.job(f"{number:016x}", fakes.step()))
+            rig.step()
+            self.end_short(rig, model.EndKind.FAILED)
+        rig.look("a")
+        return rig
+
+    def end_short(self, rig, kind):
+        worker = rig.workers["a"]
+        for task in list(worker.running):
+            if task.job != "f" * 16:
+                worker.end(task, kind)
+
+    def short_tasks(self, rig):
+        return sum(task.job != "f" * 16 for task in rig.workers["a"].running)
+
+    def test_is_tried_again_beside_a_service(self):
+        """Guards against a worker that gets nothing until its services end.
+
+        Seen on batbayar-seam-grown trouble-1: six workers that had failed
+        tasks until 18 s got none until the next leader came at 35 s, while
+        services waited for room.
+        """
+        rig = self.suspect()
+        rig.step()
+        assert not self.short_tasks(rig)
+        rig.advance(fleet.SUSPENSION + MS)
+        rig.step()
+        assert self.short_tasks(rig)
+
+    def test_gets_one_task_at_a_time(self):
+        """Guards against a whole step on a worker that still fails all."""
+        rig = self.suspect()
+        rig.submit(fakes.job("e" * 16, fakes.step(8)))
+        rig.advance(fleet.SUSPENSION + MS)
+        rig.step()
+        rig.advance(ROUND)
+        rig.step()
+        assert self.short_tasks(rig) == 1
+        self.end_short(rig, model.EndKind.DONE)
+        rig.step()
+        assert self.short_tasks(rig) > 1
