Place useful jobs first, and small ones before large ones due with them

Callers saw: under load and after an outage nearly all jobs were accepted and most ended too late to be of use; most of all those with short objectives.

Cause: jobs went by priority, lateness and their objective's time alone. So a useless job of priority 0 went before a useful one of priority 2; and among jobs due at about the same time a large one made several small ones late, which made later ones late.

Order now: jobs of no use any more last, whatever their priority; then priority, the claims of services, in time before late, and the objective's time put off by the processor time that the job still needs on ten processors.

TestCrowdedWorkers submitted its urgent job as one accepted 1,000 s before, which is useless; it is accepted now, as its text says, and asks the same.

--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -28,6 +28,13 @@
 # Multiple of a job's objective up to which a late result is paid for.
 LATE_FACTOR = 3.0
 
+# A job counts as due later by the time for which the work that it still needs
+# keeps so many processors busy: in the time of a large job several small ones
+# end. Without this, a crowd of jobs makes each other late one after the other.
+# Simulated with 3 to 50 processors, see tests/dispatch/test_order.py; less
+# than 3 puts off large jobs that could be in time.
+WORK_PROCESSORS = 10
+
 # A step of fillers that no worker could take is not tried again before. A
 # backlog tried against hundreds of workers each round would fill a processor.
 BLOCKED_PAUSE = datetime.timedelta(milliseconds=150)
@@ -59,6 +66,17 @@
 ]
 
 
+class Order(typing.NamedTuple):
+    """Sort key of a waiting step; the lowest is the most urgent."""
+
+    useless: bool
+    priority: int
+    unclaimed: bool
+    long_running: bool
+    late: bool
+    due: datetime.timedelta
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class WaitingStep:
     """Waiting tasks of a step, each with the worker of its last run.
@@ -66,6 +84,8 @@
     :param restarts: whether the tasks have run before and are to last.
     :param useful_until: when a result is worth nothing any more.
     :param chain: time from the step's start to the job's end.
+    :param due: the objective's time, put off by the work of later steps.
+    :param due_by_task: how much each waiting task puts it off.
     """
 
     job: jobs.Job
@@ -74,6 +94,8 @@
     deadline: datetime.timedelta
     useful_until: datetime.timedelta
     chain: datetime.timedelta
+    due: datetime.timedelta
+    due_by_task: datetime.timedelta
     since: datetime.timedelta
     blocked_until: datetime.timedelta = fleet.ZERO
     tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
@@ -95,24 +117,30 @@
         wall: datetime.timedelta,
         *,
         crowded: bool,
-    ) -> tuple[int, bool, bool, int, datetime.timedelta]:
-        """Return the sort key: priority, then the objective's time.
+    ) -> Order:
+        """Return the sort key.
+
+        Jobs that are too late for any use come last, whatever their priority:
+        they end once there is room that nobody else can use.
 
         Long-running tasks give their room back only when their job is
         cancelled, so that short ones of the same priority go first, until the
         long-running one starves and does not crowd them out. One that restarts
-        may do so, as its service has lost a part. A job that cannot meet its
-        objective any more earns little by coming early, and waits behind those
-        that can; one that is too late for any use comes last.
+        may do so, as its service has lost a part.
+
+        A job that cannot meet its objective any more earns little by coming
+        early, and waits behind those of its priority that can.
         """
+        lasting = self.step.long_running
         end = wall + self.chain
-        late = (end > self.deadline) + (end > self.useful_until)
-        return (
-            self.job.queue.priority,
-            not self.starving(now) or (crowded and not self.restarts),
-            self.step.long_running,
-            late,
-            self.deadline,
+        return Order(
+            useless=end > self.useful_until and not lasting,
+            priority=self.job.queue.priority,
+            unclaimed=not self.starving(now)
+            or (crowded and not self.restarts),
+            long_running=lasting,
+            late=end > self.deadline,
+            due=self.due + len(self.tasks) * self.due_by_task,
         )
 
 
@@ -138,13 +166,18 @@
         key = task.step_key
         found = self.steps.get((key, restarts))
         if found is None:
+            deadline = job.deadline(task.occurrence)
+            later = job.progress.work_after(task.step)
+            work = job.spec.steps[task.step].work
             found = self.steps[key, restarts] = WaitingStep(
                 job=job,
                 key=key,
                 restarts=restarts,
-                deadline=job.deadline(task.occurrence),
+                deadline=deadline,
                 useful_until=job.deadline(task.occurrence, LATE_FACTOR),
                 chain=job.progress.chain_from(task.step),
+                due=deadline + later / WORK_PROCESSORS,
+                due_by_task=work / WORK_PROCESSORS,
                 since=now,
             )
         found.tasks[task] = last
--- a/src/turmerichook/_internal/workflow/model.py
+++ b/src/turmerichook/_internal/workflow/model.py
@@ -115,6 +115,11 @@
             return self.demand
         return dataclasses.replace(self.demand, millicores=0)
 
+    @property
+    def work(self) -> datetime.timedelta:
+        """Estimated processor time of a task."""
+        return self.estimate * (self.demand.millicores / 1000)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Repetition:
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -156,6 +156,16 @@
         """Return the estimated run time of the longest chain of steps."""
         return max(self._chains(), default=datetime.timedelta())
 
+    def work_after(self, number: int) -> datetime.timedelta:
+        """Return the estimated processor time of all steps after a step."""
+        later = {number}
+        work = datetime.timedelta()
+        for other, step in enumerate(self.spec.steps):
+            if later.intersection(step.after):
+                later.add(other)
+                work += step.count * step.work
+        return work
+
     def _chains(self) -> list[datetime.timedelta]:
         steps = self.spec.steps
         lengths = [datetime.timedelta()] * len(steps)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -327,7 +327,7 @@
         short = fakes.step(
             4, demand=resources.Resources(millicores=2000, memory_mib=100)
         )
-        rig.submit(fakes.job("f" * 16, short))
+        rig.submit(fakes.job("f" * 16, short, accepted=rig.now))
         worker = rig.workers["a"]
         worker.end(next(iter(worker.running)), model.EndKind.DONE)
         rig.step()
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -80,3 +80,17 @@
         progress = progresses.Progress(spec=spec)
         chains = [progress.chain_from(n) // SECOND for n in range(5)]
         assert chains == [9, 5, 8, 3, 4]
+
+    def test_work_of_all_steps_that_must_come_later(self):
+        """Guards against later steps that count for nothing, or twice."""
+        spec = fakes.job(
+            "0" * 16,
+            fakes.step(1, estimate=SECOND),
+            fakes.step(3, after=(0,), estimate=2 * SECOND),
+            fakes.step(1, after=(0,), estimate=5 * SECOND),
+            fakes.step(2, after=(1, 2), estimate=3 * SECOND),
+            fakes.step(1, estimate=4 * SECOND),
+        )
+        progress = progresses.Progress(spec=spec)
+        work = [progress.work_after(n) // SECOND for n in range(5)]
+        assert work == [17, 6, 6, 0, 0]
