--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -62,10 +62,8 @@
         return Obstacle.OUT_OF_REACH
     if now < worker.full_until:
         return Obstacle.HAS_REFUSED
-    if len(worker.failing) >= fleet.SUSPECT_FAILURES:
-        # After the suspension one task at a time shows whether it recovered.
-        if now < worker.suspended_until or worker.runs:
-            return Obstacle.SUSPECTED
+    if worker.suspected and now < worker.suspended_until:
+        return Obstacle.SUSPECTED
     return None
 
 
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -32,6 +32,13 @@
 # Multiple of a job's objective up to which a late result is paid for.
 LATE_FACTOR = 3.0
 
+# A job counts as due later by the time for which the work that it still needs
+# keeps so many processors busy: in the time of a large job several small ones
+# end. Without this, a crowd of jobs makes each other late one after the other.
+# Simulated with 3 to 50 processors, see tests/dispatch/test_order.py; less
+# than 3 puts off large jobs that could be in time.
+WORK_PROCESSORS = 10
+
 # A step of fillers that no worker could take is not tried again before, nor
 # are those of the same image that ask for as much: the harm that fillers do
 # changes with each reading. A backlog tried against hundreds of workers each
@@ -47,8 +54,9 @@
 # Workers whose room is kept together at once; more would keep short tasks out.
 RESERVED_MAX = 2
 
-# Share of all processors beyond which long-running tasks no longer go before
-# short ones; these would wait for each piece of room otherwise.
+# Share of all processors beyond which long-running tasks that have never run
+# no longer go before short ones; these would wait for each piece of room
+# otherwise.
 LONG_RUNNING_SHARE = 0.9
 
 # Gives a task to a worker under a run number.
@@ -70,12 +78,26 @@
 ]
 
 
+class Order(typing.NamedTuple):
+    """Sort key of a waiting step; the lowest is the most urgent."""
+
+    useless: bool
+    priority: int
+    unclaimed: bool
+    long_running: bool
+    late: bool
+    due: datetime.timedelta
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class WaitingStep:
-    """The waiting tasks of a step, each with the worker of its last run.
+    """Waiting tasks of a step, each with the worker of its last run.
 
+    :param restarts: whether the tasks have run before and are to last.
     :param useful_until: when a result is worth nothing any more.
     :param chain: time from the step's start to the job's end.
+    :param due: the objective's time, put off by the work of later steps.
+    :param due_by_task: how much each waiting task puts it off.
     :param needs: what each task asks of a worker of the service.
     :param tried: position in the log of changed workers up to which none had
         room for a task.
@@ -83,9 +105,12 @@
 
     job: jobs.Job
     key: model.StepKey
+    restarts: bool
     deadline: datetime.timedelta
     useful_until: datetime.timedelta
     chain: datetime.timedelta
+    due: datetime.timedelta
+    due_by_task: datetime.timedelta
     since: datetime.timedelta
     needs: rooms.Needs
     service: ids.ServiceId
@@ -111,23 +136,30 @@
         wall: datetime.timedelta,
         *,
         crowded: bool,
-    ) -> tuple[int, bool, bool, int, datetime.timedelta]:
-        """Return the sort key: priority, then the objective's time.
+    ) -> Order:
+        """Return the sort key.
+
+        Jobs that are too late for any use come last, whatever their priority:
+        they end once there is room that nobody else can use.
 
         Long-running tasks give their room back only when their job is
         cancelled, so that short ones of the same priority go first, until the
-        long-running one starves and does not crowd them out. A job that cannot
-        meet its objective any more earns little by coming early, and waits
-        behind those that can; one that is too late for any use comes last.
+        long-running one starves and does not crowd them out. One that restarts
+        may do so, as its service has lost a part.
+
+        A job that cannot meet its objective any more earns little by coming
+        early, and waits behind those of its priority that can.
         """
+        lasting = self.step.long_running
         end = wall + self.chain
-        late = (end > self.deadline) + (end > self.useful_until)
-        return (
-            self.job.queue.priority,
-            crowded or not self.starving(now),
-            self.step.long_running,
-            late,
-            self.deadline,
+        return Order(
+            useless=end > self.useful_until and not lasting,
+            priority=self.job.queue.priority,
+            unclaimed=not self.starving(now)
+            or (crowded and not self.restarts),
+            long_running=lasting,
+            late=end > self.deadline,
+            due=self.due + len(self.tasks) * self.due_by_task,
         )
 
 
@@ -135,7 +167,8 @@
     """All tasks that wait for a worker."""
 
     def __init__(self):
-        self.steps: dict[model.StepKey, WaitingStep] = {}
+        # By step, and apart whether the tasks restart.
+        self.steps: dict[tuple[model.StepKey, bool], WaitingStep] = {}
         self.urgency: urgency.Urgency[WaitingStep] = urgency.Urgency()
         # Whether long-running tasks leave too little to short ones.
         self.crowded = False
@@ -154,15 +187,22 @@
         now: datetime.timedelta,
     ) -> None:
         """Let a task wait."""
+        restarts = _restarts(job, task)
         key = task.step_key
-        found = self.steps.get(key)
+        found = self.steps.get((key, restarts))
         if found is None:
-            found = self.steps[key] = WaitingStep(
+            deadline = job.deadline(task.occurrence)
+            later = job.progress.work_after(task.step)
+            work = job.spec.steps[task.step].work
+            found = self.steps[key, restarts] = WaitingStep(
                 job=job,
                 key=key,
-                deadline=job.deadline(task.occurrence),
+                restarts=restarts,
+                deadline=deadline,
                 useful_until=job.deadline(task.occurrence, LATE_FACTOR),
                 chain=job.progress.chain_from(task.step),
+                due=deadline + later / WORK_PROCESSORS,
+                due_by_task=work / WORK_PROCESSORS,
                 since=now,
                 needs=rooms.needs_of(job.spec.steps[task.step]),
                 service=job.queue.service,
@@ -172,16 +212,17 @@
 
     def remove(self, task: model.TaskKey) -> None:
         """Let a task wait no longer."""
-        key = task.step_key
-        found = self.steps.get(key)
-        if found is not None:
-            found.tasks.pop(task, None)
-            if not found.tasks:
-                del self.steps[key]
+        for restarts in (False, True):
+            key = (task.step_key, restarts)
+            found = self.steps.get(key)
+            if found is not None:
+                found.tasks.pop(task, None)
+                if not found.tasks:
+                    del self.steps[key]
 
     def drop(self, job: ids.JobId) -> None:
         """Remove all tasks of a job."""
-        for key in [key for key in self.steps if key.job == job]:
+        for key in [key for key in self.steps if key[0].job == job]:
             self.steps.pop(key).tasks.clear()
 
     def by_urgency(
@@ -350,7 +391,7 @@
             if overdue:
                 # Only one task of an overdue job goes wherever there is room.
                 overdue, ranking = False, None
-            else:
+            elif not worker.suspected:
                 ranking.put_back(worker)
         for choice in chosen:
             choice.worker.release(step)
@@ -480,6 +521,19 @@
             self.reserved.add(worker.worker)
 
 
+def _restarts(job: jobs.Job, task: model.TaskKey) -> bool:
+    """Tell whether a task is to last and has run before."""
+    step = job.spec.steps[task.step]
+    record = job.progress.tasks.get(task)
+    # The members of a gang only start together.
+    return (
+        step.long_running
+        and not step.gang
+        and record is not None
+        and record.run > 0
+    )
+
+
 def _crowded(workers: collections.abc.Iterable[fleet.Worker]) -> bool:
     """Tell whether long-running tasks leave too little to short ones."""
     capacity = held = 0
