--- a/tests/dispatch/test_full_ranking.py
+++ b/tests/dispatch/test_full_ranking.py
@@ -277,6 +277,9 @@
             world.place(pair.now)
         assert own.placed == other.placed
         for key, detail in explained.items():
+            if len(own.placed) == LIMIT and key not in other.obstacles:
+                # The full ranking ended with the last task that was placed.
+                continue
             assert detail == full_ranking.text(other.obstacles[key])
         placed += len(own.placed)
         pair.now += span
