Split the waiting tasks from a round of their placement

Now waiting_step.py has one step and its urgency, placement_round.py the choice of workers at one moment, and waiting.py the store of all waiting steps. Constants moved with the code that reads them.

--- a/src/turmerichook/_internal/dispatch/advice.py
+++ b/src/turmerichook/_internal/dispatch/advice.py
@@ -13,7 +13,7 @@
 from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import placement
-from turmerichook._internal.dispatch import waiting
+from turmerichook._internal.dispatch import waiting_step
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
 
@@ -69,7 +69,7 @@
     def next_question(
         self,
         *,
-        steps: collections.abc.Iterable[waiting.WaitingStep],
+        steps: collections.abc.Iterable[waiting_step.WaitingStep],
         workers: collections.abc.Collection[fleet.Worker],
         closed: collections.abc.Container[ids.ZoneId],
         now: datetime.timedelta,
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -21,7 +21,7 @@
 from turmerichook._internal.dispatch import run_book
 from turmerichook._internal.dispatch import save_order
 from turmerichook._internal.dispatch import settlement
-from turmerichook._internal.dispatch import waiting
+from turmerichook._internal.dispatch import waiting_step
 from turmerichook._internal.dispatch import watchdog
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
@@ -222,7 +222,7 @@
         )
 
     def _approved(
-        self, step: waiting.WaitingStep, now: datetime.timedelta
+        self, step: waiting_step.WaitingStep, now: datetime.timedelta
     ) -> frozenset[ids.WorkerId] | None:
         if step.job.queue.advisor is None:
             return None
--- a/tests/dispatch/full_ranking.py
+++ b/tests/dispatch/full_ranking.py
@@ -8,7 +8,9 @@
 
 from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.dispatch import placement
+from turmerichook._internal.dispatch import placement_round
 from turmerichook._internal.dispatch import waiting
+from turmerichook._internal.dispatch import waiting_step
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
 
@@ -52,7 +54,7 @@
     def choose(self, waits, limit):
         """Choose workers for as many of a step's tasks as fit."""
         step = waits.step
-        counts = waiting._tasks_by_worker(waits)
+        counts = waits.tasks_by_worker()
         conditions = obstacles.Conditions(
             step=step,
             service=waits.job.queue.service,
@@ -62,7 +64,7 @@
             now=self.now,
         )
         records = waits.job.progress.tasks
-        overdue = self.now - waits.since > waiting.PATIENCE and not any(
+        overdue = self.now - waits.since > waiting_step.PATIENCE and not any(
             record.worker for record in records.values()
         )
         starving = waits.starving(self.now)
@@ -84,7 +86,10 @@
                 self.obstacles[waits.key] = collections.Counter(
                     ranking.obstacles
                 )
-                if starving and len(self.reserved) < waiting.RESERVED_MAX:
+                if (
+                    starving
+                    and len(self.reserved) < placement_round.RESERVED_MAX
+                ):
                     found = placement.roomiest(
                         conditions=conditions,
                         workers=self.workers,
@@ -97,7 +102,7 @@
             worker.reserve(step)
             record = records.get(task)
             run = ids.Attempt(record.run + 1 if record else 1)
-            chosen.append(waiting.Choice(task, worker, run))
+            chosen.append(placement_round.Choice(task, worker, run))
             if overdue:
                 overdue, ranking = False, None
             elif not worker.suspected:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -12,7 +12,7 @@
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import orders
-from turmerichook._internal.dispatch import waiting
+from turmerichook._internal.dispatch import waiting_step
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
@@ -332,7 +332,7 @@
         for number in range(2):
             rig.submit(fakes.job(f"{number:016x}", lasting))
             rig.step()
-        rig.advance(waiting.PATIENCE + MS)
+        rig.advance(waiting_step.PATIENCE + MS)
         rig.step()
         # One service ends: its room goes to the urgent tasks that wait.
         short = fakes.step(
@@ -363,8 +363,8 @@
                 ),
             )
             rig.submit(fakes.job(f"{number:016x}", step))
-            rig.advance(waiting.PATIENCE + MS)
-        rig.advance(waiting.PATIENCE)
+            rig.advance(waiting_step.PATIENCE + MS)
+        rig.advance(waiting_step.PATIENCE)
         rig.step()
         running = {task.job for task in rig.workers["a"].running}
         assert f"{2:016x}" in running
--- a/tests/dispatch/test_full_ranking.py
+++ b/tests/dispatch/test_full_ranking.py
@@ -12,8 +12,8 @@
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference
+from turmerichook._internal.dispatch import placement_round
 from turmerichook._internal.dispatch import urgency
-from turmerichook._internal.dispatch import waiting
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
@@ -299,7 +299,7 @@
         if not step.step.gang:
             found[step.key] = detail
 
-    monkeypatch.setattr(waiting, "_log_wait", note)
+    monkeypatch.setattr(placement_round, "_log_wait", note)
     return found
 
 
