Split the workers' room from what placement reads of a worker

Seat is now Candidate in candidates.py, with the choice of the best ones; Needs is in task_needs.py, where refusals and waiting steps find it without the log of changes. The set of workers whose room is kept together has one name, reserved, in Room and in Round. No change of behaviour.

--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -6,6 +6,7 @@
 import datetime
 import typing
 
+from turmerichook._internal.dispatch import candidates
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
@@ -53,7 +54,7 @@
     now: datetime.timedelta
     room: rooms.Room
     refusals: refusals.Refusals
-    # Workers whose room is being kept together for a starving task.
+    # Workers that are reserved for starving tasks.
     reserved: set[ids.WorkerId]
 
     def _blocked(self, waiting: waiting_step.WaitingStep) -> bool:
@@ -66,7 +67,7 @@
             return self._paused(waiting)
         if needs.long_running and waiting.starving(self.now):
             # What is kept for others may do, or room is to be kept for it.
-            return len(self.reserved) >= RESERVED_MAX and not self._seats(
+            return len(self.reserved) >= RESERVED_MAX and not self._candidates(
                 waiting
             )
         if self.room.may_fit(needs, waiting.tried):
@@ -107,7 +108,7 @@
         """
         step = waiting.step
         records = waiting.job.progress.tasks
-        seats = [] if waiting.needs.filler else self._seats(waiting)
+        found = [] if waiting.needs.filler else self._candidates(waiting)
         counts = waiting.tasks_by_worker()
         conditions = self._conditions(waiting, counts)
         overdue = waiting.overdue(self.now)
@@ -120,7 +121,7 @@
                 ranking = self._rank(
                     waiting,
                     conditions,
-                    seats,
+                    found,
                     count=min(limit, len(waiting.tasks)),
                     overdue=overdue,
                 )
@@ -128,7 +129,7 @@
             if isinstance(worker, outcomes.Absent):
                 if waiting.needs.filler:
                     self._pause(waiting, conditions, overdue=overdue)
-                elif conditions.approved is None or not seats:
+                elif conditions.approved is None or not found:
                     waiting.tried = self.room.position
                 if waiting.starving(self.now):
                     self._reserve_room(conditions)
@@ -162,10 +163,12 @@
         elif waiting.step.gang:
             _log_wait(waiting, ranking.detail())
 
-    def _seats(self, waiting: waiting_step.WaitingStep) -> list[rooms.Seat]:
+    def _candidates(
+        self, waiting: waiting_step.WaitingStep
+    ) -> list[candidates.Candidate]:
         """Return the workers that may have room for a step's tasks."""
         tried = rooms.UNTRIED if waiting.step.gang else waiting.tried
-        return self.room.seats_for(waiting.needs, waiting.service, tried)
+        return self.room.candidates_for(waiting.needs, waiting.service, tried)
 
     def _conditions(
         self, waiting: waiting_step.WaitingStep, counts: collections.Counter
@@ -190,7 +193,7 @@
         self,
         waiting: waiting_step.WaitingStep,
         conditions: obstacles.Conditions,
-        seats: list[rooms.Seat],
+        found: list[candidates.Candidate],
         *,
         count: int,
         overdue: bool,
@@ -198,16 +201,16 @@
         reserved = self._reserved_from(waiting)
         needs = waiting.needs
         if needs.filler:
-            seats = self.room.seats_for_filler(
+            found = self.room.filler_candidates(
                 needs, waiting.service, overdue=overdue
             )
         elif reserved:
-            seats = [s for s in seats if s.worker.worker not in reserved]
+            found = [c for c in found if c.worker.worker not in reserved]
         if conditions.approved is not None or waiting.step.max_per_worker:
-            seats = [s for s in seats if conditions.obstacle(s.worker) is None]
+            found = [c for c in found if conditions.obstacle(c.worker) is None]
         return placement.Ranking(
             conditions=conditions,
-            workers=[s.worker for s in rooms.best(seats, needs, count)],
+            workers=[c.worker for c in candidates.best(found, needs, count)],
             reserved=reserved,
             interference=self.interference,
             overdue=overdue,
@@ -238,7 +241,7 @@
             # Members of the former run have not all ended yet.
             return []
         if waiting.tried >= 0 and not waiting.starving(self.now):
-            if not self.room.seats_for(
+            if not self.room.candidates_for(
                 waiting.needs, waiting.service, waiting.tried
             ):
                 waiting.tried = self.room.position
--- a/src/turmerichook/_internal/dispatch/refusals.py
+++ b/src/turmerichook/_internal/dispatch/refusals.py
@@ -9,13 +9,13 @@
 import datetime
 import typing
 
-from turmerichook._internal.dispatch import room as rooms
+from turmerichook._internal.dispatch import task_needs
 
 
 class Refusal(typing.NamedTuple):
     """Needs that no worker could meet, and how long that is relied on."""
 
-    needs: rooms.Needs
+    needs: task_needs.Needs
     until: datetime.timedelta
 
 
@@ -28,7 +28,7 @@
     def note(
         self,
         kind: collections.abc.Hashable,
-        needs: rooms.Needs,
+        needs: task_needs.Needs,
         *,
         now: datetime.timedelta,
         until: datetime.timedelta,
@@ -40,7 +40,7 @@
     def until(
         self,
         kind: collections.abc.Hashable,
-        needs: rooms.Needs,
+        needs: task_needs.Needs,
         now: datetime.timedelta,
     ) -> datetime.timedelta | None:
         """Return how long a task need not be tried, if it need not be."""
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -141,7 +141,7 @@
             now=now,
             room=self.room,
             refusals=self.refusals,
-            reserved=self.room.kept,
+            reserved=self.room.reserved,
         )
         placed = 0
         for waiting in self.by_urgency(workers=workers, now=now, wall=wall):
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -8,6 +8,7 @@
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import room as rooms
+from turmerichook._internal.dispatch import task_needs
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
 
@@ -60,7 +61,7 @@
     due: datetime.timedelta
     due_by_task: datetime.timedelta
     since: datetime.timedelta
-    needs: rooms.Needs
+    needs: task_needs.Needs
     service: ids.ServiceId
     tried: int = rooms.UNTRIED
     blocked_until: datetime.timedelta = fleet.ZERO
@@ -151,6 +152,6 @@
         due=deadline + later / WORK_PROCESSORS,
         due_by_task=step.work / WORK_PROCESSORS,
         since=now,
-        needs=rooms.needs_of(step),
+        needs=task_needs.needs_of(step),
         service=job.queue.service,
     )
