--- a/src/turmerichook/_internal/clock.py
+++ b/src/turmerichook/_internal/clock.py
@@ -119,10 +119,3 @@
             waiter.cancel()
             sleeper.cancel()
         return event.is_set()
-
-
-async def wait_event(
-    clock: Clock, event: asyncio.Event, limit: datetime.timedelta
-) -> bool:
-    """Wait for an event for at most ``limit``; tell whether it is set."""
-    return await clock.wait_event(event, limit)
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -221,7 +221,7 @@
         ended = asyncio.ensure_future(self.term.ended.wait())
         try:
             while not self.term.ended.is_set():
-                await clocks.wait_event(self.clock, self.changed, ROUND_MAX)
+                await self.clock.wait_event(self.changed, ROUND_MAX)
                 self.changed.clear()
                 self._round()
                 await asyncio.wait(
--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -184,7 +184,7 @@
                 renewal = asyncio.create_task(self._renew(term))
                 renewals.add(renewal)
                 renewal.add_done_callback(renewals.discard)
-                await clocks.wait_event(self.clock, term.ended, RENEW_INTERVAL)
+                await self.clock.wait_event(term.ended, RENEW_INTERVAL)
                 if suspended == term.has_authority():
                     suspended = not suspended
                     self._log_authority(term, suspended)
--- a/src/turmerichook/_internal/dispatch/queue_lengths.py
+++ b/src/turmerichook/_internal/dispatch/queue_lengths.py
@@ -58,9 +58,7 @@
                     since_ms=self._since_ms(),
                     error=str(error),
                 )
-            await clocks.wait_event(
-                self.clock, self.term.ended, SWEEP_INTERVAL
-            )
+            await self.clock.wait_event(self.term.ended, SWEEP_INTERVAL)
 
     async def sweep(self) -> None:
         """Remove the items of all jobs that do not wait any more."""
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -76,7 +76,7 @@
         return worker.listed and not (worker.looked and worker.reachable)
 
     async def _pause(self, limit: datetime.timedelta) -> None:
-        await clocks.wait_event(self.clock, self.wake, limit)
+        await self.clock.wait_event(self.wake, limit)
         self.wake.clear()
 
     async def _pause_while_unsaved(self) -> None:
--- a/src/turmerichook/_internal/providers/store_memory.py
+++ b/src/turmerichook/_internal/providers/store_memory.py
@@ -106,7 +106,7 @@
         waiter = (prefix, event)
         self.waiters.append(waiter)
         try:
-            await clocks.wait_event(self.clock, event, wait)
+            await self.clock.wait_event(event, wait)
         finally:
             self.waiters.remove(waiter)
         self._expire()
--- a/src/turmerichook/_internal/providers/workers_memory.py
+++ b/src/turmerichook/_internal/providers/workers_memory.py
@@ -253,7 +253,7 @@
         worker.apply(request)
         if request.wait and not worker.events:
             worker.changed.clear()
-            await clocks.wait_event(self.clock, worker.changed, request.wait)
+            await self.clock.wait_event(worker.changed, request.wait)
         answer = worker.answer(request)
         if address in self.cut or address in self.lose_answers:
             self.lose_answers.discard(address)
--- a/src/turmerichook/_internal/scheduling/links.py
+++ b/src/turmerichook/_internal/scheduling/links.py
@@ -222,8 +222,8 @@
         if self.acknowledged >= self.reported:
             return
         self.acknowledgement.clear()
-        await clocks.wait_event(
-            self.clock, self.acknowledgement, ACKNOWLEDGEMENT_PATIENCE
+        await self.clock.wait_event(
+            self.acknowledgement, ACKNOWLEDGEMENT_PATIENCE
         )
 
     async def _failed(self, sent: datetime.timedelta) -> None:
--- a/src/turmerichook/_internal/storage/memory.py
+++ b/src/turmerichook/_internal/storage/memory.py
@@ -66,7 +66,7 @@
                 return interface.Changes(
                     changes=found, revision=ids.Revision(self.revision)
                 )
-            await clocks.wait_event(self.clock, self.changed, left)
+            await self.clock.wait_event(self.changed, left)
 
     async def commit(
         self, commit: interface.Commit
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -162,10 +162,8 @@
             report = self.state.renew(order)
             if not report.ends and document.get("wait-ms"):
                 self.changed.clear()
-                await clocks.wait_event(
-                    clocks.SystemClock(),
-                    self.changed,
-                    document["wait-ms"] * MS,
+                await clocks.SystemClock().wait_event(
+                    self.changed, document["wait-ms"] * MS
                 )
                 report = self.state.renew(order)
         except exceptions.StaleTokenError:
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -17,7 +17,7 @@
         async def scenario():
             clock = clocks.SystemClock()
             event = asyncio.Event()
-            wait = asyncio.create_task(clocks.wait_event(clock, event, MS))
+            wait = asyncio.create_task(clock.wait_event(event, MS))
             await asyncio.sleep(0)
             tasks = asyncio.all_tasks()
             await wait
@@ -32,9 +32,9 @@
         async def scenario():
             clock = clocks.SystemClock()
             event = asyncio.Event()
-            before = await clocks.wait_event(clock, event, MS)
+            before = await clock.wait_event(event, MS)
             asyncio.get_running_loop().call_later(0.001, event.set)
-            after = await clocks.wait_event(clock, event, 60_000 * MS)
+            after = await clock.wait_event(event, 60_000 * MS)
             return before, after
 
         assert asyncio.run(scenario()) == (False, True)
@@ -45,7 +45,7 @@
         async def scenario():
             clock = clocks.SystemClock()
             wait = asyncio.create_task(
-                clocks.wait_event(clock, asyncio.Event(), 60_000 * MS)
+                clock.wait_event(asyncio.Event(), 60_000 * MS)
             )
             await asyncio.sleep(0)
             wait.cancel()
