Name the figures of leader-load by what they count

overfull is now full_commits: commits that could not carry all changed jobs. held is now limited: placements that stopped at the limit of tasks or of jobs; its description named only the second. Scripts that read these fields of earlier logs need the earlier names.

--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -259,12 +259,14 @@
             PLACED_TASKS,
             jobs_limit,
         )
-        held = placed >= PLACED_TASKS or (
+        limited = placed >= PLACED_TASKS or (
             len(dispatcher.book.unreleased) >= jobs_limit
         )
-        if held:
+        if limited:
             self.changed.set()
-        self.meter.note_placement(placed, held, self.clock.monotonic() - began)
+        self.meter.note_placement(
+            placed, limited, self.clock.monotonic() - began
+        )
 
     def _wake_session(self, worker: ids.WorkerId) -> None:
         session = self.sessions.get(worker)
--- a/src/turmerichook/_internal/dispatch/load.py
+++ b/src/turmerichook/_internal/dispatch/load.py
@@ -29,12 +29,12 @@
         self.rounds = 0
         self.placements = 0
         self.placed = 0
-        self.held = 0
+        self.limited = 0
         self.placing = ZERO
         self.commits = 0
         self.saved = 0
         self.entries = 0
-        self.overfull = 0
+        self.full_commits = 0
         self.committing = ZERO
         self.longest_commit = ZERO
         self.released = 0
@@ -46,15 +46,15 @@
         self.rounds += 1
 
     def note_placement(
-        self, placed: int, held: bool, elapsed: datetime.timedelta
+        self, placed: int, limited: bool, elapsed: datetime.timedelta
     ) -> None:
         """Count one placement.
 
-        :param held: whether the next commit could not carry more.
+        :param limited: whether it stopped at the limit of tasks or of jobs.
         """
         self.placements += 1
         self.placed += placed
-        self.held += held
+        self.limited += limited
         self.placing += elapsed
         self.metrics.observe("placement_seconds", elapsed.total_seconds())
 
@@ -73,7 +73,7 @@
         self.commits += 1
         self.saved += saved
         self.entries += entries
-        self.overfull += left > 0
+        self.full_commits += left > 0
         self.committing += elapsed
         self.longest_commit = max(self.longest_commit, elapsed)
         self.metrics.observe("commit_seconds", elapsed.total_seconds())
@@ -115,12 +115,12 @@
             rounds=self.rounds,
             placements=self.placements,
             placed=self.placed,
-            held=self.held,
+            limited=self.limited,
             placing_ms=self.placing // clocks.MILLISECOND,
             commits=self.commits,
             saved=self.saved,
             entries=self.entries,
-            overfull=self.overfull,
+            full_commits=self.full_commits,
             committing_ms=self.committing // clocks.MILLISECOND,
             longest_commit_ms=self.longest_commit // clocks.MILLISECOND,
             released=self.released,
