--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -6,6 +6,7 @@
 import typing
 
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import advising
 from turmerichook._internal.dispatch import commits
 from turmerichook._internal.dispatch import committer as committers
 from turmerichook._internal.dispatch import decisions
@@ -32,10 +33,6 @@
 ROUND_MAX = datetime.timedelta(milliseconds=200)
 # Tasks that are placed at once; more wait for the next commit.
 PLACED_TASKS = 200
-# How soon new tasks of an advised queue are noticed, and the pause after a
-# question without an answer.
-ADVICE_PAUSE = datetime.timedelta(milliseconds=50)
-ADVICE_RETRY_PAUSE = datetime.timedelta(milliseconds=250)
 LEASE_MARGIN = datetime.timedelta(seconds=1)
 # Time for orders under way when the term ends.
 HANDOVER_TIME_S = 0.3
@@ -122,7 +119,7 @@
             self._spawn(self.feeds.registry.run())
             self._spawn(self.lengths.run())
             if self.advisor is not None:
-                self._spawn(self._ask_advisor(self.advisor))
+                self._spawn(self._advising(self.advisor).run())
             self._spawn(self.committer.run())
             await self._rounds()
         finally:
@@ -165,6 +162,15 @@
         self.dispatcher.closed_zones = set(closed_zones)
         self.changed.set()
 
+    def _advising(self, advisor: orders.Advisor) -> advising.Advising:
+        return advising.Advising(
+            advisor=advisor,
+            dispatcher=self.dispatcher,
+            feeds=self.feeds,
+            changed=self.changed,
+            clock=self.clock,
+        )
+
     def _ensure_session(self, worker_id: ids.WorkerId) -> None:
         worker = self.dispatcher.workers[worker_id]
         known = self.sessions.get(worker_id)
@@ -182,39 +188,6 @@
         self.sessions[worker_id] = session
         self._spawn(session.run())
 
-    async def _ask_advisor(self, advisor: orders.Advisor) -> None:
-        """Ask about one step after the other while tasks wait for it."""
-        reachable = True
-        while True:
-            now = self.clock.uptime()
-            question = self.dispatcher.next_question(now, self.feeds.wall())
-            if question is None:
-                await self.clock.sleep(ADVICE_PAUSE)
-                continue
-            try:
-                advice = await advisor.advise(question)
-            except exceptions.AdvisorUnavailableError as error:
-                if reachable:
-                    logs.emit(
-                        events.DispatchEvent.ADVISOR_LOST, error=str(error)
-                    )
-                reachable = False
-                await self.clock.sleep(ADVICE_RETRY_PAUSE)
-                continue
-            if not reachable:
-                logs.emit(events.DispatchEvent.ADVISOR_REGAINED)
-            reachable = True
-            logs.emit(
-                events.DispatchEvent.ADVICE_TAKEN,
-                job=question.step.job,
-                step=question.step.step,
-                asked=len(question.workers),
-                good=len(advice.tickets),
-                valid_ms=advice.validity // clocks.MILLISECOND,
-            )
-            self.dispatcher.book.advice.take(question, advice, now)
-            self.changed.set()
-
     # Rounds
 
     async def _rounds(self) -> None:
