Take incarnations and pace orders out of settlement.py

incarnations.check needs a worker only, and pacing.relieve returns the orders of a worker's fillers. What a refused start does has its own method. No change of behaviour.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import incarnations
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import orders
@@ -159,7 +160,7 @@
         if worker is None:
             worker = fleet.Worker(worker=entry.worker, entry=entry)
             self.workers[entry.worker] = worker
-        self.settlement.check_incarnation(worker, entry.incarnation)
+        incarnations.check(worker, entry.incarnation)
         if not _same_life(worker.entry, entry):
             logs.emit(
                 events.DispatchEvent.WORKER_SEEN,
--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -9,8 +9,11 @@
 import collections.abc
 import datetime
 
+from turmerichook._internal.dispatch import decisions
+from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference
+from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 
 # Error of a pressure that is predicted for the next half second.
@@ -33,6 +36,32 @@
 Paces = dict[fleet.Run, int]
 
 
+def relieve(
+    worker: fleet.Worker,
+    model: interference.Interference,
+    now: datetime.timedelta,
+) -> list[decisions.PaceOrder]:
+    """Pace the fillers of a worker by the tail latency of its services."""
+    learn(worker, model, now)
+    paces = next_paces(worker, model, now)
+    if not paces:
+        return []
+    logs.emit(
+        events.DispatchEvent.FILLER_PACED,
+        worker=worker.worker,
+        ratio=round(worst_ratio(worker), 2),
+        fillers=len(paces),
+        slowest=min(paces.values()),
+        fastest=max(paces.values()),
+    )
+    for run, pace in paces.items():
+        run.pace = pace
+    return [
+        decisions.PaceOrder(worker=worker.worker, run=run, percent=pace)
+        for run, pace in paces.items()
+    ]
+
+
 def learn(
     worker: fleet.Worker,
     model: interference.Interference,
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -2,9 +2,9 @@
 
 import datetime
 
-from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import incarnations
 from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import orders
@@ -45,7 +45,7 @@
 
         :param asked: mark of the moment at which it was asked for.
         """
-        if not self.check_incarnation(worker, report.incarnation):
+        if not incarnations.check(worker, report.incarnation):
             return
         worker.read_clock(report, now)
         worker.looked = True
@@ -64,7 +64,7 @@
         for run in list(worker.runs.values()):
             if (run.task, run.run) not in listed:
                 self._take_absence(worker, run, asked, now)
-        self._relieve(worker, now)
+        self.book.orders += pacing.relieve(worker, self.interference, now)
 
     def _take_running(
         self,
@@ -205,21 +205,7 @@
                 if not run.wanted:
                     self.book.stop(worker, run, now, "not-wanted")
             case orders.Refused(reason=reason):
-                run_book.log_run(
-                    events.DispatchEvent.START_REFUSED,
-                    worker,
-                    run,
-                    reason=reason.value,
-                )
-                if reason is orders.RefusalReason.NO_ROOM:
-                    worker.full_until = now + fleet.FULL_PAUSE
-                elif reason is orders.RefusalReason.NOT_CONNECTED:
-                    self.unreachable(worker, now)
-                elif reason is orders.RefusalReason.NO_TICKET:
-                    self.book.advice.refused(run.task.step_key, worker.worker)
-                elif reason is orders.RefusalReason.UNHEALTHY:
-                    worker.full_until = now + fleet.SUSPENSION
-                self.book.lose(worker, run, f"refused-{reason.value}", now)
+                self._take_refusal(worker, run, reason, now)
             case orders.Unknown(detail=detail):
                 run.phase = fleet.RunPhase.UNCERTAIN
                 run_book.log_run(
@@ -229,6 +215,30 @@
                     detail=detail,
                 )
 
+    def _take_refusal(
+        self,
+        worker: fleet.Worker,
+        run: fleet.Run,
+        reason: orders.RefusalReason,
+        now: datetime.timedelta,
+    ) -> None:
+        run_book.log_run(
+            events.DispatchEvent.START_REFUSED,
+            worker,
+            run,
+            reason=reason.value,
+        )
+        match reason:
+            case orders.RefusalReason.NO_ROOM:
+                worker.full_until = now + fleet.FULL_PAUSE
+            case orders.RefusalReason.NOT_CONNECTED:
+                self.unreachable(worker, now)
+            case orders.RefusalReason.NO_TICKET:
+                self.book.advice.refused(run.task.step_key, worker.worker)
+            case orders.RefusalReason.UNHEALTHY:
+                worker.full_until = now + fleet.SUSPENSION
+        self.book.lose(worker, run, f"refused-{reason.value}", now)
+
     def _note_begun(self, run: fleet.Run) -> None:
         job = self.book.jobs.get(run.task.job)
         if job is not None:
@@ -275,58 +285,3 @@
         for run in list(worker.runs.values()):
             if run.phase is not fleet.RunPhase.ASSIGNED:
                 self.book.lose(worker, run, "incarnation-ended", now)
-
-    def check_incarnation(
-        self, worker: fleet.Worker, incarnation: int
-    ) -> bool:
-        """Note a worker's new life; tell whether the word is not outdated."""
-        if not incarnation or incarnation == worker.incarnation:
-            return True
-        known = worker.incarnation
-        if known and incarnation < known:
-            return False
-        worker.incarnation = incarnation
-        if known:
-            self._restarted(worker)
-        return True
-
-    def _restarted(self, worker: fleet.Worker) -> None:
-        logs.emit(
-            events.DispatchEvent.WORKER_RESTARTED,
-            worker=worker.worker,
-            runs=len(worker.runs),
-        )
-        worker.seen_end = 0
-        worker.unsaved.clear()
-        worker.clock = None
-        worker.lease_until = fleet.ZERO
-        worker.looked = False
-        worker.failing.clear()
-        for run in worker.runs.values():
-            if run.phase is fleet.RunPhase.RUNNING:
-                # The new life may have taken the start; if the next report
-                # does not list the run, it ended with the former life.
-                run.phase = fleet.RunPhase.UNCERTAIN
-                run.fenced = True
-
-    def _relieve(self, worker: fleet.Worker, now: datetime.timedelta) -> None:
-        """Pace the fillers of a worker by the tail latency of its services."""
-        pacing.learn(worker, self.interference, now)
-        paces = pacing.next_paces(worker, self.interference, now)
-        if not paces:
-            return
-        logs.emit(
-            events.DispatchEvent.FILLER_PACED,
-            worker=worker.worker,
-            ratio=round(pacing.worst_ratio(worker), 2),
-            fillers=len(paces),
-            slowest=min(paces.values()),
-            fastest=max(paces.values()),
-        )
-        for run, pace in paces.items():
-            run.pace = pace
-            self.book.orders.append(
-                decisions.PaceOrder(
-                    worker=worker.worker, run=run, percent=pace
-                )
-            )
