--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -7,7 +7,6 @@
 where a task may run.
 """
 
-import collections.abc
 import datetime
 import sys
 
@@ -20,7 +19,7 @@
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import run_book
-from turmerichook._internal.dispatch import save_order
+from turmerichook._internal.dispatch import saves
 from turmerichook._internal.dispatch import settlement
 from turmerichook._internal.dispatch import waiting_step
 from turmerichook._internal.dispatch import watchdog
@@ -29,7 +28,6 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
-from turmerichook._internal.workflow import stored
 
 
 class Dispatcher:
@@ -52,6 +50,7 @@
         self.settlement = settlement.Settlement(
             book=self.book, interference=self.interference
         )
+        self.saves = saves.Saves(book=self.book)
         self.watchdog = watchdog.Watchdog(book=self.book, timing=timing)
         self.jobs = self.book.jobs
         self.final = self.book.final
@@ -90,7 +89,9 @@
         for task in progress.assigned():
             record = progress.tasks[task]
             step = progress.spec.steps[task.step]
-            self._recover_run(task, record.worker, record.run, step)
+            self.book.recover_run(
+                task, record.worker, record.run, step, self.inherited_until
+            )
         if progress.canceled or progress.failed:
             self.book.stop_all(job, now)
         else:
@@ -279,98 +280,13 @@
 
         :param room: entries that the commit has for them.
         """
-        changed = [self.jobs[job_id] for job_id in self.dirty]
-        return [
-            self._save(job)
-            for job in save_order.choose(changed, self.book.unreleased, room)
-        ]
-
-    def _save(self, job: jobs.Job) -> jobs.Save:
-        del self.dirty[job.spec.job]
-        self.book.unreleased.discard(job.spec.job)
-        ends, job.unsaved_ends = tuple(job.unsaved_ends), []
-        return jobs.Save(
-            job=job,
-            runs=tuple(self._assigned_runs(job)),
-            ends=ends,
-            state=job.progress.state,
-            value=stored.encode_progress(job.progress),
-        )
-
-    def _assigned_runs(
-        self, job: jobs.Job
-    ) -> collections.abc.Iterator[tuple[ids.WorkerId, fleet.Run]]:
-        for task in job.progress.assigned():
-            worker_id = job.progress.tasks[task].worker
-            worker = self.workers.get(worker_id)
-            run = worker.runs.get(task) if worker else None
-            if run is not None and run.phase is fleet.RunPhase.ASSIGNED:
-                yield worker_id, run
+        return self.saves.next(room)
 
     def committed(
         self, saves: list[jobs.Save], now: datetime.timedelta
     ) -> list[decisions.StartOrder]:
         """Note that snapshots are durable; return the starts they release."""
-        starts: list[decisions.StartOrder] = []
-        for save in saves:
-            self._note_saved(save.ends)
-            for worker_id, run in save.runs:
-                worker = self.workers.get(worker_id)
-                if worker is None or worker.runs.get(run.task) is not run:
-                    continue
-                ticket = self.book.advice.ticket(
-                    run.task.step_key, worker, now
-                )
-                allowed = bool(ticket) or save.job.queue.advisor is None
-                if not (run.wanted and allowed and self._may_start(worker)):
-                    self.book.lose(worker, run, "not-sent", now)
-                    continue
-                run.phase = fleet.RunPhase.STARTING
-                record = save.job.progress.tasks[run.task]
-                starts.append(
-                    decisions.StartOrder(
-                        worker=worker_id,
-                        run=run,
-                        payload=save.job.spec.payload,
-                        checkpoint=record.checkpoint,
-                        ticket=ticket,
-                    )
-                )
-            if save.state.final:
-                self._close(save, now)
-        return starts
-
-    def _note_saved(self, ends: collections.abc.Iterable[jobs.End]) -> None:
-        for end in ends:
-            worker = self.workers.get(end.worker)
-            if worker is not None and worker.incarnation == end.incarnation:
-                worker.unsaved.discard(end.number)
-
-    def _may_start(self, worker: fleet.Worker) -> bool:
-        entry = worker.entry
-        return (
-            entry is not None
-            and worker.listed
-            and worker.clock is not None
-            and entry.state is deployment.WorkerState.READY
-            and entry.zone not in self.closed_zones
-        )
-
-    def _close(self, save: jobs.Save, now: datetime.timedelta) -> None:
-        job = save.job
-        if self.jobs.pop(job.spec.job, None) is None:
-            return
-        self.final[job.spec.job] = now
-        self.dirty.pop(job.spec.job, None)
-        self.book.unreleased.discard(job.spec.job)
-        self.book.advice.drop(job.spec.job)
-        self._note_saved(job.unsaved_ends)
-        logs.emit(
-            events.DispatchEvent.JOB_ENDED,
-            job=job.spec.job,
-            queue=job.spec.queue,
-            state=save.state.value,
-        )
+        return self.saves.committed(saves, self.closed_zones, now)
 
     def add_final(
         self,
@@ -381,33 +297,11 @@
         """Note a final job and the runs that it may still have."""
         self.final[job_id] = now
         for task, (number, worker_id) in remainder.items():
-            run = self._recover_run(task, worker_id, number, run_book.STRAY)
+            run = self.book.recover_run(
+                task, worker_id, number, run_book.STRAY, self.inherited_until
+            )
             run.wanted = False
 
-    def _recover_run(
-        self,
-        task: model.TaskKey,
-        worker_id: ids.WorkerId,
-        number: ids.Attempt,
-        step: model.Step,
-    ) -> fleet.Run:
-        """Note a run that an earlier leader may have started."""
-        worker = self.workers.get(worker_id)
-        if worker is None:
-            worker = fleet.Worker(worker=worker_id, entry=None)
-            worker.reachable = False
-            self.workers[worker_id] = worker
-        worker.lapsed_at = self.inherited_until
-        run = fleet.Run(
-            task=task,
-            run=number,
-            step=step,
-            phase=fleet.RunPhase.UNCERTAIN,
-            fenced=True,
-        )
-        worker.add(run)
-        return run
-
 
 def _same_life(
     known: deployment.WorkerEntry | None, entry: deployment.WorkerEntry
--- a/src/turmerichook/_internal/dispatch/run_book.py
+++ b/src/turmerichook/_internal/dispatch/run_book.py
@@ -136,6 +136,34 @@
         if not job.progress.state.final:
             self.waiting.add(job, task, worker, now)
 
+    def recover_run(
+        self,
+        task: model.TaskKey,
+        worker_id: ids.WorkerId,
+        number: ids.Attempt,
+        step: model.Step,
+        lapsed_at: datetime.timedelta,
+    ) -> fleet.Run:
+        """Note a run that an earlier leader may have started.
+
+        :param lapsed_at: when its worker's lease has certainly ended.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            worker = fleet.Worker(worker=worker_id, entry=None)
+            worker.reachable = False
+            self.workers[worker_id] = worker
+        worker.lapsed_at = lapsed_at
+        run = fleet.Run(
+            task=task,
+            run=number,
+            step=step,
+            phase=fleet.RunPhase.UNCERTAIN,
+            fenced=True,
+        )
+        worker.add(run)
+        return run
+
 
 def log_run(
     event: events.DispatchEvent,
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -0,0 +1,126 @@
+"""Changed jobs on their way to the store, and what becomes of them then."""
+
+import collections.abc
+import datetime
+
+from turmerichook._internal.dispatch import decisions
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import jobs
+from turmerichook._internal.dispatch import run_book
+from turmerichook._internal.dispatch import save_order
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import stored
+
+
+class Saves:
+    """Snapshots for commits, and the starts that durable ones release."""
+
+    def __init__(self, *, book: run_book.RunBook):
+        self.book = book
+
+    def next(self, room: int) -> list[jobs.Save]:
+        """Return snapshots of changed jobs for one commit.
+
+        :param room: entries that the commit has for them.
+        """
+        changed = [self.book.jobs[job_id] for job_id in self.book.dirty]
+        return [
+            self._save(job)
+            for job in save_order.choose(changed, self.book.unreleased, room)
+        ]
+
+    def _save(self, job: jobs.Job) -> jobs.Save:
+        del self.book.dirty[job.spec.job]
+        self.book.unreleased.discard(job.spec.job)
+        ends, job.unsaved_ends = tuple(job.unsaved_ends), []
+        return jobs.Save(
+            job=job,
+            runs=tuple(self._assigned_runs(job)),
+            ends=ends,
+            state=job.progress.state,
+            value=stored.encode_progress(job.progress),
+        )
+
+    def _assigned_runs(
+        self, job: jobs.Job
+    ) -> collections.abc.Iterator[tuple[ids.WorkerId, fleet.Run]]:
+        for task in job.progress.assigned():
+            worker_id = job.progress.tasks[task].worker
+            worker = self.book.workers.get(worker_id)
+            run = worker.runs.get(task) if worker else None
+            if run is not None and run.phase is fleet.RunPhase.ASSIGNED:
+                yield worker_id, run
+
+    def committed(
+        self,
+        saves: list[jobs.Save],
+        closed: collections.abc.Container[ids.ZoneId],
+        now: datetime.timedelta,
+    ) -> list[decisions.StartOrder]:
+        """Note that snapshots are durable; return the starts they release."""
+        starts: list[decisions.StartOrder] = []
+        for save in saves:
+            self._note_saved(save.ends)
+            for worker_id, run in save.runs:
+                worker = self.book.workers.get(worker_id)
+                if worker is None or worker.runs.get(run.task) is not run:
+                    continue
+                ticket = self.book.advice.ticket(
+                    run.task.step_key, worker, now
+                )
+                allowed = bool(ticket) or save.job.queue.advisor is None
+                if not (run.wanted and allowed and _may_start(worker, closed)):
+                    self.book.lose(worker, run, "not-sent", now)
+                    continue
+                run.phase = fleet.RunPhase.STARTING
+                record = save.job.progress.tasks[run.task]
+                starts.append(
+                    decisions.StartOrder(
+                        worker=worker_id,
+                        run=run,
+                        payload=save.job.spec.payload,
+                        checkpoint=record.checkpoint,
+                        ticket=ticket,
+                    )
+                )
+            if save.state.final:
+                self._close(save, now)
+        return starts
+
+    def _note_saved(self, ends: collections.abc.Iterable[jobs.End]) -> None:
+        for end in ends:
+            worker = self.book.workers.get(end.worker)
+            if worker is not None and worker.incarnation == end.incarnation:
+                worker.unsaved.discard(end.number)
+
+    def _close(self, save: jobs.Save, now: datetime.timedelta) -> None:
+        job = save.job
+        if self.book.jobs.pop(job.spec.job, None) is None:
+            return
+        self.book.final[job.spec.job] = now
+        self.book.dirty.pop(job.spec.job, None)
+        self.book.unreleased.discard(job.spec.job)
+        self.book.advice.drop(job.spec.job)
+        self._note_saved(job.unsaved_ends)
+        logs.emit(
+            events.DispatchEvent.JOB_ENDED,
+            job=job.spec.job,
+            queue=job.spec.queue,
+            state=save.state.value,
+        )
+
+
+def _may_start(
+    worker: fleet.Worker, closed: collections.abc.Container[ids.ZoneId]
+) -> bool:
+    entry = worker.entry
+    return (
+        entry is not None
+        and worker.listed
+        and worker.clock is not None
+        and entry.state is deployment.WorkerState.READY
+        and entry.zone not in closed
+    )
