Count a cancelled call neither as an answer nor as a failure

Callers would see: while the store is away, requests wait for it again for 1.2 s and more instead of being refused at once, and the host counts as ready.

Cause: the storage's observer takes each call that does not end with an error of the store for an answered one, a cancelled one too. Copies of a commit, renewals that overlap and all calls of a term that ends are cancelled.

Cancelled calls have a result of their own in store_calls_total.

--- a/src/turmerichook/_internal/storage/observed.py
+++ b/src/turmerichook/_internal/storage/observed.py
@@ -1,5 +1,6 @@
 """Storage that measures its calls and knows whether it is reachable."""
 
+import asyncio
 import collections.abc
 import datetime
 import typing
@@ -87,11 +88,14 @@
         ) as error:
             outcome = error.reference
             raise
+        except asyncio.CancelledError:
+            outcome = "cancelled"
+            raise
         finally:
             elapsed = self.clock.monotonic() - began
             if outcome == "answered":
                 self._note_answer()
-            else:
+            elif outcome != "cancelled":
                 self._note_failure(began)
             self.metrics.count("store_calls_total", call=name, result=outcome)
             if name != "watch":
