Keep connections for writes, apart from those of reads

Callers would see: the leader's lease lapses, and commits stand still, while answers are lost.

Cause: renewals and commits share 16 connections with the reads for callers of the leader's host, first come first served. A lost answer holds one for the whole time-out of 1 s, so that with a third of them lost about 48 calls a second are enough to let a renewal wait. Copies of commits and renewals that overlap take more of them.

Writes now have as many connections of their own; submissions of callers still share these with the leader.

--- a/src/turmerichook/_internal/storage/exchange.py
+++ b/src/turmerichook/_internal/storage/exchange.py
@@ -35,6 +35,11 @@
         self.pool = calls.CallPool(
             host=host, port=port, connections=connections
         )
+        # Renewals and commits do not wait for callers' questions: a read whose
+        # answer is lost holds its connection for the whole time-out.
+        self.write_pool = calls.CallPool(
+            host=host, port=port, connections=connections
+        )
         self.watch_pool = calls.CallPool(
             host=host, port=port, connections=watch_connections
         )
@@ -63,7 +68,7 @@
         """
         body = b"" if document is None else json.dumps(document).encode()
         try:
-            return await self.pool.call(
+            return await self.write_pool.call(
                 method=method,
                 target=target,
                 body=body,
@@ -83,6 +88,7 @@
     def close(self) -> None:
         """Close idle connections."""
         self.pool.close()
+        self.write_pool.close()
         self.watch_pool.close()
 
     async def _get(
