Restart a service before the tasks of more urgent queues

Callers would see: a task that is to last stands for over 3 s with room for it.

Cause: priority goes before the claim of an ended service that has waited for 2 s, and a commit carries tasks of 21 jobs at most. So a service of a less urgent queue waits for as long as more urgent queues bring that many jobs for each commit, although workers have room.

Found by reading in review. On the four sites all services have priority 0, whose order does not change.

--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -81,6 +81,7 @@
 class Order(typing.NamedTuple):
     """Sort key of a waiting step; the lowest is the most urgent."""
 
+    postponable: bool
     useless: bool
     priority: int
     unclaimed: bool
@@ -145,7 +146,8 @@
         Long-running tasks give their room back only when their job is
         cancelled, so that short ones of the same priority go first, until the
         long-running one starves and does not crowd them out. One that restarts
-        may do so, as its service has lost a part.
+        may do so, as its service has lost a part, and then goes before all
+        others: commits may have no room left behind more urgent queues.
 
         A job that cannot meet its objective any more earns little by coming
         early, and waits behind those of its priority that can.
@@ -153,6 +155,7 @@
         lasting = self.step.long_running
         end = wall + self.chain
         return Order(
+            postponable=not (self.restarts and self.starving(now)),
             useless=end > self.useful_until and not lasting,
             priority=self.job.queue.priority,
             unclaimed=not self.starving(now)
