Keep a worker suspended that lists an unknown run

A run that a report lists and nobody has assigned is counted against its worker without a time, and the end of a suspected worker's suspension was set to that time and 4 s: long past, so that the worker got tasks again at once.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -164,7 +164,8 @@
         self.reserve(run.step)
         if self.suspected:
             # The run shows whether the worker has recovered.
-            self.suspended_until = run.moved + SUSPENSION
+            end = run.moved + SUSPENSION
+            self.suspended_until = max(self.suspended_until, end)
 
     def remove(self, task: model.TaskKey) -> Run | None:
         """Free what a run took."""
