Give a suspected worker one task of an overdue job at a time

After the first task of an overdue job all workers were ranked again, the suspected one that had just got it as well, so that it got a second one. One attempt more was lost on a worker that fails what it starts.

--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -375,6 +375,7 @@
                     seats,
                     count=min(limit, len(waiting.tasks)),
                     overdue=overdue,
+                    chosen=[choice.worker for choice in chosen],
                 )
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
@@ -455,6 +456,7 @@
         *,
         count: int,
         overdue: bool,
+        chosen: collections.abc.Collection[fleet.Worker],
     ) -> placement.Ranking:
         reserved = self._reserved_from(waiting)
         needs = waiting.needs
@@ -468,7 +470,12 @@
             seats = [s for s in seats if conditions.obstacle(s.worker) is None]
         return placement.Ranking(
             conditions=conditions,
-            workers=[s.worker for s in rooms.best(seats, needs, count)],
+            workers=[
+                s.worker
+                for s in rooms.best(seats, needs, count)
+                # A suspected worker gets one task at a time.
+                if not (s.worker.suspected and s.worker in chosen)
+            ],
             reserved=reserved,
             interference=self.interference,
             overdue=overdue,
--- a/tests/dispatch/full_ranking.py
+++ b/tests/dispatch/full_ranking.py
@@ -74,7 +74,14 @@
             if ranking is None:
                 ranking = placement.Ranking(
                     conditions=conditions,
-                    workers=self.workers,
+                    workers=[
+                        worker
+                        for worker in self.workers
+                        if not (
+                            worker.suspected
+                            and any(c.worker is worker for c in chosen)
+                        )
+                    ],
                     reserved=() if starving else self.reserved,
                     interference=self.interference,
                     overdue=overdue,
