Take a commit's unreadable answer for an unknown outcome

Callers would see: 400 for a job that is stored and runs later. The leader's term would end.

Cause: an answer of the store without a revision, or with status 412 and a body of another form, raised the error of a malformed message. The callers' listener takes that for the caller's own request, and the leader's chain of commits catches errors of the store only.

--- a/src/turmerichook/_internal/platform/store_calls.py
+++ b/src/turmerichook/_internal/platform/store_calls.py
@@ -90,13 +90,12 @@
         )
         if answer.status == 404:
             raise exceptions.LeaseLapsedError(message="the lease has ended")
-        if answer.status == 412:
-            rows = fields.listing(answer.json(), "items", [])
-            items = [_item(row) for row in rows if row.get("revision")]
-            return interface.Conflict(items={item.key: item for item in items})
-        return interface.Committed(
-            revision=_revision(_done(answer), "revision")
-        )
+        try:
+            return _outcome(answer)
+        except exceptions.MessageError as error:
+            raise exceptions.StoreOutcomeUnknownError(
+                message=f"the store's answer is unreadable: {error.message}"
+            ) from error
 
     async def grant_lease(self, ttl: datetime.timedelta) -> ids.LeaseId:
         answer = await self.exchange.write(
@@ -148,6 +147,20 @@
     }
 
 
+def _outcome(
+    answer: calls.Answer,
+) -> interface.Committed | interface.Conflict:
+    """Return what a commit's answer tells.
+
+    :raises MessageError: if it cannot be read.
+    """
+    if answer.status == 412:
+        rows = fields.listing(answer.json(), "items", [])
+        items = [_item(row) for row in rows if row.get("revision")]
+        return interface.Conflict(items={item.key: item for item in items})
+    return interface.Committed(revision=_revision(_done(answer), "revision"))
+
+
 def _done(answer: calls.Answer) -> dict[str, typing.Any]:
     """Return the document of a write's answer."""
     if answer.status == 200:
