--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -124,6 +124,7 @@
                     found,
                     count=min(limit, len(waiting.tasks)),
                     overdue=overdue,
+                    chosen=[choice.worker for choice in chosen],
                 )
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
@@ -197,6 +198,7 @@
         *,
         count: int,
         overdue: bool,
+        chosen: collections.abc.Collection[fleet.Worker],
     ) -> placement.Ranking:
         reserved = self._reserved_from(waiting)
         needs = waiting.needs
@@ -210,7 +212,12 @@
             found = [c for c in found if conditions.obstacle(c.worker) is None]
         return placement.Ranking(
             conditions=conditions,
-            workers=[c.worker for c in candidates.best(found, needs, count)],
+            workers=[
+                c.worker
+                for c in candidates.best(found, needs, count)
+                # A suspected worker gets one task at a time.
+                if not (c.worker.suspected and c.worker in chosen)
+            ],
             reserved=reserved,
             interference=self.interference,
             overdue=overdue,
