Let the leases of a crashed worker end

Cause: each renewal that was sent to a worker counted as granted, also when the worker had not answered for long. As renewals go on while a worker has runs, its leases never ended in the leader's view, and its tasks were bound to it until another incarnation answered at its address or another process led.

Change: a silent worker that the registry no longer lists gets no further lease. One that is listed gets short leases for 20 s, so that a slow worker, or one whose answers are lost, keeps its runs.

The tests of a crashed worker and of one that never answers fail before.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -29,6 +29,13 @@
 IDLE_CHECK_INTERVAL = datetime.timedelta(seconds=1)
 # Successive renewals without an answer after which a worker is unreachable.
 UNREACHABLE_AFTER_FAILURES = 2
+# Length of the leases granted to a listed worker that does not answer. A
+# worker whose answers are slow or lost keeps its runs, and the leases of one
+# that has crashed end as soon as those granted before.
+SILENT_LEASE = datetime.timedelta(seconds=3)
+# A listed worker that has not answered for this time gets no more leases, so
+# that its tasks can run where their ends are seen.
+SILENT_RENEWAL_TIME = datetime.timedelta(seconds=20)
 # How long leases on workers are renewed while the store does not confirm the
 # leader's own lease. A successor can rely on all of them having ended after
 # this time and the length of one lease.
@@ -60,7 +67,10 @@
         # Set when the worker was sent an order or its ends became durable.
         self.wake = asyncio.Event()
         self.acknowledged = 0
+        # Successive renewals without an answer, and when the last answer was
+        # received.
         self.failures = 0
+        self.answered_at = clock.uptime()
 
     async def run(self) -> None:
         """Renew leases until cancelled."""
@@ -135,9 +145,10 @@
             self.term.end("stale-token")
             return
         self.failures = 0
+        self.answered_at = self.clock.uptime()
         self.acknowledged = acknowledged
         self.dispatcher.settlement.apply_report(
-            worker, report, requested_at=asked, now=self.clock.uptime()
+            worker, report, requested_at=asked, now=self.answered_at
         )
         self.changed.set()
         if self._has_unsettled_runs():
@@ -150,9 +161,17 @@
             return None
         if self.term.unconfirmed_for() > UNCONFIRMED_RENEWAL_TIME:
             return None
-        return self.worker.grant_lease(
-            self.clock.uptime(), self.timing.lease_max
-        )
+        now = self.clock.uptime()
+        length = self.timing.lease_max
+        if self.failures:
+            # The leases of a worker that has crashed must end: a renewal
+            # counts as granted although no answer confirms it.
+            if not self.worker.listed:
+                return None
+            if now - self.answered_at > SILENT_RENEWAL_TIME:
+                return None
+            length = min(length, SILENT_LEASE)
+        return self.worker.grant_lease(now, length)
 
     def _report_wait(self) -> datetime.timedelta:
         if (
--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -12,7 +12,11 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
+from turmerichook import exceptions
 
+# Time after which a renewal without an answer has failed.
+RENEWAL_TIMEOUT = datetime.timedelta(milliseconds=1400)
+MINUTE = datetime.timedelta(minutes=1)
 TASK = model.TaskKey(ids.JobId("00000000000000aa"), 0, 0, 0)
 
 
@@ -27,11 +31,25 @@
         await super().sleep(delay)
 
 
+class SkippingClock(CountingClock):
+    """A clock that skips the time of each sleep instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.skipped = datetime.timedelta()
+
+    def uptime(self):
+        return super().uptime() + self.skipped
+
+    async def sleep(self, delay):
+        self.skipped += delay
+
+
 class SessionFixture:
     """A session with a worker, and a job with two tasks."""
 
-    def __init__(self):
-        self.clock = CountingClock()
+    def __init__(self, clock=None):
+        self.clock = clock or CountingClock()
         self.workers = fakes.FakeWorkers("w1")
         self.worker = self.workers.workers[ids.WorkerId("w1")]
         self.dispatcher = dispatchers.Dispatcher(
@@ -187,3 +205,88 @@
             sessions.REPORT_WAIT,
             sessions.RETRY_PAUSE,
         ]
+
+
+class TestSilentWorker:
+    """Leases and runs of a worker that does not answer."""
+
+    @staticmethod
+    async def _runs_lost_after(fixture, limit, *, executes=False):
+        """Renew without answers; return when all runs are lost, or None.
+
+        :param executes: whether the worker executes renewals although their
+            answers are lost.
+        """
+        renew = fixture.workers.renew
+
+        async def unanswered(entry, order):
+            await fixture.clock.sleep(RENEWAL_TIMEOUT)
+            if executes:
+                await renew(entry, order)
+            raise exceptions.WorkerUnreachableError(message="no answer")
+
+        fixture.workers.renew = unanswered
+        silent_since = fixture.clock.uptime()
+        while fixture.clock.uptime() - silent_since < limit:
+            fixture.session.term.confirmed_at = fixture.clock.uptime()
+            await fixture.session._renew()
+            fixture.dispatcher.watchdog.tick(fixture.clock.uptime())
+            if not fixture.session.worker.runs:
+                return fixture.clock.uptime() - silent_since
+        return None
+
+    def test_tasks_of_a_crashed_worker_are_placed_again(self):
+        """Guards against tasks that stay with a crashed worker for good.
+
+        Each renewal that was sent to it counted as a lease, so that its leases
+        never ended and its tasks did not run until the next leader.
+        """
+
+        async def scenario():
+            fixture = SessionFixture(SkippingClock())
+            await fixture.start()
+            fixture.dispatcher.remove_entry(ids.WorkerId("w1"))
+            lost = await self._runs_lost_after(fixture, MINUTE)
+            return lost, len(fixture.dispatcher.waiting)
+
+        lost, waiting = asyncio.run(scenario())
+        lease = fakes.TIMING.lease_max / (1 - fleet.CLOCK_RATE_ERROR_MAX)
+        assert lost is not None
+        # A renewal that is under way may delay the check.
+        assert lease < lost < lease + 3 * RENEWAL_TIMEOUT
+        assert waiting == 2
+
+    def test_slow_worker_keeps_its_runs(self):
+        """Guards against work given up because a worker is slow to report.
+
+        The registry still lists the worker, and it executes the renewals.
+        """
+
+        async def scenario():
+            fixture = SessionFixture(SkippingClock())
+            await fixture.start()
+            lost = await self._runs_lost_after(
+                fixture, sessions.SILENT_RENEWAL_TIME, executes=True
+            )
+            worker = fixture.session.worker
+            return lost, worker.lapsed_at - fixture.clock.uptime()
+
+        lost, remaining = asyncio.run(scenario())
+        assert lost is None
+        assert remaining > datetime.timedelta()
+
+    def test_worker_that_never_answers_loses_its_runs(self):
+        """Guards against tasks bound for good to a worker that is cut off.
+
+        Its heartbeats reach the store, but no answer reaches the leader.
+        """
+
+        async def scenario():
+            fixture = SessionFixture(SkippingClock())
+            await fixture.start()
+            return await self._runs_lost_after(fixture, MINUTE)
+
+        lost = asyncio.run(scenario())
+        assert lost is not None
+        assert sessions.SILENT_RENEWAL_TIME < lost
+        assert lost < sessions.SILENT_RENEWAL_TIME + 8 * fakes.SECOND
