Reject malformed messages with a typed error, whatever they hold

Could happen here, told of by operators of similar systems: one malformed message takes a whole process down. A registry entry with a duration of 10^30, a job with an estimate of that size, a report whose latency is a text or a row of another kind, an address that is no address: each raised an untyped error in the leader, which ends its term, and the next leader reads the same entry.

Cause: numbers without an upper bound (OverflowError of timedelta), rows that were not checked to be objects, and fields of reports that were not checked.

Change: fields.py bounds numbers and durations, checks rows and text; reports, addresses and time-out headers are checked where they are decoded; a store answer that cannot be read counts as no answer. A step may request 1,000 cores and 30 days at most, so that sums over a job's tasks stay in range.

--- a/src/turmerichook/_internal/platform/caller_calls.py
+++ b/src/turmerichook/_internal/platform/caller_calls.py
@@ -19,6 +19,10 @@
 # All tasks of a job are held in memory and in a single stored value, so
 # their number is limited.
 TASKS_MAX = 20_000
+# Longest estimate of a task's duration, 30 days.
+ESTIMATE_MS_MAX = 30 * 24 * 3600 * 1000
+# Longest number of milliseconds in a time-out header.
+TIMEOUT_DIGITS_MAX = 9
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 TIMEOUT_HEADER = b"turmerichook-request-timeout-ms"
 # Applies to requests without a valid time-out header.
@@ -28,7 +32,8 @@
 def timeout(head: heads.RequestHead) -> datetime.timedelta:
     """Return the time that the caller allows for an answer."""
     text = head.header(TIMEOUT_HEADER)
-    if not text.isdigit() or not int(text):
+    valid = text.isascii() and text.isdigit()
+    if not valid or len(text) > TIMEOUT_DIGITS_MAX or not int(text):
         return DEFAULT_TIMEOUT
     return datetime.timedelta(milliseconds=int(text))
 
@@ -70,7 +75,7 @@
             message=f"'spec' exceeds the limit of {PAYLOAD_BYTES_MAX} bytes",
             context="spec",
         )
-    rows = fields.array(document, "steps")
+    rows = fields.objects(document, "steps")
     steps = tuple(_decode_step(row, number) for number, row in enumerate(rows))
     occurrences = fields.integer(document, "repeat-count", 0)
     tasks = sum(step.count for step in steps) * max(1, occurrences)
@@ -112,11 +117,7 @@
     )
 
 
-def _decode_step(row: typing.Any, number: int) -> model.Step:
-    if not isinstance(row, dict):
-        raise exceptions.MessageError(
-            message="each entry of 'steps' must be an object", context="steps"
-        )
+def _decode_step(row: dict[str, typing.Any], number: int) -> model.Step:
     after = tuple(fields.array(row, "after", []))
     if not all(type(n) is int and 0 <= n < number for n in after):
         raise exceptions.MessageError(
@@ -126,7 +127,7 @@
     return model.Step(
         count=fields.integer(row, "count", 0),
         demand=documents.amounts(row),
-        estimate=fields.milliseconds(row, "estimate-ms", 0),
+        estimate=fields.milliseconds(row, "estimate-ms", 0, ESTIMATE_MS_MAX),
         after=after,
         checkpointing=fields.boolean(row, "checkpointing"),
         gang=fields.boolean(row, "gang"),
--- a/src/turmerichook/_internal/platform/documents.py
+++ b/src/turmerichook/_internal/platform/documents.py
@@ -3,6 +3,7 @@
 import datetime
 import typing
 
+from turmerichook._internal.http import addresses
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
@@ -18,6 +19,11 @@
 # A worker's labels name the kind and the rack of its host. A rack's label is
 # like "r1-3".
 RACK_LABEL_PREFIX = "r"
+# Largest amounts of a host or a task, in millicores, MiB and devices. They
+# keep the processor time of all tasks of a job in the range of a duration.
+MILLICORES_MAX = 10**6
+AMOUNT_MAX = 10**9
+SLACK_FACTOR_MAX = 1000.0
 
 
 def decode_configuration(value: bytes) -> deployment.Configuration:
@@ -30,10 +36,11 @@
     return deployment.Configuration(
         version=fields.integer(document, "version"),
         queues=tuple(
-            _decode_queue(row) for row in fields.array(document, "routes")
+            _decode_queue(row) for row in fields.objects(document, "routes")
         ),
         services=tuple(
-            _decode_service(row) for row in fields.array(document, "services")
+            _decode_service(row)
+            for row in fields.objects(document, "services")
         ),
         body_bytes=fields.integer(limits, "max-body-bytes"),
     )
@@ -63,7 +70,7 @@
     return deployment.WorkerEntry(
         worker=ids.WorkerId(key.removeprefix(WORKER_PREFIX)),
         incarnation=fields.integer(document, "born", 0),
-        address=fields.string(document, "address"),
+        address=_address(document),
         zone=ids.ZoneId(fields.string(document, "zone")),
         service=ids.ServiceId(fields.string(document, "service")),
         state=worker_state,
@@ -87,19 +94,30 @@
     )
 
 
+def _address(document: dict[str, typing.Any]) -> str:
+    address = fields.string(document, "address")
+    try:
+        addresses.split(address)
+    except exceptions.SettingsError as error:
+        raise exceptions.MessageError(
+            message=f"field 'address': {error.message}", context="address"
+        ) from error
+    return address
+
+
 def amounts(document: dict[str, typing.Any]) -> resources.Resources:
     """Return the amounts of resources; missing ones are zero.
 
     :raises MessageError: if an amount is not a whole number of at least 0.
     """
     return resources.Resources(
-        millicores=fields.integer(document, "cpu", 0),
-        memory_mib=fields.integer(document, "mem-mb", 0),
-        accelerators=fields.integer(document, "gpu", 0),
+        millicores=fields.integer(document, "cpu", 0, MILLICORES_MAX),
+        memory_mib=fields.integer(document, "mem-mb", 0, AMOUNT_MAX),
+        accelerators=fields.integer(document, "gpu", 0, AMOUNT_MAX),
     )
 
 
-def _decode_queue(row: typing.Any) -> deployment.Queue:
+def _decode_queue(row: dict[str, typing.Any]) -> deployment.Queue:
     # The platform calls a queue of jobs a "route".
     return deployment.Queue(
         queue=ids.QueueId(fields.string(row, "name")),
@@ -108,10 +126,12 @@
         service=ids.ServiceId(fields.string(row, "service", "")),
         priority=fields.integer(row, "priority", 0),
         max_attempts=fields.integer(row, "max-attempts", 1),
-        slack_factor=fields.number(row, "slack-factor", 1.0),
+        slack_factor=fields.number(row, "slack-factor", 1.0, SLACK_FACTOR_MAX),
         latency_objective=fields.milliseconds(row, "slo-ms", 0),
         timeout=datetime.timedelta(
-            milliseconds=fields.number(row, "timeout-ms", 0)
+            milliseconds=fields.number(
+                row, "timeout-ms", 0, fields.MILLISECONDS_MAX
+            )
         ),
         advisor=_decode_advisor_terms(row),
     )
@@ -133,7 +153,7 @@
     )
 
 
-def _decode_service(row: typing.Any) -> deployment.Service:
+def _decode_service(row: dict[str, typing.Any]) -> deployment.Service:
     return deployment.Service(
         service=ids.ServiceId(fields.string(row, "name")),
         guarded=fields.boolean(row, "enforce-limits"),
--- a/src/turmerichook/_internal/platform/fields.py
+++ b/src/turmerichook/_internal/platform/fields.py
@@ -8,6 +8,13 @@
 from turmerichook import exceptions
 
 
+# Largest whole number that every JSON implementation reads exactly.
+INTEGER_MAX = 2**53
+# Longest duration, and latest Unix time, in milliseconds. Sums and multiples
+# of longer ones exceed what ``datetime.timedelta`` can hold.
+MILLISECONDS_MAX = 10**13
+
+
 def parse(body: bytes) -> dict[str, typing.Any]:
     """Decode a JSON object from a message body or a stored value.
 
@@ -32,36 +39,51 @@
     """Return the value of a string field.
 
     :raises MessageError: if the field is missing and has no default, or is
-        not a string.
+        not a string that can be encoded.
     """
-    return _checked_value(document, key, str, default)
+    value = _checked_value(document, key, str, default)
+    if not value.isascii():
+        try:
+            value.encode()
+        except UnicodeEncodeError as error:
+            raise _invalid_field(key, ascii(value), "valid text") from error
+    return value
 
 
 def integer(
-    document: dict[str, typing.Any], key: str, default: int | None = None
+    document: dict[str, typing.Any],
+    key: str,
+    default: int | None = None,
+    maximum: int = INTEGER_MAX,
 ) -> int:
     """Return the value of a field that holds a whole number of at least 0.
 
+    :param maximum: largest number that is accepted.
     :raises MessageError: if the field is missing and has no default, or is
         not such a number.
     """
     value = _checked_value(document, key, int, default)
-    if value < 0:
-        raise _invalid_field(key, value, "a number from 0 up")
+    if not 0 <= value <= maximum:
+        raise _invalid_field(key, value, f"a number from 0 to {maximum}")
     return value
 
 
 def number(
-    document: dict[str, typing.Any], key: str, default: float | None = None
+    document: dict[str, typing.Any],
+    key: str,
+    default: float | None = None,
+    maximum: float = INTEGER_MAX,
 ) -> float:
-    """Return the value of a numeric field.
+    """Return the value of a field that holds a number of at least 0.
 
+    :param maximum: largest number that is accepted.
     :raises MessageError: if the field is missing and has no default, or is
-        not a number.
+        not such a number.
     """
     value = document.get(key, default)
-    if type(value) not in (int, float):
-        raise _invalid_field(key, value, "a number")
+    # The comparison is also false for a number that is not finite.
+    if type(value) not in (int, float) or not 0 <= value <= maximum:
+        raise _invalid_field(key, value, f"a number from 0 to {maximum}")
     return value
 
 
@@ -87,6 +109,21 @@
     return _checked_value(document, key, list, default)
 
 
+def objects(
+    document: dict[str, typing.Any], key: str, default: list | None = None
+) -> list[dict[str, typing.Any]]:
+    """Return the value of a field that holds a list of JSON objects.
+
+    :raises MessageError: if the field is missing and has no default, or is
+        not such a list.
+    """
+    rows = array(document, key, default)
+    for row in rows:
+        if not isinstance(row, dict):
+            raise _invalid_field(key, row, "a list of objects")
+    return rows
+
+
 def json_object(
     document: dict[str, typing.Any], key: str
 ) -> dict[str, typing.Any]:
@@ -103,14 +140,20 @@
 
 
 def milliseconds(
-    document: dict[str, typing.Any], key: str, default: int | None = None
+    document: dict[str, typing.Any],
+    key: str,
+    default: int | None = None,
+    maximum: int = MILLISECONDS_MAX,
 ) -> datetime.timedelta:
     """Return the value of a field that holds a duration in milliseconds.
 
+    :param maximum: longest duration that is accepted, in milliseconds.
     :raises MessageError: if the field is missing and has no default, or is
         not a whole number of at least 0.
     """
-    return datetime.timedelta(milliseconds=integer(document, key, default))
+    return datetime.timedelta(
+        milliseconds=integer(document, key, default, maximum)
+    )
 
 
 def _checked_value(
--- a/src/turmerichook/_internal/platform/settings_file.py
+++ b/src/turmerichook/_internal/platform/settings_file.py
@@ -14,6 +14,9 @@
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "TURMERICHOOK_NODE_FILE"
 
+# Largest number in the settings, about 30 years in seconds.
+NUMBER_MAX = 10**9
+
 
 def load(path: pathlib.Path) -> deployment.EntrySettings:
     """Return the settings in a file.
@@ -110,9 +113,12 @@
 
 def _number(document: dict[str, typing.Any], key: str) -> float:
     value = _look_up(document, key)
-    if type(value) not in (int, float) or value < 0:
+    # The comparison is also false for a number that is not finite.
+    valid = type(value) in (int, float) and 0 <= value <= NUMBER_MAX
+    if not valid:
         raise exceptions.SettingsError(
-            message=f"key {key!r} must be a number from 0 up, not {value!r}",
+            message=f"key {key!r} must be a number from 0 to {NUMBER_MAX},"
+            f" not {value!r}",
         )
     return value
 
--- a/src/turmerichook/_internal/platform/store_calls.py
+++ b/src/turmerichook/_internal/platform/store_calls.py
@@ -1,7 +1,8 @@
 """Calls to the platform's metadata store."""
 
 import base64
-import binascii
+import collections.abc
+import contextlib
 import datetime
 import typing
 
@@ -44,20 +45,15 @@
         )
         if answer.status == 404:
             return None
-        return _decode_item(_decode_read_answer(answer))
+        document = _decode_read_answer(answer)
+        with _unreadable_as_unavailable():
+            return _decode_item(document)
 
     async def page(self, prefix: str, *, after: str = "") -> interface.Page:
         target = f"/v1/kv-range?prefix={exchange.quote(prefix)}"
         if after:
             target += f"&after={exchange.quote(after)}"
-        document = _decode_read_answer(await self.exchange.read(target))
-        return interface.Page(
-            items=tuple(
-                _decode_item(row) for row in fields.array(document, "items")
-            ),
-            revision=_revision(document, "current-rev"),
-            more=fields.boolean(document, "has-more"),
-        )
+        return _decode_page(await self.exchange.read(target))
 
     async def watch(
         self,
@@ -76,13 +72,7 @@
                 message="the store no longer has the changes to watch",
                 context=prefix,
             )
-        document = _decode_read_answer(answer)
-        return interface.Changes(
-            changes=tuple(
-                _decode_change(row) for row in fields.array(document, "events")
-            ),
-            revision=_revision(document, "current-rev"),
-        )
+        return _decode_changes(answer)
 
     async def commit(
         self, commit: interface.Commit
@@ -162,7 +152,7 @@
     :raises MessageError: if the answer is malformed.
     """
     if answer.status == 412:
-        rows = fields.array(answer.json(), "items", [])
+        rows = fields.objects(fields.parse(answer.body), "items", [])
         items = [_decode_item(row) for row in rows if row.get("revision")]
         return interface.Conflict(items={item.key: item for item in items})
     return interface.Committed(
@@ -205,14 +195,48 @@
         raise exceptions.StoreUnavailableError(
             message=f"the store answered a read with status {answer.status}",
         )
-    try:
+    with _unreadable_as_unavailable():
         return fields.parse(answer.body)
+
+
+@contextlib.contextmanager
+def _unreadable_as_unavailable() -> collections.abc.Iterator[None]:
+    """Treat an unreadable answer to a read like no answer.
+
+    :raises StoreUnavailableError: instead of a ``MessageError``.
+    """
+    try:
+        yield
     except exceptions.MessageError as error:
         raise exceptions.StoreUnavailableError(
             message=f"the store's answer is unreadable: {error.message}"
         ) from error
 
 
+def _decode_page(answer: calls.Answer) -> interface.Page:
+    document = _decode_read_answer(answer)
+    with _unreadable_as_unavailable():
+        return interface.Page(
+            items=tuple(
+                _decode_item(row) for row in fields.objects(document, "items")
+            ),
+            revision=_revision(document, "current-rev"),
+            more=fields.boolean(document, "has-more"),
+        )
+
+
+def _decode_changes(answer: calls.Answer) -> interface.Changes:
+    document = _decode_read_answer(answer)
+    with _unreadable_as_unavailable():
+        return interface.Changes(
+            changes=tuple(
+                _decode_change(row)
+                for row in fields.objects(document, "events")
+            ),
+            revision=_revision(document, "current-rev"),
+        )
+
+
 def _revision(document: dict[str, typing.Any], key: str) -> ids.Revision:
     return ids.Revision(fields.integer(document, key))
 
@@ -220,7 +244,7 @@
 def _decode_item(row: dict[str, typing.Any]) -> interface.Item:
     try:
         value = base64.b64decode(fields.string(row, "value", ""))
-    except binascii.Error as error:
+    except ValueError as error:
         raise exceptions.MessageError(
             message="the value of a stored item is not base64"
         ) from error
--- a/src/turmerichook/_internal/platform/worker_calls.py
+++ b/src/turmerichook/_internal/platform/worker_calls.py
@@ -231,6 +231,9 @@
     return orders.Refused(reason=reason)
 
 
+Value = typing.TypeVar("Value")
+
+
 def _decode_report(
     entry: deployment.WorkerEntry, answer: calls.Answer
 ) -> orders.Report:
@@ -272,21 +275,36 @@
 
 def _decode_running(row: list[typing.Any]) -> orders.RunningRow:
     task, run, checkpoint, percent, *rest = row
+    measurement = rest[0] if rest else None
     return orders.RunningRow(
-        task=parse_task_name(task),
-        run=ids.Attempt(run),
-        checkpoint=ids.CheckpointId(checkpoint),
-        percent=percent,
-        measurement=rest[0] if rest else None,
+        task=parse_task_name(_checked(task, str)),
+        run=ids.Attempt(_checked(run, int)),
+        checkpoint=ids.CheckpointId(_checked(checkpoint, str)),
+        percent=_checked(percent, int),
+        measurement=(
+            None if measurement is None else _checked(measurement, int)
+        ),
     )
 
 
 def _decode_end(row: list[typing.Any]) -> orders.EndRow:
     number, task, run, kind, checkpoint = row
     return orders.EndRow(
-        number=number,
-        task=parse_task_name(task),
-        run=ids.Attempt(run),
+        number=_checked(number, int),
+        task=parse_task_name(_checked(task, str)),
+        run=ids.Attempt(_checked(run, int)),
         kind=model.EndKind(kind),
-        checkpoint=ids.CheckpointId(checkpoint),
+        checkpoint=ids.CheckpointId(_checked(checkpoint, str)),
     )
+
+
+def _checked(value: typing.Any, expected_type: type[Value]) -> Value:
+    """Return a value of a report's row.
+
+    :raises TypeError: if it has another type, or is out of range.
+    """
+    if not isinstance(value, expected_type) or isinstance(value, bool):
+        raise TypeError(f"expected {expected_type.__name__}: {value!r:.50}")
+    if isinstance(value, int) and abs(value) > fields.INTEGER_MAX:
+        raise TypeError(f"number out of range: {value!r:.50}")
+    return value
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -16,6 +16,14 @@
 from turmerichook import exceptions
 
 FORMAT_VERSION = 1
+# Errors of decoding a value whose parts have other types or ranges.
+MALFORMED_ERRORS = (
+    TypeError,
+    ValueError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+)
 # A phase is stored as its index in this tuple.
 PHASE_BY_CODE = (
     progresses.Phase.WAITING,
@@ -64,7 +72,7 @@
             accepted=accepted * clocks.MILLISECOND,
             repetition=_decode_repetition(repetition),
         )
-    except (TypeError, ValueError, IndexError) as error:
+    except MALFORMED_ERRORS as error:
         raise _decoding_error(job, str(error)) from error
 
 
@@ -136,7 +144,7 @@
             canceled=canceled,
             failed=failed,
         )
-    except (TypeError, ValueError, IndexError, KeyError) as error:
+    except MALFORMED_ERRORS as error:
         raise _decoding_error(spec.job, str(error)) from error
 
 
@@ -155,7 +163,7 @@
             for row in _unpack(job, value)[5]
             if PHASE_BY_CODE[row[3]] is progresses.Phase.ASSIGNED
         }
-    except (TypeError, ValueError, IndexError) as error:
+    except MALFORMED_ERRORS as error:
         raise _decoding_error(job, str(error)) from error
 
 
