Spread the claims of hosts that wait for the store

97 entry hosts failed 843 claims within 5 s of a silent store, 0.4 s apart and at the same moments.

Change: the pause doubles from 0.4 to 1.6 s, and a random part of up to half is taken off.

--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -28,7 +28,12 @@
 # noticing that the leader key is gone on a connection that has failed
 # silently.
 WATCH_TIMEOUT = datetime.timedelta(milliseconds=2000)
+# Longest pause after a first failure, doubled after each further one up to the
+# maximum. Each pause is drawn at random between half of it and all of it, so
+# that hundreds of candidates do not call a store that has just returned at the
+# same moments.
 RETRY_PAUSE = datetime.timedelta(milliseconds=400)
+RETRY_PAUSE_MAX = datetime.timedelta(milliseconds=1600)
 # A candidate claims after a random delay of up to this, so that few claims
 # collide.
 CLAIM_DELAY_MAX_S = 0.08
@@ -107,18 +112,26 @@
 
     async def acquire(self) -> Term:
         """Wait until this process is the leader; return the new term."""
+        failures = 0
         while True:
             try:
                 await self._wait_until_no_leader()
+                failures = 0
                 await asyncio.sleep(self._claim_delay())
                 term = await self._claim()
             except exceptions.TurmerichookError as error:
                 logs.emit(events.DispatchEvent.CLAIM_FAILED, error=str(error))
-                await self.clock.sleep(RETRY_PAUSE)
+                await self.clock.sleep(self._retry_pause(failures))
+                failures += 1
                 continue
             if term is not None:
                 return term
 
+    def _retry_pause(self, failures: int) -> datetime.timedelta:
+        """Return the pause after a failure that follows ``failures`` others."""
+        longest = min(RETRY_PAUSE * 2**failures, RETRY_PAUSE_MAX)
+        return longest * (0.5 + 0.5 * self.random_source.random())
+
     def _claim_delay(self) -> float:
         """Return the pause before a claim in seconds.
 
--- a/tests/dispatch/test_leadership.py
+++ b/tests/dispatch/test_leadership.py
@@ -128,3 +128,76 @@
 
         for draw in range(3):
             assert asyncio.run(scenario(draw)) == ["large"]
+
+
+class DownStorage(memory.MemoryStorage):
+    """A store that refuses all calls until it is up, and records them."""
+
+    def __init__(self, *, clock):
+        super().__init__(clock=clock)
+        self.up = False
+        self.refused: list[datetime.timedelta] = []
+
+    async def page(self, prefix, *, after=""):
+        if not self.up:
+            self.refused.append(self.clock.uptime())
+            raise exceptions.StoreUnavailableError(message="down")
+        return await super().page(prefix, after=after)
+
+
+class TestManyCandidates:
+    """Hundreds of entry hosts wait for a store that is away."""
+
+    def wait_for(self, outage, *, candidates, seed):
+        """Let candidates wait through an outage of the store.
+
+        Return the times of refused calls, and the time from the store's return
+        to the first claim.
+        """
+
+        async def scenario():
+            clock = clocks.ManualClock()
+            storage = DownStorage(clock=clock)
+            waiting = [
+                asyncio.create_task(
+                    leadership.Candidate(
+                        node=ids.NodeId(f"node-{number}"),
+                        storage=storage,
+                        clock=clock,
+                        random_source=random.Random(seed * 1000 + number),
+                    ).acquire()
+                )
+                for number in range(candidates)
+            ]
+            while not any(task.done() for task in waiting):
+                # The delay of a claim runs on the event loop's own clock.
+                await asyncio.sleep(0.001)
+                clock.advance(10 * MS)
+                storage.up = clock.uptime() >= outage
+                if clock.uptime() > outage + 5000 * MS:
+                    break
+            for task in waiting:
+                task.cancel()
+            return storage.refused, clock.uptime() - outage
+
+        return asyncio.run(scenario())
+
+    def test_calls_to_a_store_that_is_away_become_rare(self):
+        """Guards against a herd of calls to a store that is away.
+
+        97 candidates failed 843 claims within 5 s, at the same moments.
+        """
+        refused, _ = self.wait_for(5000 * MS, candidates=97, seed=1)
+        assert len(refused) <= 97 * 7
+        busiest = max(refused.count(moment) for moment in set(refused[97:]))
+        assert busiest <= 97 // 4
+
+    def test_first_claim_follows_the_return_of_the_store(self):
+        """Guards against a site without a leader after the store's return.
+
+        With few candidates, the longest pause decides when the first of them
+        notices that the store is back.
+        """
+        for seed in range(5):
+            _, delay = self.wait_for(5000 * MS, candidates=6, seed=seed)
+            assert delay <= leadership.RETRY_PAUSE_MAX + 1000 * MS
