--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -128,7 +128,7 @@
                 return term
 
     def _retry_pause(self, failures: int) -> datetime.timedelta:
-        """Return the pause after a failure that follows ``failures`` others."""
+        """Return the pause after a failure that follows other failures."""
         longest = min(RETRY_PAUSE * 2**failures, RETRY_PAUSE_MAX)
         return longest * (0.5 + 0.5 * self.random_source.random())
 
