--- a/src/turmerichook/_internal/dispatch/eligibility.py
+++ b/src/turmerichook/_internal/dispatch/eligibility.py
@@ -46,12 +46,14 @@
         """Number of changes logged so far."""
         return self.dropped + len(self.changes)
 
-    def changed_since(self, position: int) -> set[fleet.Worker]:
+    def changed_since(self, position: int) -> list[fleet.Worker]:
         """Return the workers with changes after a position in the log.
 
+        Each worker is listed once, in the order of its first change.
+
         :param position: not less than ``dropped``.
         """
-        return set(self.changes[position - self.dropped :])
+        return list(dict.fromkeys(self.changes[position - self.dropped :]))
 
     def update(
         self,
