Count a stall only in the reports of a worker

Could happen here, told of by operators of similar systems: a process that had been paused acted on what it knew before, and work on machines that were only slow to report was given up. A leader that was suspended for more than 2 s stopped every running task as stalled when it woke, before it had read the reports that were waiting.

Cause: the time without progress was measured up to the present, not up to the last report.

Change: it is measured up to the last report of the worker.

test_work_goes_on_while_no_report_was_read fails before.

--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -11,9 +11,9 @@
 
 # A stop that the worker has not answered is sent again after this time.
 STOP_REPEAT = datetime.timedelta(milliseconds=700)
-# A run is stopped if its progress has not changed for this time, or for the
-# estimated duration of its step if that is longer. Its task then waits for a
-# worker again.
+# A run is stopped if its progress has not changed for this time in the reports
+# of its worker, or for the estimated duration of its step if that is longer.
+# Its task then waits for a worker again.
 STALL_LIMIT = datetime.timedelta(seconds=2)
 # Shortest time between two checks of all runs. All other limits here are
 # longer, and a check of thousands of runs in each round would take a tenth of
@@ -70,7 +70,7 @@
                     worker, run, now
                 ):
                     self.run_tracker.stop(worker, run, now, "worker-leaves")
-                elif self._stalled(worker, run, now):
+                elif self._stalled(worker, run):
                     self.run_tracker.stop(worker, run, now, "stalled")
 
     def _must_stop_before_shutdown(
@@ -82,13 +82,14 @@
             return False
         return now > worker.shutdown_at - SHUTDOWN_MARGIN
 
-    def _stalled(
-        self, worker: fleet.Worker, run: fleet.Run, now: datetime.timedelta
-    ) -> bool:
+    def _stalled(self, worker: fleet.Worker, run: fleet.Run) -> bool:
         if run.step.filler or run.percent >= 100:
             return False
         limit = max(STALL_LIMIT, run.step.estimate)
-        return worker.reachable and now - run.progress_changed_at > limit
+        # Only a report shows that there was no progress. The current time
+        # would also count a pause of this process or of the worker's reports.
+        unchanged_for = worker.clock_read_at - run.progress_changed_at
+        return worker.reachable and unchanged_for > limit
 
     def _expire(self, worker: fleet.Worker, now: datetime.timedelta) -> None:
         expired_runs = [
--- a/tests/dispatch/test_watchdog.py
+++ b/tests/dispatch/test_watchdog.py
@@ -71,3 +71,45 @@
         delay = number * ROUND_INTERVAL - watchdog.STOP_REPEAT
         assert checker.run_tracker.orders
         assert delay <= datetime.timedelta(milliseconds=100)
+
+
+class TestPause:
+    """The leader is suspended, or a worker is slow to report."""
+
+    def stalled(self, *, reported_at):
+        """Return whether a run is stopped 5 s after its last progress.
+
+        :param reported_at: when the worker's last report arrived.
+        """
+        run_tracker = run_trackers.RunTracker()
+        worker = fleet.Worker(worker=ids.WorkerId("a"), entry=fakes.entry("a"))
+        run_tracker.workers[worker.worker] = worker
+        worker.add(
+            fleet.Run(
+                task=model.TaskKey(ids.JobId("j"), 0, 0, 0),
+                run=ids.Attempt(1),
+                step=fakes.step(),
+                phase=fleet.RunPhase.RUNNING,
+                percent=40,
+                progress_changed_at=NOW,
+            )
+        )
+        worker.clock_read_at = reported_at
+        checker = watchdog.Watchdog(
+            run_tracker=run_tracker, timing=fakes.TIMING
+        )
+        checker.tick(NOW + 5 * fakes.SECOND)
+        return bool(run_tracker.orders)
+
+    def test_work_goes_on_while_no_report_was_read(self):
+        """Guards against a leader that stops all work after a pause.
+
+        Progress that has not been read for 5 s looked like progress that was
+        not made, so that the leader stopped every run before it had read the
+        reports that were waiting.
+        """
+        assert not self.stalled(reported_at=NOW)
+
+    def test_run_without_progress_in_its_reports_is_stopped(self):
+        """Guards against a run that stands still for good."""
+        assert self.stalled(reported_at=NOW + 5 * fakes.SECOND)
