Test that a paused leader sends no start and grants no lease

The tests guard what holds: without the checks of authority and of the time since the last confirmation, both fail.

--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -290,3 +290,47 @@
         assert lost is not None
         assert sessions.SILENT_RENEWAL_TIME < lost
         assert lost < sessions.SILENT_RENEWAL_TIME + 8 * fakes.SECOND
+
+
+class TestPausedLeader:
+    """The leader's process is suspended for some seconds."""
+
+    def test_no_start_is_sent_once_the_authority_has_lapsed(self):
+        """Guards against a start that a successor does not expect.
+
+        The commit was made before the pause, and the lease has ended since.
+        """
+
+        async def scenario():
+            fixture = SessionFixture(SkippingClock())
+            await fixture.session._renew()
+            now = fixture.clock.uptime()
+            fixture.dispatcher.place(now, now, 10)
+            saves = fixture.dispatcher.next_saves(10)
+            releases = fixture.dispatcher.committed(saves, now)
+            await fixture.clock.sleep(leadership.LEASE_TTL)
+            for order in releases:
+                await fixture.session.start(order)
+            return len(releases), fixture.worker.starts
+
+        assert asyncio.run(scenario()) == (2, [])
+
+    def test_no_lease_is_granted_long_after_the_last_confirmation(self):
+        """Guards against leases that a successor takes for ended.
+
+        A successor waits for 8 s and one lease, and then places the tasks of
+        workers that it cannot reach on others.
+        """
+
+        async def scenario():
+            fixture = SessionFixture(SkippingClock())
+            await fixture.start()
+            granted = fixture.worker.lease_until
+            await fixture.clock.sleep(
+                sessions.UNCONFIRMED_RENEWAL_TIME + fakes.SECOND
+            )
+            await fixture.session._renew()
+            return granted, fixture.worker.lease_until
+
+        before, after = asyncio.run(scenario())
+        assert before == after
