--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -5,7 +5,6 @@
 until a worker that may have capacity for the step has changed.
 """
 
-import collections
 import collections.abc
 import datetime
 
@@ -59,9 +58,6 @@
         # Whether a long-running task starves while long-running tasks use more
         # than their maximum share of the processors.
         self.long_running_over_share = False
-        # Processors by which the remaining work of a service's jobs is
-        # divided, see ``waiting_step.WORK_PROCESSORS_SHARE``.
-        self.work_processors: dict[ids.ServiceId, float] = {}
         self.room = rooms.Room()
         self.refusals = refusals.Refusals()
         self.explain_at = fleet.ZERO
@@ -114,7 +110,6 @@
         """Return the steps with waiting tasks, the most urgent first."""
         steps = self.steps.values()
         if self.urgency.resort_due(now):
-            self.work_processors = work_processors(workers)
             starving = any(step.starving(now) for step in steps)
             self.long_running_over_share = (
                 starving and _long_running_over_share(workers)
@@ -122,12 +117,7 @@
         return self.urgency.read(
             all_items=steps,
             key=lambda step: step.order(
-                now,
-                wall,
-                long_running_over_share=self.long_running_over_share,
-                work_processors=self.work_processors.get(
-                    step.job.queue.service, waiting_step.WORK_PROCESSORS_MIN
-                ),
+                now, wall, long_running_over_share=self.long_running_over_share
             ),
             is_live=lambda step: step.tasks,
             now=now,
@@ -207,24 +197,6 @@
     )
 
 
-def work_processors(
-    workers: collections.abc.Iterable[fleet.Worker],
-) -> dict[ids.ServiceId, float]:
-    """Return the processors that divide the remaining work, by service."""
-    millicores: collections.Counter[ids.ServiceId] = collections.Counter()
-    for worker in workers:
-        if worker.entry is not None and worker.listed:
-            entry = worker.entry
-            millicores[entry.service] += entry.capacity.millicores
-    return {
-        service: max(
-            waiting_step.WORK_PROCESSORS_MIN,
-            waiting_step.WORK_PROCESSORS_SHARE * total / 1000,
-        )
-        for service, total in millicores.items()
-    }
-
-
 def _long_running_over_share(
     workers: collections.abc.Iterable[fleet.Worker],
 ) -> bool:
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -20,17 +20,14 @@
 # Multiple of a job's latency objective after which its result has no value.
 USEFUL_TIME_FACTOR = 3.0
 
-# A job's remaining work, divided by this share of its service's processors, is
-# an allowance that is added to the time at which the job is due. Small jobs
-# thereby go before large ones, as several small jobs end in the time that a
-# large one takes. Without the allowance, jobs that wait together miss their
-# objectives one after the other. It is a share of the processors because a
-# fleet of ten times the size runs ten times as many jobs side by side: with
-# an allowance for few processors, large jobs would wait for all small ones.
-WORK_PROCESSORS_SHARE = 0.02
-# Lower bound of the processors by which the remaining work is divided. Few
-# processors delay large jobs that could meet their objectives.
-WORK_PROCESSORS_MIN = 10.0
+# Processors by which a job's remaining work is divided to get an allowance
+# that is added to the time at which the job is due. Small jobs thereby go
+# before large ones, as several small jobs end in the time that a large one
+# takes. Without the allowance, jobs that wait together miss their objectives
+# one after the other. Simulated with 3 to 50 processors, see
+# tests/dispatch/test_order.py: values below 3 delay large jobs that could meet
+# their objectives.
+WORK_PROCESSORS = 10
 
 
 class Order(typing.NamedTuple):
@@ -66,8 +63,8 @@
     :param useful_until: when a result of the job loses its value.
     :param chain: estimated time from the step's start to the job's end, along
         the longest chain of steps.
-    :param later_work: estimated processor time of all later steps.
-    :param task_work: estimated processor time of each waiting task.
+    :param due: the deadline plus an allowance for the work of later steps.
+    :param due_by_task: allowance that each waiting task adds to ``due``.
     :param needs: what each task requires of a worker of the service.
     :param checked_position: position in the log of changed workers up to
         which no worker had capacity for a task.
@@ -80,8 +77,8 @@
     deadline: datetime.timedelta
     useful_until: datetime.timedelta
     chain: datetime.timedelta
-    later_work: datetime.timedelta
-    task_work: datetime.timedelta
+    due: datetime.timedelta
+    due_by_task: datetime.timedelta
     since: datetime.timedelta
     needs: task_needs.Needs
     checked_position: int = rooms.UNCHECKED
@@ -107,7 +104,6 @@
         wall: datetime.timedelta,
         *,
         long_running_over_share: bool,
-        work_processors: float = WORK_PROCESSORS_MIN,
     ) -> Order:
         """Return the sort key.
 
@@ -128,10 +124,7 @@
 
         :param long_running_over_share: whether long-running tasks use more
             than their maximum share of the processors.
-        :param work_processors: processors by which the job's remaining work
-            is divided.
         """
-        remaining_work = self.later_work + len(self.tasks) * self.task_work
         long_running = self.step.long_running
         end = wall + self.chain
         return Order(
@@ -142,7 +135,7 @@
             or (long_running_over_share and not self.restarts),
             long_running=long_running,
             late=end > self.deadline,
-            due=self.deadline + remaining_work / work_processors,
+            due=self.due + len(self.tasks) * self.due_by_task,
         )
 
     def overdue(self, now: datetime.timedelta) -> bool:
@@ -177,15 +170,17 @@
 ) -> WaitingStep:
     """Return a waiting step for a task, without any waiting tasks yet."""
     step = job.spec.steps[task.step]
+    deadline = job.deadline(task.occurrence)
+    later_work = job.progress.downstream_work(task.step)
     return WaitingStep(
         job=job,
         key=task.step_key,
         restarts=restarts,
-        deadline=job.deadline(task.occurrence),
+        deadline=deadline,
         useful_until=job.deadline(task.occurrence, USEFUL_TIME_FACTOR),
         chain=job.progress.critical_path_from(task.step),
-        later_work=job.progress.downstream_work(task.step),
-        task_work=step.processor_time,
+        due=deadline + later_work / WORK_PROCESSORS,
+        due_by_task=step.processor_time / WORK_PROCESSORS,
         since=now,
         needs=task_needs.needs_of(step),
     )
