Count the time since the last sign of a run as waiting time

Users saw services that had lost a task with its worker, and that got it back two seconds later than they could have.

Cause: a task that restarts goes before all others once it has waited for 2 s, and the wait began when the leases of the lost worker had ended, 7 to 19 s after the task had last run. On a busy site short tasks took the room meanwhile.

Change: the wait of a restarting task begins when a report last listed its run. `run-lost` tells how long ago that was (`listed_ago_ms`), so that the time until the loss is noticed and the time in the queue can be told apart.

TestServiceOfLostWorker fails before, as the service is not placed within four commits.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -61,6 +61,8 @@
     :param progress_changed_at: our time at which ``percent`` last changed.
         Before the first change, our time at which the task was placed or its
         start accepted.
+    :param seen_at: our time at which a report last listed the run, or its
+        start was accepted; zero if neither is known.
     :param measurement: last measurement reported, see ``orders.RunningRow``.
     :param load: estimated load of the task's own, without the influence of the
         filler tasks on the same worker.
@@ -77,6 +79,7 @@
     should_run: bool = True
     percent: int = -1
     progress_changed_at: datetime.timedelta = ZERO
+    seen_at: datetime.timedelta = ZERO
     measurement: int | None = None
     load: interference.Estimate | None = None
     pace: int = 100
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -4,6 +4,7 @@
 import datetime
 import typing
 
+from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import advice as advices
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
@@ -117,13 +118,32 @@
         Its task waits for a worker again.
         """
         worker.remove(run.task)
-        log_run(events.DispatchEvent.RUN_LOST, worker, run, reason=reason)
+        log_run(
+            events.DispatchEvent.RUN_LOST,
+            worker,
+            run,
+            reason=reason,
+            listed_ago_ms=(
+                (now - run.seen_at) // clocks.MILLISECOND
+                if run.seen_at
+                else None
+            ),
+        )
         job = self.jobs.get(run.task.job)
         if job is None:
             return
         record = job.progress.tasks.get(run.task)
         if record is not None and record.run == run.run:
-            self.return_task(job, run.task, worker.worker, "", False, now)
+            self.return_task(
+                job,
+                run.task,
+                worker.worker,
+                "",
+                False,
+                now,
+                # A run that was never listed may not have begun at all.
+                ended_at=run.seen_at or run.progress_changed_at,
+            )
 
     def return_task(
         self,
@@ -133,10 +153,15 @@
         checkpoint: str,
         failed: bool,
         now: datetime.timedelta,
+        *,
+        ended_at: datetime.timedelta | None = None,
     ) -> None:
         """Let a task whose run has ended wait for a worker again.
 
         The job fails instead if the task has reached the failures allowed.
+
+        :param ended_at: our time since which the task may not have run;
+            None if its run has just ended.
         """
         record = job.progress.return_to_queue(
             task, checkpoint=checkpoint, failed=failed
@@ -145,7 +170,7 @@
         if failed and record.failures >= job.queue.max_attempts:
             self.fail_job(job, now)
         if not job.progress.state.final:
-            self.waiting.add(job, task, worker, now)
+            self.waiting.add(job, task, worker, now, ended_at)
 
     def recover_run(
         self,
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -97,6 +97,7 @@
                 run.phase = fleet.RunPhase.RUNNING
             else:
                 self.run_tracker.stop(worker, run, now, "not-wanted")
+        run.seen_at = now
         if row.percent != run.percent:
             run.percent = row.percent
             run.progress_changed_at = now
@@ -215,7 +216,7 @@
         match outcome:
             case orders.Accepted():
                 run.phase = fleet.RunPhase.RUNNING
-                run.progress_changed_at = now
+                run.progress_changed_at = run.seen_at = now
                 self._mark_job_begun(run)
                 if not run.should_run:
                     self.run_tracker.stop(worker, run, now, "not-wanted")
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -71,10 +71,14 @@
         task: model.TaskKey,
         last: ids.WorkerId,
         now: datetime.timedelta,
+        ended_at: datetime.timedelta | None = None,
     ) -> None:
         """Add a task that waits for a worker.
 
         :param last: worker of the task's last run; empty if there was none.
+        :param ended_at: our time since which the last run may have been over.
+            A task that restarts has waited since then, as the end of a run
+            on a lost worker is only noticed when its leases have ended.
         """
         restarts = _restarts(job, task)
         key = task.step_key
@@ -83,6 +87,8 @@
             step = waiting_step.create(job, task, restarts=restarts, now=now)
             self.steps[key, restarts] = step
             self.urgency.add(step)
+        if restarts and ended_at is not None:
+            step.since = min(step.since, ended_at)
         step.tasks[task] = last
 
     def remove(self, task: model.TaskKey) -> None:
--- a/tests/dispatch/test_lasting_priorities.py
+++ b/tests/dispatch/test_lasting_priorities.py
@@ -91,3 +91,38 @@
         # Each worker has room for several such services.
         assert max(used) < 8000
         assert site.find_task(service) is not None
+
+
+class TestServiceOfLostWorker:
+    """A worker is lost for good, and urgent jobs fill all commits."""
+
+    def test_time_without_a_run_counts_as_waiting_time(self):
+        """Guards against a wait that begins anew when the leases have ended.
+
+        The service had not run for 19 s and then waited for two more seconds
+        behind short tasks.
+        """
+        site = Site()
+        service = site.add_job(fakes.step(long_running=True), 1)
+        for _ in range(3):
+            site.commit_once()
+            site.advance(COMMIT_INTERVAL)
+        worker, task = site.find_task(service)
+        worker.cut_off = True
+        name = next(n for n, w in site.workers.items() if w is worker)
+        site.dispatcher.remove_entry(ids.WorkerId(name))
+        record = site.dispatcher.jobs[service].progress.tasks[task]
+        lost_at = site.now
+        while record.worker == name:
+            assert site.now - lost_at < 20 * SECOND
+            site.advance(COMMIT_INTERVAL)
+            site.renew_leases(name)
+            site.dispatcher.watchdog.tick(site.now)
+        del site.workers[name]
+        waiting_since = site.now
+        while site.find_task(service) is None:
+            assert site.now - waiting_since < 4 * COMMIT_INTERVAL
+            for _ in range(committer.PLACED_JOBS_MAX + 1):
+                site.add_job(fakes.step(demand=SMALL_DEMAND), 0)
+            site.advance(COMMIT_INTERVAL)
+            site.commit_once()
