Reserve no worker whose long-running tasks leave too little room

Cause: for a starving task the worker with the most free processors was reserved, whatever runs there. If what is left are long-running tasks, no room ever becomes free on it. The reservation kept the rest of that worker idle and took the place of one that would have helped, while short tasks used all room that became free elsewhere.

Change: only a worker on which the task fits beside the long-running tasks is reserved.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -147,6 +147,8 @@
         self.report_received = False
         self.runs: dict[model.TaskKey, Run] = {}
         self.used = resources.NOTHING
+        # The part of it that long-running tasks use.
+        self.long_running_use = resources.NOTHING
         # Millicores that the filler tasks on the worker request.
         self.filler_millicores = 0
         self.incarnation = entry.incarnation if entry else 0
@@ -215,12 +217,16 @@
     def reserve(self, step: model.Step) -> None:
         """Reserve the resources of a task of this step."""
         self.used = self.used.plus(step.committed)
+        if step.long_running:
+            self.long_running_use = self.long_running_use.plus(step.committed)
         if step.filler:
             self.filler_millicores += step.demand.millicores
 
     def release(self, step: model.Step) -> None:
         """Release the resources of a task of this step."""
         self.used = self.used.minus(step.committed)
+        if step.long_running:
+            self.long_running_use = self.long_running_use.minus(step.committed)
         if step.filler:
             self.filler_millicores -= step.demand.millicores
 
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -108,9 +108,16 @@
     def lacks_only_room(self, worker: fleet.Worker) -> bool:
         """Return whether a worker only lacks free capacity for a task.
 
-        False if the task would not fit on the worker even without others.
+        False if the task would not fit on the worker even once all but the
+        long-running tasks have ended: these end only with their job.
         """
-        return self.obstacle(worker) in SHORTAGES and self._fits(worker)
+        return (
+            self.obstacle(worker) in SHORTAGES
+            and self._fits(worker)
+            and self.committed.plus(worker.long_running_use).fits(
+                worker.entry.capacity
+            )
+        )
 
     def allow(self, worker: fleet.Worker) -> bool:
         """Return whether a worker fits a task now or once it is less full."""
