Give the room that a failed service task leaves back to its service

Users saw a service that waited 12 s after one of its tasks had failed on a live worker, on a full site.

Cause: in the first two seconds a restarting task stood behind short tasks and on a par with first runs of services, which went before it once they starved. The room that it left was gone by the time it went first.

The share is read from a sum that each worker keeps.

TestRoomOfEndedService fails before.

--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -55,8 +55,8 @@
         self.urgency: urgency.UrgencyOrder[waiting_step.WaitingStep] = (
             urgency.UrgencyOrder()
         )
-        # Whether a long-running task starves while long-running tasks use more
-        # than their maximum share of the processors.
+        # Whether a long-running task restarts or starves while long-running
+        # tasks use more than their maximum share of the processors.
         self.long_running_over_share = False
         self.room = rooms.Room()
         self.refusals = refusals.Refusals()
@@ -116,10 +116,9 @@
         """Return the steps with waiting tasks, the most urgent first."""
         steps = self.steps.values()
         if self.urgency.resort_due(now):
-            starving = any(step.starving(now) for step in steps)
-            self.long_running_over_share = (
-                starving and _long_running_over_share(workers)
-            )
+            self.long_running_over_share = any(
+                step.restarts or step.starving(now) for step in steps
+            ) and _long_running_over_share(workers)
         return self.urgency.read(
             all_items=steps,
             key=lambda step: step.order(
@@ -212,9 +211,5 @@
         if worker.entry is None or not worker.listed:
             continue
         capacity += worker.entry.capacity.millicores
-        long_running_use += sum(
-            run.step.committed.millicores
-            for run in worker.runs.values()
-            if run.step.long_running
-        )
+        long_running_use += worker.long_running_use.millicores
     return long_running_use > capacity * LONG_RUNNING_SHARE_MAX
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -38,6 +38,7 @@
     priority: int
     not_promoted: bool
     long_running: bool
+    first_run: bool
     late: bool
     due: datetime.timedelta
 
@@ -113,11 +114,12 @@
         Long-running tasks free their capacity only when their job is
         cancelled, so that short tasks of the same priority go first. That
         changes when the long-running task starves, unless long-running tasks
-        already use more than their maximum share of the processors. The
-        exception does not apply to a restarting task, because its service has
-        lost one of its running tasks. When starving, a restarting task goes
-        before all others, whatever its priority: tasks of more urgent queues
-        may otherwise fill each commit.
+        already use more than their maximum share of the processors. A
+        restarting task need not starve for that, and goes before first runs
+        of services: its service has lost one of its running tasks, and the
+        room that this task left is soon taken. When starving, a restarting
+        task goes before all others, whatever its priority and the share:
+        tasks of more urgent queues may otherwise fill each commit.
 
         A job that can no longer meet its latency objective gains little from
         ending earlier, and goes after jobs of the same priority that can.
@@ -126,14 +128,19 @@
             than their maximum share of the processors.
         """
         long_running = self.step.long_running
+        starving = self.starving(now)
+        if self.restarts:
+            promoted = starving or not long_running_over_share
+        else:
+            promoted = starving and not long_running_over_share
         end = wall + self.chain
         return Order(
-            postponable=not (self.restarts and self.starving(now)),
+            postponable=not (self.restarts and starving),
             useless=end > self.useful_until and not long_running,
             priority=self.job.queue.priority,
-            not_promoted=not self.starving(now)
-            or (long_running_over_share and not self.restarts),
+            not_promoted=not promoted,
             long_running=long_running,
+            first_run=not self.restarts,
             late=end > self.deadline,
             due=self.due + len(self.tasks) * self.due_by_task,
         )
--- a/tests/dispatch/test_lasting_priorities.py
+++ b/tests/dispatch/test_lasting_priorities.py
@@ -126,3 +126,33 @@
                 site.add_job(fakes.step(demand=SMALL_DEMAND), 0)
             site.advance(COMMIT_INTERVAL)
             site.commit_once()
+
+
+class TestRoomOfEndedService:
+    """Services and short tasks wait for room on a full worker."""
+
+    def test_goes_back_to_the_service_that_lost_it(self):
+        """Guards against room that others take right after a run has failed.
+
+        The room that a failed task of a service left was given to the first
+        run of another service 0.5 s later. The failed one then waited for
+        12 s.
+        """
+        site = test_dispatcher.DispatcherHarness("a")
+        big = resources.Resources(millicores=9000, memory_mib=100)
+        jobs = [
+            fakes.job("1" * 16, fakes.step(long_running=True, demand=big)),
+            fakes.job("2" * 16, fakes.step(long_running=True, demand=big)),
+            fakes.job("3" * 16, fakes.step(8, demand=big)),
+        ]
+        site.submit(jobs[0])
+        site.step()
+        for spec in jobs[1:]:
+            site.submit(spec)
+        site.advance(3 * SECOND)
+        site.renew_leases("a")
+        worker = site.workers["a"]
+        (task,) = worker.running
+        worker.end(task, model.EndKind.FAILED)
+        site.step()
+        assert list(worker.running) == [task]
