Test how long a new leader expects leases of former ones

Module tests over the store in memory, and a scenario with real processes: a worker is silent for good, the leader is killed and started again.

The stand-in platform gets silent workers, long-running jobs and a parameter for the length of leases; its default is unchanged.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -46,3 +46,10 @@
     And the caller cancels it once it runs
     Then nothing of it runs after 3 s
     And its state is "canceled"
+
+  Scenario: The leader restarts while a worker is silent for good
+    Given a platform with 3 workers, 3 entry processes and leases of 3 s
+    When 6 long-running tasks run on the workers
+    And a worker falls silent for good and the leader is restarted
+    Then the tasks of that worker run elsewhere within 9 s
+    And each other task was started once
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -33,6 +33,21 @@
     run(context, context.platform.start())
 
 
+@behave.given(
+    "a platform with {workers:d} workers, {entries:d} entry processes"
+    " and leases of {seconds:d} s"
+)
+def step_platform_with_leases(context, workers, entries, seconds):
+    context.runner = asyncio.Runner()
+    context.platform = batch_platform.BatchPlatform(
+        folder=context.folder,
+        workers=workers,
+        entries=entries,
+        lease_ms=1000 * seconds,
+    )
+    run(context, context.platform.start())
+
+
 @behave.when("callers submit {count:d} jobs at all entry processes")
 def step_submit(context, count):
     async def submit():
@@ -212,3 +227,55 @@
         context.platform.state(running_entry(context), context.jobs[-1]),
     )
     assert actual_state == state, actual_state
+
+
+@behave.when("{tasks:d} long-running tasks run on the workers")
+def step_long_running(context, tasks):
+    async def begin():
+        platform = context.platform
+        answer = await platform.submit_long_running(
+            running_entry(context), "b" * 16, tasks=tasks
+        )
+        assert answer.status == 200, answer
+        await platform.until(lambda: len(platform.starts()) == tasks)
+
+    run(context, begin())
+
+
+@behave.when("a worker falls silent for good and the leader is restarted")
+def step_silent_and_restart(context):
+    platform = context.platform
+    context.silent = next(w for w in platform.workers if w.state.running)
+    context.bound_tasks = list(context.silent.state.running)
+    context.silent.silent = True
+    platform.store.storage.remove(f"servers/{context.silent.name}")
+    leader = platform.leader()
+    platform.kill(leader)
+    context.killed_at = time.monotonic()
+    run(context, asyncio.sleep(0.5))
+    leader.start(platform.store_port)
+
+
+@behave.then("the tasks of that worker run elsewhere within {seconds:d} s")
+def step_run_elsewhere(context, seconds):
+    others = [w for w in context.platform.workers if w is not context.silent]
+
+    def run_elsewhere():
+        running = {task for w in others for task in w.state.running}
+        begun = running.intersection(context.bound_tasks)
+        # No task runs on two workers at the same time.
+        assert not begun.intersection(context.silent.state.running)
+        return len(begun) == len(context.bound_tasks)
+
+    remaining = context.killed_at + seconds - time.monotonic()
+    run(context, context.platform.until(run_elsewhere, timeout=remaining))
+
+
+@behave.then("each other task was started once")
+def step_others_once(context):
+    counts = collections.Counter(
+        task
+        for task, _ in context.platform.starts()
+        if task not in context.bound_tasks
+    )
+    assert set(counts.values()) <= {1}, counts
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -38,6 +38,10 @@
 REASON_NAMES = {reason: name for name, reason in worker_calls.REFUSALS.items()}
 START_TIMEOUT_S = 10.0
 TICK_INTERVAL_S = 0.02
+# Time for which a silent worker keeps a call open; longer than any scenario.
+SILENCE_S = 600.0
+# Length of the leases on workers.
+LEASE_MS = 10_000
 
 SETTINGS = """\
 node-name = "{node}"
@@ -54,7 +58,7 @@
 contact-ms = 3000
 drain-timeout-ms = 2000
 grace-s = 6
-hold-max-ms = 10000
+hold-max-ms = {lease_ms}
 stop-timeout-ms = 400
 gang-timeout-ms = 3000
 status_s = 120
@@ -69,6 +73,8 @@
 
     Each task runs for the number of seconds given as ``s`` in its
     specification.
+
+    :ivar silent: whether no call is executed or answered any more.
     """
 
     def __init__(self, *, name: str, zone: str):
@@ -80,6 +86,7 @@
         self.server = server.Server(handler=self.handle)
         self.changed = asyncio.Event()
         self.port = 0
+        self.silent = False
 
     async def start(self) -> None:
         """Start listening on a free loopback port."""
@@ -118,6 +125,9 @@
     async def handle(self, exchange: server.Exchange) -> None:
         """Handle one HTTP request."""
         document = json.loads(await exchange.read_all() or b"{}")
+        if self.silent:
+            await asyncio.sleep(SILENCE_S)
+            return
         match exchange.head.path:
             case "/v1/run-start":
                 await self._answer(exchange, self._start(document))
@@ -305,8 +315,11 @@
 class Entry:
     """One process of an entry host."""
 
-    def __init__(self, *, folder: pathlib.Path, node: str, zone: str):
+    def __init__(
+        self, *, folder: pathlib.Path, node: str, zone: str, lease_ms: int
+    ):
         self.folder = folder
+        self.lease_ms = lease_ms
         self.node = node
         self.zone = zone
         self.http, self.ready, self.admin = _free_ports(3)
@@ -324,6 +337,7 @@
                 ready=self.ready,
                 admin=self.admin,
                 store=store_port,
+                lease_ms=self.lease_ms,
             )
         )
         with self.log.open("ab") as log:
@@ -356,16 +370,31 @@
 
 
 class BatchPlatform:
-    """The simulated store and workers, and several entry host processes."""
+    """The simulated store and workers, and several entry host processes.
+
+    :param lease_ms: length of the leases on workers in milliseconds.
+    """
 
-    def __init__(self, *, folder: pathlib.Path, workers: int, entries: int):
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        workers: int,
+        entries: int,
+        lease_ms: int = LEASE_MS,
+    ):
         self.store = StoreHost()
         self.workers = [
             WorkerHost(name=f"i-{n}", zone=ZONES[n % len(ZONES)])
             for n in range(workers)
         ]
         self.entries = [
-            Entry(folder=folder, node=f"edge-{n}", zone=ZONES[n % len(ZONES)])
+            Entry(
+                folder=folder,
+                node=f"edge-{n}",
+                zone=ZONES[n % len(ZONES)],
+                lease_ms=lease_ms,
+            )
             for n in range(entries)
         ]
         self.store_port = 0
@@ -482,6 +511,20 @@
             },
         )
 
+    async def submit_long_running(
+        self, entry: Entry, job: str, *, tasks: int
+    ) -> calls.Answer:
+        """Submit a job whose tasks run until the job is cancelled."""
+        step = {
+            "count": tasks,
+            "cpu": 1000,
+            "mem-mb": 500,
+            "estimate-ms": 600_000,
+            "long-running": True,
+        }
+        document = {"spec": json.dumps({"s": 600}), "steps": [step]}
+        return await self.call(entry, "POST", job, document)
+
     async def state(self, entry: Entry, job: str) -> str:
         """Return a job's state, or the HTTP status as text if not 200."""
         answer = await self.call(entry, "GET", job)
--- /dev/null
+++ b/tests/dispatch/test_inherited_leases.py
@@ -0,0 +1,698 @@
+"""Tests of the time for which a new leader expects leases of former ones."""
+
+import asyncio
+import contextlib
+import datetime
+import random
+
+import pytest
+
+from tests.dispatch import fakes
+from tests.dispatch import test_leader
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import commits
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import inherited_leases
+from turmerichook._internal.dispatch import keys
+from turmerichook._internal.dispatch import leader as leaders
+from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import run_tracker as run_trackers
+from turmerichook._internal.dispatch import session as sessions
+from turmerichook._internal.metrics import registry
+from turmerichook._internal.models import ids
+from turmerichook._internal.storage import memory
+from turmerichook import exceptions
+
+MS = fakes.MS
+SECOND = fakes.SECOND
+TASK = test_leader.TASK
+LEASE = fakes.TIMING.lease_max / (1 - fleet.CLOCK_RATE_ERROR_MAX)
+# Time after a new leader's claim at which inherited leases have ended, without
+# and with a former leader that may still grant some.
+SHORT_BOUND = LEASE + inherited_leases.LEASE_MARGIN
+FULL_BOUND = SHORT_BOUND + sessions.UNCONFIRMED_RENEWAL_TIME
+STOP_TIMEOUT = fakes.TIMING.stop_timeout
+# Time for which a test lets a leader act before it looks for an effect.
+REACTION_S = 0.4
+
+
+class MovableClock(clocks.SystemClock):
+    """A clock that can be moved ahead; its sleeps are not shortened."""
+
+    def __init__(self):
+        self.moved = datetime.timedelta()
+
+    def uptime(self):
+        return super().uptime() + self.moved
+
+
+class Storage(memory.MemoryStorage):
+    """A store that counts calls on records of terms, and can refuse them.
+
+    :ivar refused: number of calls on records that are still to be refused.
+    :ivar leader_refused: number of readings of the leader's key that are still
+        to be refused.
+    :ivar removal_gate: a removal of a record waits until this is set.
+    """
+
+    def __init__(self, *, clock):
+        super().__init__(clock=clock)
+        self.refused = 0
+        self.leader_refused = 0
+        self.record_calls = 0
+        self.removal_gate = asyncio.Event()
+        self.removal_gate.set()
+        self.removal_waits = asyncio.Event()
+
+    def _note(self, key):
+        if not key.startswith(keys.TERM_PREFIX):
+            return
+        self.record_calls += 1
+        if self.refused:
+            self.refused -= 1
+            raise exceptions.StoreUnavailableError(message="refused")
+
+    async def get(self, key):
+        self._note(key)
+        if key == keys.LEADER and self.leader_refused:
+            self.leader_refused -= 1
+            raise exceptions.StoreUnavailableError(message="refused")
+        return await super().get(key)
+
+    async def page(self, prefix, *, after=""):
+        self._note(prefix)
+        return await super().page(prefix, after=after)
+
+    async def commit(self, commit):
+        if any(key.startswith(keys.TERM_PREFIX) for key in commit.removals):
+            self._note(keys.TERM_PREFIX)
+            self.removal_waits.set()
+            await self.removal_gate.wait()
+        return await super().commit(commit)
+
+    def records(self):
+        """Return the keys of all records of terms."""
+        return [key for key in self.items if key.startswith(keys.TERM_PREFIX)]
+
+
+class Process:
+    """One process of an entry host.
+
+    :ivar leader: the leader of the latest term; None before the first one.
+    """
+
+    def __init__(self, site, node, address):
+        self.site = site
+        self.candidate = leadership.Candidate(
+            node=ids.NodeId(node),
+            address=address,
+            storage=site.storage,
+            clock=site.clock,
+            random_source=random.Random(node),
+        )
+        self.leader = None
+        self.term = None
+        self.tasks = [asyncio.create_task(self.candidate.record.run())]
+
+    async def claim(self):
+        """Become the leader, without doing a leader's work."""
+        self.term = await self.candidate.acquire()
+        self.tasks.append(
+            asyncio.create_task(self.candidate.renew_until_end(self.term))
+        )
+
+    async def lead(self):
+        """Become the leader, and return once the records are read."""
+        await self.claim()
+        await self.act()
+
+    async def act(self):
+        """Do a leader's work, and return once the records are read."""
+        self.leader = leaders.Leader(
+            term=self.term,
+            storage=self.site.storage,
+            workers=self.site.workers,
+            registry_format=test_leader.Registry(),
+            configuration=fakes.CONFIGURATION,
+            closed_zones=(),
+            timing=fakes.TIMING,
+            metrics=registry.Registry(),
+            clock=self.site.clock,
+        )
+        self.running = asyncio.create_task(self.leader.run())
+        self.tasks.append(self.running)
+        await self.site.until(
+            lambda: self.leader.inherited_leases.open_terms is not None
+        )
+
+    async def hand_over(self):
+        """End the term as the entry process does."""
+        self.term.end("test")
+        await self.running
+        await self.candidate.hand_over(self.term)
+
+    async def kill(self):
+        """End without any further call to the store."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.term is not None:
+            await self.site.storage.end_lease(self.term.lease)
+
+
+class Site:
+    """A store, two workers and the processes of entry hosts."""
+
+    def __init__(self):
+        self.clock = MovableClock()
+        self.storage = Storage(clock=self.clock)
+        self.workers = fakes.FakeWorkers("w1", "w2")
+        for name in self.workers.workers:
+            self.storage.put(f"workers/{name}", b"")
+        self.processes = []
+
+    def start(self, node, address="10.0.0.1:80"):
+        """Start the process of an entry host."""
+        process = Process(self, node, address)
+        self.processes.append(process)
+        return process
+
+    async def until(self, condition):
+        """Wait for a condition, for at most five seconds."""
+        async with asyncio.timeout(5):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def move(self, process, span):
+        """Move the clock ahead while the store confirms a leader's lease."""
+        self.clock.moved += span
+        process.term.confirmed_at = self.clock.uptime()
+        await asyncio.sleep(REACTION_S)
+
+    def starts(self):
+        """Return the number of runs started on all workers."""
+        return sum(len(w.starts) for w in self.workers.workers.values())
+
+    async def run_task(self, process):
+        """Let a leader start a long-running task; crash its worker."""
+        spec = fakes.job(TASK.job, fakes.step(long_running=True))
+        test_leader.Site.submit(self, spec)
+        await self.until(lambda: self.starts() == 1)
+        worker = next(w for w in self.workers.workers.values() if w.running)
+        worker.cut_off = True
+
+
+@contextlib.asynccontextmanager
+async def new_site():
+    """Provide a site, and end its processes."""
+    site = Site()
+    try:
+        yield site
+    finally:
+        for process in site.processes:
+            await process.kill()
+
+
+async def bound_of(site, process):
+    """Return the time from now until a leader takes all leases for ended."""
+    tracker = process.leader.dispatcher.run_tracker
+    return tracker.inherited_leases_until - site.clock.uptime()
+
+
+class TestKilledLeader:
+    """A leader's process is killed, and a worker has crashed for good."""
+
+    def test_task_runs_elsewhere_after_one_lease(self):
+        """Guards against a service that stands still for 16 s.
+
+        The process of the former leader was back at once, and yet its
+        successor expected it to go on granting leases for 8 s.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                site.start("a")
+                await site.until(lambda: not site.storage.records())
+                second = site.start("b")
+                await second.lead()
+                await site.until(
+                    lambda: second.leader.inherited_leases.settled
+                )
+                await site.move(second, SHORT_BOUND - SECOND)
+                before = site.starts()
+                await site.move(second, SECOND + STOP_TIMEOUT)
+                return before, site.starts()
+
+        assert asyncio.run(scenario()) == (1, 2)
+
+    def test_same_host_leads_again(self):
+        """Guards against a host that waits for its own former process.
+
+        Its claim replaces the record that the former process left.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                second = site.start("a")
+                await second.lead()
+                await site.until(
+                    lambda: second.leader.inherited_leases.settled
+                )
+                return await bound_of(site, second)
+
+        assert asyncio.run(scenario()) <= SHORT_BOUND
+
+    def test_record_that_goes_during_the_term_shortens_the_wait(self):
+        """Guards against the full wait if the process is back a bit later.
+
+        The successor had read the record before it was removed.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                second = site.start("b")
+                await second.lead()
+                before = await bound_of(site, second)
+                site.start("a")
+                await site.until(
+                    lambda: second.leader.inherited_leases.settled
+                )
+                return before, await bound_of(site, second)
+
+        before, after = asyncio.run(scenario())
+        assert FULL_BOUND - SECOND < before <= FULL_BOUND
+        assert SHORT_BOUND - SECOND < after <= SHORT_BOUND
+
+    def test_wait_never_becomes_longer(self):
+        """Guards against a late reading that prolongs the wait."""
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                second = site.start("b")
+                await second.lead()
+                await site.move(second, FULL_BOUND - 2 * SECOND)
+                site.start("a")
+                await site.until(
+                    lambda: second.leader.inherited_leases.settled
+                )
+                return await bound_of(site, second)
+
+        assert asyncio.run(scenario()) <= 2 * SECOND
+
+
+class TestLivingLeader:
+    """A former leader may be alive without the store."""
+
+    def test_task_does_not_run_twice(self):
+        """Guards against two runs of a task at the same time.
+
+        The former leader grants leases on the worker that its successor cannot
+        reach, up to the end of the time without confirmation.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                second = site.start("b")
+                await second.lead()
+                await site.move(second, SHORT_BOUND + STOP_TIMEOUT)
+                at_short_bound = site.starts()
+                span = FULL_BOUND - SHORT_BOUND - 2 * SECOND
+                await site.move(second, span)
+                before = site.starts()
+                await site.move(second, 2 * SECOND + 2 * STOP_TIMEOUT)
+                after = site.starts()
+                await site.until(
+                    lambda: second.leader.inherited_leases.settled
+                )
+                own = keys.term(ids.NodeId("b"), "10.0.0.1:80")
+                assert site.storage.records() == [own]
+                return at_short_bound, before, after
+
+        assert asyncio.run(scenario()) == (1, 1, 2)
+
+    def test_record_stays_until_the_term_has_ended(self):
+        """Guards against a record that is removed during the term.
+
+        A process that cannot read its record at its start reads it again when
+        it leads.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                site.storage.refused = 1
+                first = site.start("a")
+                await first.lead()
+                await site.until(lambda: site.storage.record_calls >= 3)
+                await asyncio.sleep(REACTION_S)
+                during = site.storage.records()
+                await first.hand_over()
+                await site.until(lambda: not site.storage.records())
+                return len(during)
+
+        assert asyncio.run(scenario()) == 1
+
+    def test_successor_of_a_successor_waits_too(self):
+        """Guards against a record that is lost with a second short term."""
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                second = site.start("b")
+                await second.lead()
+                await second.hand_over()
+                third = site.start("c")
+                await third.lead()
+                inherited = third.leader.inherited_leases
+                return inherited.open_terms, await bound_of(site, third)
+
+        records, bound = asyncio.run(scenario())
+        assert records == 1
+        assert bound > FULL_BOUND - SECOND
+
+    def test_another_machine_under_the_same_name(self):
+        """Guards against the removal of a record of another machine.
+
+        A machine that replaces another one may have its name, but not its
+        address.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a", "10.0.0.1:80")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                second = site.start("a", "10.0.0.2:80")
+                await second.lead()
+                return await bound_of(site, second)
+
+        assert asyncio.run(scenario()) > FULL_BOUND - SECOND
+
+
+class TestOlderVersions:
+    """Leaders of an older version keep no records of their terms."""
+
+    @pytest.mark.parametrize("by_older", [True, False])
+    def test_last_commit_decides(self, by_older):
+        """Guards against two runs during an upgrade.
+
+        A leader of the older version may still grant leases without the store.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.hand_over()
+                if by_older:
+                    site.storage.put(keys.SEQUENCE, b"12:7")
+                second = site.start("b")
+                await second.lead()
+                await asyncio.sleep(REACTION_S)
+                return await bound_of(site, second)
+
+        bound = asyncio.run(scenario())
+        if by_older:
+            assert bound > FULL_BOUND - SECOND
+        else:
+            assert bound <= SHORT_BOUND
+
+    def test_doubt_ends_with_the_full_wait(self):
+        """Guards against the full wait at each change after an upgrade.
+
+        It must not end earlier either: a leader that has committed, but has
+        not led for so long, does not know how former terms have ended.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                site.storage.put(keys.SEQUENCE, b"12:7")
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                before = site.storage.items[keys.SEQUENCE].value
+                await site.move(first, FULL_BOUND)
+                await site.until(lambda: first.leader.inherited_leases.settled)
+                starts = site.starts()
+                spec = fakes.job("00000000000000bb")
+                test_leader.Site.submit(site, spec)
+                await site.until(lambda: site.starts() > starts)
+                return before, site.storage.items[keys.SEQUENCE].value
+
+        before, after = asyncio.run(scenario())
+        assert not before.endswith(commits.RECORDED_SUFFIX)
+        assert after.endswith(commits.RECORDED_SUFFIX)
+
+
+class TestRecordOfAHost:
+    """Removal of the record that a former process has left."""
+
+    def test_late_removal_spares_a_newer_record(self):
+        """Guards against a living leader without a record.
+
+        The removal for a former process reaches the store after a claim.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.claim()
+                await first.kill()
+                site.storage.removal_gate.clear()
+                second = site.start("a")
+                await site.until(site.storage.removal_waits.is_set)
+                await second.claim()
+                site.storage.removal_gate.set()
+                await asyncio.sleep(REACTION_S)
+                items = site.storage.items
+                return [items[key].revision for key in site.storage.records()]
+
+        revisions = asyncio.run(scenario())
+        assert len(revisions) == 1
+
+    def test_host_that_never_led_writes_nothing(self):
+        """Guards against writes by each process of a site that starts."""
+
+        async def scenario():
+            async with new_site() as site:
+                await site.start("a").kill()
+                site.start("a")
+                await site.until(lambda: site.storage.record_calls)
+                await asyncio.sleep(REACTION_S)
+                return site.storage.record_calls, site.storage.commits
+
+        assert asyncio.run(scenario()) == (1, 0)
+
+    def test_store_is_away_during_the_removal(self, monkeypatch):
+        """Guards against a record that stays, and against a late claim.
+
+        Both the record's reading and its removal are refused.
+        """
+        monkeypatch.setattr(
+            "turmerichook._internal.dispatch.term_record.RETRY_PAUSE", 50 * MS
+        )
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.claim()
+                await first.kill()
+                site.storage.refused = 3
+                site.start("a")
+                other = site.start("b", "10.0.0.2:80")
+                async with asyncio.timeout(0.3):
+                    await other.claim()
+                await site.until(lambda: len(site.storage.records()) == 1)
+                return site.storage.records()
+
+        own = keys.term(ids.NodeId("b"), "10.0.0.2:80")
+        assert asyncio.run(scenario()) == [own]
+
+    def test_lost_answer_to_a_claim(self):
+        """Guards against a term without a record after a lost answer."""
+
+        async def scenario():
+            async with new_site() as site:
+                process = site.start("a")
+                lost = iter([True])
+                site.storage.lose_answer = lambda commit: next(lost, False)
+                await process.claim()
+                await asyncio.sleep(REACTION_S)
+                items = site.storage.items
+                revisions = [
+                    items[key].revision for key in site.storage.records()
+                ]
+                return revisions == [process.term.token]
+
+        assert asyncio.run(scenario())
+
+    def test_claim_that_is_given_up_leaves_no_record(self):
+        """Guards against the full wait after a claim without a term.
+
+        The claim took effect, but its answer and the next reading were lost.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                process = site.start("a")
+                lost = iter([True])
+                site.storage.lose_answer = lambda commit: next(lost, False)
+                site.storage.leader_refused = 1
+                claiming = asyncio.create_task(process.claim())
+                record = process.candidate.record.key
+                # The record may exist for less than one poll.
+                await site.until(
+                    lambda: record in [c.key for c in site.storage.history]
+                )
+                first = site.storage.items[keys.LEADER]
+                await site.until(lambda: not site.storage.records())
+                assert site.storage.items[keys.LEADER] == first
+                await claiming
+                return len(site.storage.records())
+
+        assert asyncio.run(scenario()) == 1
+
+
+class TestUnreadableRecords:
+    """Records with unexpected content, and a store that refuses calls."""
+
+    @pytest.mark.parametrize("name", ["", "/", "=\u00e9/%zz", "a" * 190])
+    def test_malformed_record_ends_no_term(self, name):
+        """Guards against a term that ends because of a foreign record."""
+
+        async def scenario():
+            async with new_site() as site:
+                site.storage.put(keys.TERM_PREFIX + name, b"\xff\x00")
+                process = site.start("b")
+                await process.lead()
+                bound = await bound_of(site, process)
+                await site.move(process, FULL_BOUND)
+                await site.until(
+                    lambda: process.leader.inherited_leases.settled
+                )
+                assert not process.term.ended.is_set()
+                return bound, len(site.storage.records())
+
+        bound, records = asyncio.run(scenario())
+        assert bound > FULL_BOUND - SECOND
+        assert records == 1
+
+    def test_refused_reading_is_repeated(self, monkeypatch):
+        """Guards against a term that ends, or that expects no leases."""
+        monkeypatch.setattr(inherited_leases, "CHECK_INTERVAL", 100 * MS)
+
+        async def scenario():
+            async with new_site() as site:
+                process = site.start("b")
+                await site.until(lambda: site.storage.record_calls)
+                await process.claim()
+                site.storage.refused = 3
+                leading = asyncio.create_task(process.act())
+                await asyncio.sleep(0.2)
+                before = await bound_of(site, process)
+                await leading
+                await site.until(
+                    lambda: process.leader.inherited_leases.settled
+                )
+                assert not process.term.ended.is_set()
+                return before, await bound_of(site, process)
+
+        before, after = asyncio.run(scenario())
+        assert before > FULL_BOUND - SECOND
+        assert after <= SHORT_BOUND
+
+    def test_record_of_a_later_leader_stays(self):
+        """Guards against a former leader that removes its successor's record.
+
+        It was suspended until after its own term, and reads the records then.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                site.storage.put(keys.TERM_PREFIX + "former", b"")
+                process = site.start("a")
+                await process.claim()
+                log = commits.CommitLog(
+                    storage=site.storage, term=process.term, clock=site.clock
+                )
+                inherited = inherited_leases.InheritedLeases(
+                    storage=site.storage,
+                    term=process.term,
+                    commit_log=log,
+                    run_tracker=run_trackers.RunTracker(),
+                    lease_max=fakes.TIMING.lease_max,
+                    clock=site.clock,
+                )
+                site.storage.put(keys.TERM_PREFIX + "later", b"")
+                site.clock.moved += FULL_BOUND
+                await inherited.run()
+                return site.storage.records()
+
+        own = keys.term(ids.NodeId("a"), "10.0.0.1:80")
+        assert sorted(asyncio.run(scenario())) == sorted(
+            [own, keys.TERM_PREFIX + "later"]
+        )
+
+
+class TestWorkersLeases:
+    """Leases of this leader beside those of former leaders."""
+
+    def tracker(self, *, recovered):
+        """Return a run tracker with a worker, and the worker."""
+        tracker = run_trackers.RunTracker()
+        tracker.inherited_leases_until = 100 * SECOND
+        worker = fleet.Worker(worker=ids.WorkerId("a"), entry=fakes.entry("a"))
+        tracker.workers[worker.worker] = worker
+        if recovered:
+            tracker.recover_run(
+                TASK, worker.worker, ids.Attempt(1), fakes.step()
+            )
+        return tracker, worker
+
+    @pytest.mark.parametrize("own", [None, 90, 110])
+    def test_later_end_counts(self, own):
+        """Guards against a run that is given up while a lease lasts.
+
+        A worker that has answered this leader may have got leases from both.
+        """
+        tracker, worker = self.tracker(recovered=True)
+        if own is not None:
+            worker.lapsed_at = own * SECOND
+        assert tracker.leases_until(worker) == max(100, own or 0) * SECOND
+
+    def test_shorter_time_counts_at_once(self):
+        """Guards against a worker that keeps the time of its recovery."""
+        tracker, worker = self.tracker(recovered=True)
+        tracker.inherited_leases_until = 95 * SECOND
+        assert tracker.leases_until(worker) == 95 * SECOND
+
+    def test_worker_without_runs_inherits_nothing(self):
+        """Guards against a wait for leases that nobody granted."""
+        tracker, worker = self.tracker(recovered=False)
+        assert tracker.leases_until(worker) is None
+        worker.lapsed_at = 90 * SECOND
+        assert tracker.leases_until(worker) == 90 * SECOND
--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -334,3 +334,22 @@
 
         before, after = asyncio.run(scenario())
         assert before == after
+
+    def test_no_lease_is_granted_after_the_end_of_the_term(self):
+        """Guards against leases that a successor takes for ended.
+
+        Sessions still renew for a moment after the end of the term, until the
+        outstanding orders are complete.
+        """
+
+        async def scenario():
+            fixture = SessionFixture(SkippingClock())
+            await fixture.start()
+            granted = fixture.worker.lease_until
+            fixture.session.term.end("test")
+            await fixture.clock.sleep(fakes.SECOND)
+            await fixture.session._renew()
+            return granted, fixture.worker.lease_until
+
+        before, after = asyncio.run(scenario())
+        assert before == after
