Grant no leases once a leader's term has ended

Sessions renew for up to 0.3 s after the end of the term, while outstanding orders complete, and granted leases meanwhile.

Evidence: TestPausedLeader.test_no_lease_is_granted_after_the_end_of_the_term failed before (the lease was prolonged from 11 to 12 s) and passes now.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -157,7 +157,7 @@
             await self.clock.sleep(REPORT_PAUSE)
 
     def _lease_until(self) -> datetime.timedelta | None:
-        if self.worker.clock is None:
+        if self.worker.clock is None or self.term.ended.is_set():
             return None
         if self.term.unconfirmed_for() > UNCONFIRMED_RENEWAL_TIME:
             return None
