Expect leases of former leaders only while one may be alive

Callers saw a service that stood still for 16 s after the leader's process had been killed and was back at once, if its worker had crashed for good.

Cause: a new leader takes a run on a worker out of reach for alive until 8 s, one lease and a margin have passed, as a former leader that has lost the store goes on granting leases for 8 s. It did so although no such leader was left.

Change: a claim writes a record of the term below terms/, without a lease. The process removes it once the term and its sessions have ended, or at its start, if a former process of the host left it. While no record of an earlier term is left, inherited leases end one lease and a margin after the reading. Otherwise the long wait applies; the records are read again each second, and left-over ones are removed once it has passed. A removal names the revision read. The name of a record includes the host's address, so that another machine under the same name does not remove it.

Leaders of older versions keep no record. A commit therefore tells whether its leader knows that all earlier terms have a record or are over; after a commit that does not, the long wait applies. Not covered: an older leader that has committed nothing and is alive without the store, between two newer ones.

The inherited bound is kept in RunTracker and no longer in each worker's lapsed_at; the later one counts, for workers that have answered too, as before.

--- a/src/turmerichook/_internal/dispatch/commits.py
+++ b/src/turmerichook/_internal/dispatch/commits.py
@@ -39,6 +39,10 @@
 # Weight of the average call time: a new call counts for one in this many.
 AVERAGE_CALLS = 8
 
+# Ends the value of the sequence key if each earlier term whose leader may
+# still grant leases has a record.
+RECORDED_SUFFIX = b":recorded"
+
 Outcome = interface.Committed | interface.Conflict
 
 
@@ -68,12 +72,20 @@
         self.clock = clock
         self.sequence = interface.ABSENT
         self.number = 0
+        # Whether each earlier term whose leader may still grant leases has a
+        # record. Stored with each commit, so that a successor can tell from
+        # the last one: leaders of older versions keep no record.
+        self.earlier_terms_recorded = False
+        # Value of the sequence key when the log was opened; None if there has
+        # been no commit.
+        self.previous_value: bytes | None = None
         # Moving average of the duration of calls with an outcome.
         self.average_call_time = datetime.timedelta()
 
     async def open(self) -> None:
-        """Read the revision of the previous leader's last commit."""
+        """Read the value and revision of the previous leader's commit."""
         item = await self.storage.get(keys.SEQUENCE)
+        self.previous_value = item.value if item else None
         self.sequence = item.revision if item else interface.ABSENT
 
     async def write(
@@ -88,6 +100,8 @@
         """
         self.number += 1
         sequence_value = f"{self.term.token}:{self.number}".encode()
+        if self.earlier_terms_recorded:
+            sequence_value += RECORDED_SUFFIX
         commit = interface.Commit(
             expect={
                 keys.LEADER: ids.Revision(self.term.token),
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -41,13 +41,11 @@
         inherited_leases_until: datetime.timedelta = fleet.ZERO,
     ):
         self.timing = timing
-        # Time on the leader's clock at which all leases that earlier leaders
-        # granted have ended.
-        self.inherited_leases_until = inherited_leases_until
         self.configuration = configuration
         self.closed_zones: set[ids.ZoneId] = set()
         self.interference = interference.Interference()
         self.run_tracker = run_trackers.RunTracker()
+        self.run_tracker.inherited_leases_until = inherited_leases_until
         self.settlement = settlement.Settlement(
             run_tracker=self.run_tracker, interference=self.interference
         )
@@ -95,13 +93,7 @@
         for task in progress.assigned():
             record = progress.tasks[task]
             step = progress.spec.steps[task.step]
-            self.run_tracker.recover_run(
-                task,
-                record.worker,
-                record.run,
-                step,
-                self.inherited_leases_until,
-            )
+            self.run_tracker.recover_run(task, record.worker, record.run, step)
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
         else:
@@ -325,7 +317,6 @@
                 worker_id,
                 number,
                 run_trackers.STRAY_STEP,
-                self.inherited_leases_until,
             )
             run.should_run = False
 
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -41,6 +41,22 @@
         level=events.Level.WARNING,
         summary="the leader's lease could not be claimed",
     )
+    TERM_RECORD_REMOVED = events.Event(
+        number=7007,
+        level=events.Level.INFO,
+        summary="the record of a former term was removed from the store",
+    )
+    TERM_RECORD_KEPT = events.Event(
+        number=7008,
+        level=events.Level.WARNING,
+        summary="the records of terms cannot be read or removed yet",
+        limit=50,
+    )
+    INHERITED_LEASES_SHORTENED = events.Event(
+        number=7009,
+        level=events.Level.INFO,
+        summary="no former leader grants leases any more; theirs end sooner",
+    )
     JOB_TAKEN = events.Event(
         number=7010,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/dispatch/feeds.py
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -108,13 +108,6 @@
                 )
                 await self.clock.sleep(commits.RETRY_PAUSE)
         self.progress.clear()
-        logs.emit(
-            events.DispatchEvent.RECOVERED,
-            epoch=term.token,
-            jobs=len(self.dispatcher.jobs),
-            final=len(self.dispatcher.final),
-            workers=len(self.dispatcher.workers),
-        )
 
     def _recover_final(self) -> None:
         now = self.clock.uptime()
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -153,9 +153,11 @@
         self.clock_read_at = ZERO
         # Latest end of a lease in any order, on the worker's clock.
         self.lease_until = ZERO
-        # Our time at which all leases have certainly ended, even if the
-        # worker is unreachable; None if no order has granted a lease.
+        # Our time at which all leases that this leader granted have certainly
+        # ended, even if the worker is unreachable; None if there are none.
         self.lapsed_at: datetime.timedelta | None = None
+        # Whether the worker may hold leases from former leaders.
+        self.may_hold_inherited_leases = False
         # Number of the last end that the worker reported.
         self.last_end_number = 0
         # Numbers of the reported ends that no commit has made durable yet.
@@ -244,7 +246,7 @@
             self.lease_until = until
             left = (until - self.clock) / (1 - CLOCK_RATE_ERROR_MAX)
             lapsed_at = self.clock_read_at + left
-            # Leases from a former incarnation or leader may end later.
+            # Leases from a former incarnation may end later.
             self.lapsed_at = max(lapsed_at, self.lapsed_at or ZERO)
         return self.lease_until
 
--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/inherited_leases.py
@@ -0,0 +1,114 @@
+"""The time at which leases from former leaders have certainly ended."""
+
+import datetime
+
+from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import commits
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import keys
+from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import run_tracker as run_trackers
+from turmerichook._internal.dispatch import session as sessions
+from turmerichook._internal.dispatch import term_record
+from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.storage import interface
+from turmerichook import exceptions
+
+# Added to the time at which leases from a former leader have ended.
+LEASE_MARGIN = datetime.timedelta(seconds=1)
+# Time between two readings of the records of former terms.
+CHECK_INTERVAL = datetime.timedelta(seconds=1)
+
+
+class InheritedLeases:
+    """Determines until when a new leader must expect leases of former ones.
+
+    A former leader that the store does not reach goes on granting leases for a
+    while. Once no record of an earlier term is left, no former leader grants
+    leases any more.
+
+    :ivar open_terms: number of earlier terms with a record; None until the
+        records have been read.
+    """
+
+    def __init__(
+        self,
+        *,
+        storage: interface.Storage,
+        term: leadership.Term,
+        commit_log: commits.CommitLog,
+        run_tracker: run_trackers.RunTracker,
+        lease_max: datetime.timedelta,
+        clock: clocks.Clock,
+    ):
+        self.storage = storage
+        self.term = term
+        self.commit_log = commit_log
+        self.run_tracker = run_tracker
+        self.clock = clock
+        # Longest time by our clock for which a lease can last, with the
+        # greatest deviation of the worker's clock.
+        self.lease = lease_max / (1 - fleet.CLOCK_RATE_ERROR_MAX)
+        self.open_terms: int | None = None
+        self.settled = False
+        run_tracker.inherited_leases_until = (
+            clock.uptime()
+            + sessions.UNCONFIRMED_RENEWAL_TIME
+            + self.lease
+            + LEASE_MARGIN
+        )
+
+    def remaining(self) -> datetime.timedelta:
+        """Return the time until all inherited leases have ended."""
+        return self.run_tracker.inherited_leases_until - self.clock.uptime()
+
+    async def run(self) -> None:
+        """Read the records until the time can no longer become shorter.
+
+        Must be called once the commit log is open.
+        """
+        previous = self.commit_log.previous_value
+        # Without any commit, no leader has started a run yet.
+        self.commit_log.earlier_terms_recorded = (
+            previous is None or previous.endswith(commits.RECORDED_SUFFIX)
+        )
+        while not self.settled:
+            try:
+                await self._check()
+            except exceptions.TurmerichookError as error:
+                logs.emit(
+                    events.DispatchEvent.TERM_RECORD_KEPT,
+                    key=keys.TERM_PREFIX,
+                    error=str(error),
+                )
+            if not self.settled:
+                await self.clock.sleep(CHECK_INTERVAL)
+
+    async def _check(self) -> None:
+        items, _ = await interface.read_all(self.storage, keys.TERM_PREFIX)
+        # Our claim wrote our own record, so that its revision is our token. A
+        # later leader's record has a higher revision.
+        records = [item for item in items if item.revision < self.term.token]
+        self.open_terms = len(records)
+        if self.remaining() < fleet.ZERO:
+            # Former leaders without a record have ended as well.
+            self.commit_log.earlier_terms_recorded = True
+            for record in records:
+                await term_record.remove(self.storage, record)
+            self.settled = True
+        elif not records and self.commit_log.earlier_terms_recorded:
+            self._shorten()
+            self.settled = True
+
+    def _shorten(self) -> None:
+        until = self.clock.uptime() + self.lease + LEASE_MARGIN
+        tracker = self.run_tracker
+        tracker.inherited_leases_until = min(
+            tracker.inherited_leases_until, until
+        )
+        logs.emit(
+            events.DispatchEvent.INHERITED_LEASES_SHORTENED,
+            epoch=self.term.token,
+            inherited_until_ms=round(self.remaining() / clocks.MILLISECOND),
+        )
--- a/src/turmerichook/_internal/dispatch/keys.py
+++ b/src/turmerichook/_internal/dispatch/keys.py
@@ -3,7 +3,8 @@
 ``inbox/`` holds the jobs and cancellations that callers have submitted; the
 process that accepts them writes them. ``progress/`` holds the progress of each
 job; only the leader writes it. ``queues/waiting/`` has an empty item for each
-accepted job that has not certainly begun on a worker.
+accepted job that has not certainly begun on a worker. ``terms/`` has an item
+for each host on which a process may still grant leases of its term as leader.
 """
 
 import hashlib
@@ -21,9 +22,10 @@
 CANCEL_PREFIX = "inbox/cancels/"
 PROGRESS_PREFIX = "progress/"
 WAITING_PREFIX = "queues/waiting/"
-# A queue name that is longer when quoted is replaced by its digest in keys, as
-# the store limits a key to 200 bytes.
-QUEUE_NAME_MAX = 100
+TERM_PREFIX = "terms/"
+# A name that is longer when quoted is replaced by its digest in keys, as the
+# store limits a key to 200 bytes.
+NAME_MAX = 100
 
 
 def job(job_id: ids.JobId) -> str:
@@ -43,11 +45,15 @@
 
 def waiting_prefix(queue: ids.QueueId) -> str:
     """Return the key prefix of a queue's waiting jobs."""
-    name = urllib.parse.quote(queue, safe="")
-    if len(name) > QUEUE_NAME_MAX:
+    return f"{WAITING_PREFIX}{_quoted(queue)}/"
+
+
+def _quoted(name: str) -> str:
+    quoted = urllib.parse.quote(name, safe="")
+    if len(quoted) > NAME_MAX:
         # A quoted name contains no "=", so that no digest equals a name.
-        name = "=" + hashlib.sha256(queue.encode()).hexdigest()[:32]
-    return f"{WAITING_PREFIX}{name}/"
+        return "=" + hashlib.sha256(name.encode()).hexdigest()[:32]
+    return quoted
 
 
 def waiting(queue: ids.QueueId, job_id: ids.JobId) -> str:
@@ -60,6 +66,15 @@
     return key.removeprefix(WAITING_PREFIX).partition("/")[0]
 
 
+def term(node: ids.NodeId, address: str) -> str:
+    """Return the key of the record of a host's open term.
+
+    :param address: address at which the host serves callers. Another machine
+        under the same name has another address, and so a record of its own.
+    """
+    return TERM_PREFIX + _quoted(f"{node} {address}")
+
+
 def job_id(key: str) -> ids.JobId:
     """Return the job that a key belongs to."""
     return ids.JobId(key.rpartition("/")[2])
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -17,8 +17,8 @@
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import feeds
-from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import housekeeping
+from turmerichook._internal.dispatch import inherited_leases
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import load
 from turmerichook._internal.dispatch import orders
@@ -39,8 +39,6 @@
 ROUND_INTERVAL_MAX = datetime.timedelta(milliseconds=200)
 # Largest number of tasks placed before one commit; others wait for the next.
 PLACED_TASKS_MAX = 200
-# Added to the time at which leases from a former leader have ended.
-LEASE_MARGIN = datetime.timedelta(seconds=1)
 # Time given to outstanding orders when the term ends.
 ORDER_COMPLETION_TIMEOUT_S = 0.3
 
@@ -72,16 +70,16 @@
         self.commit_log = commits.CommitLog(
             storage=storage, term=term, clock=clock
         )
-        # Longest time by our clock for which a worker's lease can last, with
-        # the greatest deviation of the worker's clock.
-        lease = timing.lease_max / (1 - fleet.CLOCK_RATE_ERROR_MAX)
         self.dispatcher = dispatchers.Dispatcher(
-            timing=timing,
-            configuration=configuration,
-            inherited_leases_until=clock.uptime()
-            + sessions.UNCONFIRMED_RENEWAL_TIME
-            + lease
-            + LEASE_MARGIN,
+            timing=timing, configuration=configuration
+        )
+        self.inherited_leases = inherited_leases.InheritedLeases(
+            storage=storage,
+            term=term,
+            commit_log=self.commit_log,
+            run_tracker=self.dispatcher.run_tracker,
+            lease_max=timing.lease_max,
+            clock=clock,
         )
         self.dispatcher.closed_zones = set(closed_zones)
         self.changed = asyncio.Event()
@@ -124,7 +122,9 @@
         """Act as leader until the term ends."""
         try:
             await self._open_log()
+            self._spawn(self.inherited_leases.run())
             await self.feeds.recover(self.term)
+            self._log_recovered()
             self._spawn(self.feeds.inbox.run())
             self._spawn(self.feeds.registry.run())
             self._spawn(self.queue_lengths.run())
@@ -146,6 +146,19 @@
                 )
                 await self.clock.sleep(commits.RETRY_PAUSE)
 
+    def _log_recovered(self) -> None:
+        remaining = self.inherited_leases.remaining()
+        logs.emit(
+            events.DispatchEvent.RECOVERED,
+            epoch=self.term.token,
+            jobs=len(self.dispatcher.jobs),
+            final=len(self.dispatcher.final),
+            workers=len(self.dispatcher.workers),
+            inherited_until_ms=round(remaining / clocks.MILLISECOND),
+            open_terms=self.inherited_leases.open_terms,
+            earlier_terms_recorded=self.commit_log.earlier_terms_recorded,
+        )
+
     async def _close(self) -> None:
         outstanding_orders = {t for t in self.tasks if t.get_name() == "order"}
         if outstanding_orders:
--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -1,7 +1,8 @@
 """Election of the leader through a lease in the store.
 
 The key ``leader/owner`` is bound to the leader's lease, so the store removes
-the key when the lease ends.
+the key when the lease ends. The claim also writes a record of the term, which
+stays until the process can certainly grant no more leases on workers.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import keys
+from turmerichook._internal.dispatch import term_record
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import interface
@@ -93,7 +95,11 @@
 
 
 class Candidate:
-    """Claims the leadership and renews its lease."""
+    """Claims the leadership and renews its lease.
+
+    :param address: address at which this host serves callers.
+    :ivar record: the record of this host's term.
+    """
 
     def __init__(
         self,
@@ -103,12 +109,16 @@
         clock: clocks.Clock,
         random_source: random.Random,
         processors: float = 1.0,
+        address: str = "",
     ):
         self.node = node
         self.storage = storage
         self.clock = clock
         self.random_source = random_source
         self.processors = processors
+        self.record = term_record.TermRecord(
+            key=keys.term(node, address), storage=storage, clock=clock
+        )
 
     async def acquire(self) -> Term:
         """Wait until this process is the leader; return the new term."""
@@ -165,12 +175,28 @@
         sent = self.clock.uptime()
         lease = await self.storage.grant_lease(LEASE_TTL)
         claim_value = f"{self.node} {lease}".encode()
+        self.record.open(claim_value)
+        term = None
+        try:
+            term = await self._commit_claim(lease, claim_value, sent)
+        finally:
+            if term is None:
+                self.record.close()
+        return term
+
+    async def _commit_claim(
+        self,
+        lease: ids.LeaseId,
+        claim_value: bytes,
+        sent: datetime.timedelta,
+    ) -> Term | None:
         commit = interface.Commit(
             expect={keys.LEADER: interface.ABSENT},
             writes=(
                 interface.Write(
                     key=keys.LEADER, value=claim_value, lease=lease
                 ),
+                interface.Write(key=self.record.key, value=claim_value),
             ),
         )
         try:
@@ -258,8 +284,12 @@
             logs.emit(events.DispatchEvent.CLAIM_FAILED, error=str(error))
 
     async def hand_over(self, term: Term) -> None:
-        """End the term and the lease; a successor can claim at once."""
+        """End the term and the lease; a successor can claim at once.
+
+        Must be called once the term's sessions with workers have ended.
+        """
         term.end("handed-over")
+        self.record.close()
         logs.emit(
             events.DispatchEvent.LEADERSHIP_HANDED_OVER, epoch=term.token
         )
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -31,9 +31,12 @@
         change.
     :ivar unreleased: jobs with assignments that are in no commit yet.
     :ivar orders: orders to be sent.
+    :ivar inherited_leases_until: our time at which all leases that former
+        leaders granted have certainly ended.
     """
 
     def __init__(self):
+        self.inherited_leases_until = fleet.ZERO
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         self.final: dict[ids.JobId, datetime.timedelta] = {}
         self.workers: dict[ids.WorkerId, fleet.Worker] = {}
@@ -147,25 +150,30 @@
         if not job.progress.state.final:
             self.waiting.add(job, task, worker, now)
 
+    def leases_until(self, worker: fleet.Worker) -> datetime.timedelta | None:
+        """Return our time at which all leases on a worker have ended.
+
+        None means that no lease is known. A worker that has answered this
+        leader may still hold leases from former leaders.
+        """
+        if not worker.may_hold_inherited_leases:
+            return worker.lapsed_at
+        return max(self.inherited_leases_until, worker.lapsed_at or fleet.ZERO)
+
     def recover_run(
         self,
         task: model.TaskKey,
         worker_id: ids.WorkerId,
         number: ids.Attempt,
         step: model.Step,
-        lapsed_at: datetime.timedelta,
     ) -> fleet.Run:
-        """Add a run that a former leader may have started.
-
-        :param lapsed_at: our time at which all leases that former leaders
-            granted on the worker have certainly ended.
-        """
+        """Add a run that a former leader may have started."""
         worker = self.workers.get(worker_id)
         if worker is None:
             worker = fleet.Worker(worker=worker_id, entry=None)
             worker.reachable = False
             self.workers[worker_id] = worker
-        worker.lapsed_at = lapsed_at
+        worker.may_hold_inherited_leases = True
         run = fleet.Run(
             task=task,
             run=number,
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -1,7 +1,9 @@
 """Time-driven work: repeated stops, stalled runs, expired leases."""
 
 import datetime
+import typing
 
+from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -46,8 +48,9 @@
                 if not worker.listed and not worker.reachable:
                     del self.run_tracker.workers[worker.worker]
                 continue
-            if not worker.reachable and worker.lapsed_at is not None:
-                if now > worker.lapsed_at + self.timing.stop_timeout:
+            leases_until = self.run_tracker.leases_until(worker)
+            if not worker.reachable and leases_until is not None:
+                if now > leases_until + self.timing.stop_timeout:
                     self._expire(worker, now)
             self._tick_runs(worker, now)
 
@@ -99,10 +102,18 @@
         ]
         if not expired_runs:
             return
+        fields: dict[str, typing.Any] = {}
+        if worker.clock_read_at > fleet.ZERO:
+            silent = now - worker.clock_read_at
+            fields["silent_ms"] = round(silent / clocks.MILLISECOND)
         logs.emit(
             events.DispatchEvent.WORKER_LAPSED,
             worker=worker.worker,
             runs=len(expired_runs),
+            # Whether leases of former leaders were the last to end.
+            inherited=worker.lapsed_at is None
+            or self.run_tracker.leases_until(worker) > worker.lapsed_at,
+            **fields,
         )
         for run in expired_runs:
             self.run_tracker.drop_run(worker, run, "lapsed", now)
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -103,6 +103,14 @@
             operator_format=adapter.operator_format,
             on_change=self._configure_leader,
         )
+        self.candidate = leadership.Candidate(
+            node=self.settings.node,
+            address=self.settings.listen,
+            storage=self.storage,
+            clock=clock,
+            random_source=random.Random(self.settings.node),
+            processors=self.settings.processors,
+        )
         self.leader: leaders.Leader | None = None
         self.term: leadership.Term | None = None
         self.stopping = asyncio.Event()
@@ -128,8 +136,8 @@
     async def run(self) -> None:
         """Run until a planned stop is complete.
 
-        An exception in the watch of operators' orders or in the leadership
-        ends the daemon with that exception.
+        An exception in the watch of operators' orders, in the leadership or
+        in the upkeep of its record ends the daemon with that exception.
         """
         for listener, address in (
             (self.health_server, self.settings.health_listen),
@@ -142,6 +150,9 @@
         tasks = [
             asyncio.create_task(self._watch_operators()),
             asyncio.create_task(self._run_leadership()),
+            # The listeners are open, so that no former process of this host
+            # is alive, and the record that it may have left is outdated.
+            asyncio.create_task(self.candidate.record.run()),
         ]
         stopping = asyncio.create_task(self.stopping.wait())
         try:
@@ -208,13 +219,7 @@
         ).run()
 
     async def _run_leadership(self) -> None:
-        candidate = leadership.Candidate(
-            node=self.settings.node,
-            storage=self.storage,
-            clock=self.clock,
-            random_source=random.Random(self.settings.node),
-            processors=self.settings.processors,
-        )
+        candidate = self.candidate
         while not self.stopping.is_set():
             await self.operators.configured.wait()
             term = await candidate.acquire()
