--- a/tests/dispatch/test_watchdog.py
+++ b/tests/dispatch/test_watchdog.py
@@ -113,3 +113,55 @@
     def test_run_without_progress_in_its_reports_is_stopped(self):
         """Guards against a run that stands still for good."""
         assert self.stalled(reported_at=NOW + 5 * fakes.SECOND)
+
+
+class TestLapsedLeases:
+    """The leases on a worker that is out of reach have ended."""
+
+    def expire(self, monkeypatch, *, own, answered=None):
+        """Return the logged fields once all leases have ended, or None.
+
+        Leases of former leaders end at ``NOW``.
+
+        :param own: when leases of this leader end.
+        :param answered: when the worker last answered, if it ever did.
+        """
+        logged = []
+        run_tracker = run_trackers.RunTracker()
+        run_tracker.inherited_leases_until = NOW
+        task = model.TaskKey(ids.JobId("j"), 0, 0, 0)
+        run_tracker.recover_run(
+            task, ids.WorkerId("a"), ids.Attempt(1), fakes.step()
+        )
+        worker = run_tracker.workers[ids.WorkerId("a")]
+        worker.lapsed_at = own
+        worker.clock_read_at = answered or fleet.ZERO
+        monkeypatch.setattr(
+            watchdog.logs,
+            "emit",
+            lambda event, **fields: logged.append(fields),
+        )
+        watchdog.Watchdog(run_tracker=run_tracker, timing=fakes.TIMING).tick(
+            NOW + fakes.SECOND
+        )
+        return next((f for f in logged if "inherited" in f), None)
+
+    def test_former_leaders_leases_ended_last(self, monkeypatch):
+        """Guards against a wait whose cause the log does not show."""
+        fields = self.expire(monkeypatch, own=None)
+        assert fields["inherited"] is True
+        assert "silent_ms" not in fields
+
+    def test_own_leases_ended_last(self, monkeypatch):
+        """Guards against a wait that is blamed on former leaders."""
+        fields = self.expire(
+            monkeypatch,
+            own=NOW + 100 * fakes.MS,
+            answered=NOW - 2 * fakes.SECOND,
+        )
+        assert fields["inherited"] is False
+        assert fields["silent_ms"] == 3000
+
+    def test_runs_stay_while_own_leases_last(self, monkeypatch):
+        """Guards against a second run while a lease of this leader lasts."""
+        assert self.expire(monkeypatch, own=NOW + fakes.SECOND) is None
