Check a worker's capacity again before sending a start

Callers of a service that does not enforce limits saw its workers overloaded when a capacity shrank: tasks placed before the change were started after it, however long the commit in between took.

Cause: after the commit only the worker's listing, state and zone were checked again, not its capacity.

A run that does not fit beside those already sent is now dropped as not sent, and its task waits again.

--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -85,7 +85,10 @@
                 )
                 allowed = bool(ticket) or save.job.queue.advisor is None
                 if not (
-                    run.should_run and allowed and _may_start(worker, closed)
+                    run.should_run
+                    and allowed
+                    and _may_start(worker, closed)
+                    and _fits(worker, run)
                 ):
                     self.run_tracker.drop_run(worker, run, "not-sent", now)
                     continue
@@ -142,3 +145,18 @@
         and entry.state is deployment.WorkerState.READY
         and entry.zone not in closed
     )
+
+
+def _fits(worker: fleet.Worker, run: fleet.Run) -> bool:
+    """Return whether a run fits beside those whose starts may be sent.
+
+    The worker's capacity may have shrunk since the run was placed.
+    """
+    capacity = worker.entry.capacity
+    if worker.used.fits(capacity):
+        return True
+    used = run.step.committed
+    for other in worker.runs.values():
+        if other.phase is not fleet.RunPhase.ASSIGNED:
+            used = used.plus(other.step.committed)
+    return used.fits(capacity)
--- /dev/null
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -0,0 +1,85 @@
+"""Tests with workers whose capacity changes while tasks are placed and run."""
+
+import dataclasses
+
+
+from tests.dispatch import fakes
+from tests.dispatch import test_dispatcher
+from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
+
+MS = fakes.MS
+SECOND = fakes.SECOND
+UNKNOWN_JOB = ids.JobId("f" * 16)
+
+
+def cores(number, **fields):
+    """Return a step whose tasks demand a number of cores."""
+    demand = resources.Resources(millicores=number * 1000, memory_mib=100)
+    return fakes.step(demand=demand, **fields)
+
+
+class Harness(test_dispatcher.DispatcherHarness):
+    """A dispatcher with workers whose registry entries a test can change."""
+
+    def set_entry(self, name, **fields):
+        """Replace fields of a worker's registry entry."""
+        former = self.dispatcher.workers[ids.WorkerId(name)].entry
+        self.dispatcher.set_entry(
+            dataclasses.replace(former, **fields), self.now
+        )
+
+    def resize(self, name, millicores):
+        """Change the processors in a worker's registry entry."""
+        capacity = resources.Resources(
+            millicores=millicores, memory_mib=64_000
+        )
+        self.set_entry(name, capacity=capacity)
+
+    def run_steps(self, count):
+        for _ in range(count):
+            self.advance(200 * MS)
+            self.step()
+
+    def started(self, job):
+        """Return the workers that run tasks of a job, once for each task."""
+        return [
+            name
+            for name, worker in self.workers.items()
+            for task in worker.running
+            if task.job == job
+        ]
+
+
+class TestChangeDuringCommit:
+    """A registry entry changes while the assignment is being stored."""
+
+    def test_capacity_that_shrinks(self):
+        """Guards against starts on capacity that is gone once they are sent.
+
+        A commit to a slow store takes seconds.
+        """
+        harness = Harness("a")
+        harness.submit(fakes.job("0" * 16, fakes.step(10)))
+        saves = harness.begin(100, 100)
+        harness.resize("a", 4000)
+        starts = harness.commit(saves)
+        assert len(starts) == 4
+        assert len(harness.dispatcher.waiting) == 6
+        for start in starts:
+            harness.send(start)
+        harness.run_steps(3)
+        assert len(harness.workers["a"].running) == 4
+        harness.resize("a", 16_000)
+        harness.run_steps(3)
+        assert len(harness.workers["a"].running) == 10
+
+    def test_running_tasks_use_all_that_is_left(self):
+        """Guards against a start on a worker that is over its capacity."""
+        harness = Harness("a")
+        harness.submit(fakes.job("0" * 16, fakes.step(10)))
+        harness.step()
+        harness.submit(fakes.job("1" * 16))
+        saves = harness.begin(100, 100)
+        harness.resize("a", 4000)
+        assert not harness.commit(saves)
