Start a gang as a whole or not at all

Callers saw gangs end with tasks that had waited in vain for others: when one worker could no longer get its task after the commit, the other tasks were started all the same.

Cause: each run was checked by itself when its start was released.

All starts of a gang are now dropped if one of them is. The test test_gang failed before and passes now.

--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -76,37 +76,64 @@
         starts: list[decisions.StartOrder] = []
         for save in saves:
             self._mark_ends_saved(save.ends)
-            for worker_id, run in save.runs:
-                worker = self.run_tracker.workers.get(worker_id)
-                if worker is None or worker.runs.get(run.task) is not run:
-                    continue
-                ticket = self.run_tracker.advice.ticket(
-                    run.task.step_key, worker, now
-                )
-                allowed = bool(ticket) or save.job.queue.advisor is None
-                if not (
-                    run.should_run
-                    and allowed
-                    and _may_start(worker, closed)
-                    and _fits(worker, run)
-                ):
-                    self.run_tracker.drop_run(worker, run, "not-sent", now)
-                    continue
-                run.phase = fleet.RunPhase.STARTING
-                record = save.job.progress.tasks[run.task]
-                starts.append(
-                    decisions.StartOrder(
-                        worker=worker_id,
-                        run=run,
-                        payload=save.job.spec.payload,
-                        checkpoint=record.checkpoint,
-                        ticket=ticket,
-                    )
-                )
+            starts += self._release_starts(save, closed, now)
             if save.state.final:
                 self._finish_job(save, now)
         return starts
 
+    def _release_starts(
+        self,
+        save: jobs.JobSnapshot,
+        closed: collections.abc.Container[ids.ZoneId],
+        now: datetime.timedelta,
+    ) -> list[decisions.StartOrder]:
+        """Return the starts of a durable snapshot that may still be sent.
+
+        A gang is started as a whole or not at all: its members would wait for
+        those that are missing.
+        """
+        starts: list[decisions.StartOrder] = []
+        unsent: list[tuple[fleet.Worker, fleet.Run]] = []
+        for worker_id, run in save.runs:
+            worker = self.run_tracker.workers.get(worker_id)
+            if worker is None or worker.runs.get(run.task) is not run:
+                continue
+            ticket = self.run_tracker.advice.ticket(
+                run.task.step_key, worker, now
+            )
+            allowed = bool(ticket) or save.job.queue.advisor is None
+            if not (
+                run.should_run
+                and allowed
+                and _may_start(worker, closed)
+                and _fits(worker, run)
+            ):
+                unsent.append((worker, run))
+                continue
+            run.phase = fleet.RunPhase.STARTING
+            record = save.job.progress.tasks[run.task]
+            starts.append(
+                decisions.StartOrder(
+                    worker=worker_id,
+                    run=run,
+                    payload=save.job.spec.payload,
+                    checkpoint=record.checkpoint,
+                    ticket=ticket,
+                )
+            )
+        incomplete = {run.task.step_key for _, run in unsent if run.step.gang}
+        for start in starts:
+            if start.run.task.step_key in incomplete:
+                worker = self.run_tracker.workers[start.worker]
+                unsent.append((worker, start.run))
+        for worker, run in unsent:
+            self.run_tracker.drop_run(worker, run, "not-sent", now)
+        return [
+            start
+            for start in starts
+            if start.run.task.step_key not in incomplete
+        ]
+
     def _mark_ends_saved(
         self, ends: collections.abc.Iterable[jobs.End]
     ) -> None:
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -83,3 +83,24 @@
         saves = harness.begin(100, 100)
         harness.resize("a", 4000)
         assert not harness.commit(saves)
+
+    def test_gang(self):
+        """Guards against a gang that is started in part.
+
+        The started tasks would wait for the others until they time out.
+        """
+        harness = Harness("a", "b")
+        harness.submit(fakes.job("0" * 16, cores(10, count=2, gang=True)))
+        saves = harness.begin(100, 100)
+        harness.resize("b", 4000)
+        assert not harness.commit(saves)
+        assert len(harness.dispatcher.waiting) == 2
+        harness.resize("b", 16_000)
+        harness.run_steps(2)
+        runs = {
+            run
+            for worker in harness.workers.values()
+            for run in worker.running.values()
+        }
+        assert len(harness.started("0" * 16)) == 2
+        assert len(runs) == 1
