Check a worker's kind again before sending a start

Callers saw a task start on a worker that its queue does not use: the worker's service or labels had changed, or an operator had moved the queue to another service, while the assignment was being stored.

Cause: only the worker's listing, state and zone were checked after the commit.

The service and the label are checked again now. The two cases of test_other_kind_of_worker for them failed before and pass now; the one for a restarted worker passed before.

--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -106,6 +106,7 @@
                 run.should_run
                 and allowed
                 and _may_start(worker, closed)
+                and _same_kind(worker, save.job, run)
                 and _fits(worker, run)
             ):
                 unsent.append((worker, run))
@@ -174,6 +175,14 @@
     )
 
 
+def _same_kind(worker: fleet.Worker, job: jobs.Job, run: fleet.Run) -> bool:
+    """Return whether a worker still is of the kind that a task requires."""
+    entry, label = worker.entry, run.step.label
+    return entry.service == job.queue.service and (
+        not label or label in entry.labels
+    )
+
+
 def _fits(worker: fleet.Worker, run: fleet.Run) -> bool:
     """Return whether a run fits beside those whose starts may be sent.
 
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import pytest
 
 from tests.dispatch import fakes
 from tests.dispatch import test_dispatcher
@@ -104,3 +105,19 @@
         }
         assert len(harness.started("0" * 16)) == 2
         assert len(runs) == 1
+
+    @pytest.mark.parametrize(
+        "fields",
+        (
+            {"labels": frozenset(("b",))},
+            {"service": ids.ServiceId("other")},
+            {"incarnation": 2},
+        ),
+    )
+    def test_other_kind_of_worker(self, fields):
+        """Guards against a start on a worker that has become another kind."""
+        harness = Harness("a")
+        harness.submit(fakes.job("0" * 16, fakes.step(label="a")))
+        saves = harness.begin(100, 100)
+        harness.set_entry("a", **fields)
+        assert not harness.commit(saves)
