Place nothing beside a run whose demand is unknown

Workers that do not enforce limits were overloaded when they had runs that the leader had not assigned: runs that a report lists beside the leader's own, and runs of final jobs that a new leader finds and stops.

Cause: such a run reserved nothing on its worker, although what is being stopped still takes its share of the capacity.

A run of a known job now reserves the demand of its step. While a worker has a run of a job that the leader lacks, nothing is placed or started there; the obstacle is logged as "unknown-demand". The four tests of TestUnassignedRuns failed before and pass now.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -50,6 +50,8 @@
 class Run:
     """One run of a task on a worker.
 
+    :param demand_known: whether ``step`` states what the run takes of the
+        worker's capacity; False for a run of a job that the leader lacks.
     :param last_outcome_number: sequence number of the last order's outcome. A
         report that was requested later shows for certain whether the run
         exists.
@@ -72,6 +74,7 @@
     run: ids.Attempt
     step: model.Step
     phase: RunPhase
+    demand_known: bool = True
     last_outcome_number: int = 0
     fenced: bool = False
     should_run: bool = True
@@ -144,6 +147,8 @@
         self.report_received = False
         self.runs: dict[model.TaskKey, Run] = {}
         self.used = resources.NOTHING
+        # Number of runs that are not included in ``used``.
+        self.unknown_demands = 0
         # Millicores that the filler tasks on the worker request.
         self.filler_millicores = 0
         self.incarnation = entry.incarnation if entry else 0
@@ -186,6 +191,7 @@
         self.runs[run.task] = run
         self.version += 1
         self.reserve(run.step)
+        self.unknown_demands += not run.demand_known
         if self.suspected:
             # This run tests whether the worker has recovered; until it has
             # had time to end, the worker gets no other task.
@@ -199,6 +205,7 @@
             return None
         self.version += 1
         self.release(run.step)
+        self.unknown_demands -= not run.demand_known
         return run
 
     def serving(self) -> collections.abc.Iterator[Run]:
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -22,6 +22,7 @@
     ZONE_CLOSED = "zone-closed"
     LEAVING = "leaving"
     OUT_OF_REACH = "out-of-reach"
+    UNKNOWN_DEMAND = "unknown-demand"
     HAS_REFUSED = "has-refused"
     SUSPECTED = "suspected"
     ENOUGH_OF_STEP = "enough-of-step"
@@ -60,6 +61,8 @@
         return Obstacle.LEAVING
     if not worker.report_received or not worker.reachable:
         return Obstacle.OUT_OF_REACH
+    if worker.unknown_demands:
+        return Obstacle.UNKNOWN_DEMAND
     if now < worker.no_room_until:
         return Obstacle.HAS_REFUSED
     if worker.suspected and now < worker.suspended_until:
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -157,6 +157,7 @@
     ) -> fleet.Run:
         """Add a run that a former leader may have started.
 
+        :param step: step of the task; ``STRAY_STEP`` if it is unknown.
         :param lapsed_at: our time at which all leases that former leaders
             granted on the worker have certainly ended.
         """
@@ -171,6 +172,7 @@
             run=number,
             step=step,
             phase=fleet.RunPhase.UNCERTAIN,
+            demand_known=step is not STRAY_STEP,
             fenced=True,
         )
         worker.add(run)
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -170,6 +170,7 @@
         entry is not None
         and worker.listed
         and worker.clock is not None
+        and not worker.unknown_demands
         and entry.state is deployment.WorkerState.READY
         and entry.zone not in closed
     )
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -4,6 +4,7 @@
 of either.
 """
 
+import dataclasses
 import datetime
 
 from turmerichook._internal.dispatch import events
@@ -82,15 +83,8 @@
     ) -> None:
         run = worker.runs.get(row.task)
         if run is None or run.run != row.run:
-            stray = fleet.Run(
-                task=row.task,
-                run=row.run,
-                step=run_trackers.STRAY_STEP,
-                phase=fleet.RunPhase.STOPPING,
-            )
             if run is None:
-                worker.add(stray)
-                self.run_tracker.stop(worker, stray, now, "not-assigned")
+                self._stop_stray(worker, row, now)
             return
         if run.phase in (fleet.RunPhase.STARTING, fleet.RunPhase.UNCERTAIN):
             if run.should_run:
@@ -110,6 +104,32 @@
             if record is not None and record.run == row.run:
                 record.checkpoint = row.checkpoint
 
+    def _stop_stray(
+        self,
+        worker: fleet.Worker,
+        row: orders.RunningRow,
+        now: datetime.timedelta,
+    ) -> None:
+        """Stop a run that is not assigned to its worker.
+
+        The run takes its demand of the worker's capacity until it has ended.
+        """
+        step = run_trackers.STRAY_STEP
+        job = self.run_tracker.jobs.get(row.task.job)
+        known = job is not None and row.task.step < len(job.spec.steps)
+        if known:
+            committed = job.spec.steps[row.task.step].committed
+            step = dataclasses.replace(step, demand=committed)
+        stray = fleet.Run(
+            task=row.task,
+            run=row.run,
+            step=step,
+            phase=fleet.RunPhase.STOPPING,
+            demand_known=known,
+        )
+        worker.add(stray)
+        self.run_tracker.stop(worker, stray, now, "not-assigned")
+
     def _handle_unreported_run(
         self,
         worker: fleet.Worker,
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -6,8 +6,10 @@
 
 from tests.dispatch import fakes
 from tests.dispatch import test_dispatcher
+from turmerichook._internal.dispatch import orders
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
+from turmerichook._internal.workflow import model
 
 MS = fakes.MS
 SECOND = fakes.SECOND
@@ -121,3 +123,77 @@
         saves = harness.begin(100, 100)
         harness.set_entry("a", **fields)
         assert not harness.commit(saves)
+
+
+class TestUnassignedRuns:
+    """A worker has runs that the leader has not assigned."""
+
+    def report(self, harness, name, *rows, ends=()):
+        """Apply a worker's report of runs, each with task and run number."""
+        worker = harness.dispatcher.workers[name]
+        settlement = harness.dispatcher.settlement
+        settlement.apply_report(
+            worker,
+            orders.Report(
+                clock=harness.workers[name].clock,
+                incarnation=1,
+                running=tuple(
+                    orders.RunningRow(task, run, ids.CheckpointId(""), 50, 0)
+                    for task, run in rows
+                ),
+                ends=ends,
+            ),
+            requested_at=settlement.next_sequence_number(),
+            now=harness.now,
+        )
+
+    def test_run_of_an_unknown_job(self):
+        """Guards against tasks placed beside a run of unknown demand."""
+        harness = Harness("a")
+        stray = model.TaskKey(UNKNOWN_JOB, 0, 0, 0)
+        self.report(harness, "a", (stray, ids.Attempt(1)))
+        harness.submit(fakes.job("0" * 16))
+        assert not harness.place()
+        harness.send_stops()
+        self.report(harness, "a")
+        assert len(harness.place()) == 1
+
+    def test_report_during_a_commit(self):
+        """Guards against a start beside a run reported during the commit."""
+        harness = Harness("a")
+        harness.submit(fakes.job("0" * 16))
+        saves = harness.begin(100, 100)
+        stray = model.TaskKey(UNKNOWN_JOB, 0, 0, 0)
+        self.report(harness, "a", (stray, ids.Attempt(1)))
+        assert not harness.commit(saves)
+
+    def test_run_of_a_known_job(self):
+        """Guards against counting nothing for a run that is to be stopped."""
+        harness = Harness("a", "b")
+        harness.submit(fakes.job("0" * 16, cores(10)))
+        (start,) = harness.place()
+        (other,) = {"a", "b"} - {start.worker}
+        self.report(harness, other, (start.run.task, ids.Attempt(1)))
+        harness.submit(fakes.job("1" * 16, cores(10)))
+        harness.submit(fakes.job("2" * 16, cores(6)))
+        placed = {(s.run.task.job, s.worker) for s in harness.place()}
+        assert ("1" * 16, other) not in placed
+
+    def test_run_that_a_final_job_left(self):
+        """Guards against placing beside a run that a canceled job has left.
+
+        The new leader knows that the run exists, but not its demand.
+        """
+        harness = Harness("a")
+        spec = fakes.job("0" * 16, cores(16))
+        harness.submit(spec)
+        harness.step()
+        harness.dispatcher.cancel(spec.job, harness.now)
+        harness.commit(harness.begin(100, 100))
+        harness.take_over()
+        harness.renew_leases("a")
+        harness.submit(fakes.job("1" * 16))
+        assert harness.workers["a"].running
+        assert not harness.place()
+        harness.run_steps(3)
+        assert harness.started("1" * 16) == ["a"]
