Keep a task's run when another run of the task ends

Callers saw a task start a second time while its run went on: a worker reported the end of a run that had been stopped because it was not assigned.

Cause: the end of any run of a task returned the task to the queue, whichever run it was assigned to.

Only the end of the assigned run returns the task now. A run that is done still finishes its task.

--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -15,6 +15,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 
 # Step of a run whose job the leader does not hold, so that its demand is
 # unknown.
@@ -121,8 +122,7 @@
         job = self.jobs.get(run.task.job)
         if job is None:
             return
-        record = job.progress.tasks.get(run.task)
-        if record is not None and record.run == run.run:
+        if is_current(job, worker, run):
             self.return_task(job, run.task, worker.worker, "", False, now)
 
     def return_task(
@@ -179,6 +179,19 @@
         return run
 
 
+def is_current(
+    job: jobs.Job, worker: fleet.Worker, run: fleet.Run | orders.EndRow
+) -> bool:
+    """Return whether a run is the one that its task is assigned to."""
+    record = job.progress.tasks.get(run.task)
+    return (
+        record is not None
+        and record.phase is progresses.Phase.ASSIGNED
+        and record.worker == worker.worker
+        and record.run == run.run
+    )
+
+
 def log_run(
     event: events.DispatchEvent,
     worker: fleet.Worker,
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -182,6 +182,9 @@
             )
         if job is None:
             return
+        finished = _finishes(job, end)
+        if not finished and not run_trackers.is_current(job, worker, end):
+            return
         worker.unsaved.add(end.number)
         job.unsaved_ends.append(
             jobs.End(worker.worker, worker.incarnation, end.number)
@@ -189,7 +192,7 @@
         job.begun = True
         self.run_tracker.note_change(job.spec.job, now)
         step = job.spec.steps[end.task.step]
-        if end.kind is model.EndKind.DONE and not step.long_running:
+        if finished:
             if step.gang:
                 self._finish_gang(job, end.task, now)
             else:
@@ -327,3 +330,13 @@
                 self.run_tracker.drop_run(
                     worker, run, "incarnation-ended", now
                 )
+
+
+def _finishes(job: jobs.Job, end: orders.EndRow) -> bool:
+    """Return whether a task is done with this end of one of its runs."""
+    steps = job.spec.steps
+    return (
+        end.kind is model.EndKind.DONE
+        and end.task.step < len(steps)
+        and not steps[end.task.step].long_running
+    )
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -179,6 +179,26 @@
         placed = {(s.run.task.job, s.worker) for s in harness.place()}
         assert ("1" * 16, other) not in placed
 
+    def test_end_of_another_run(self):
+        """Guards against a second run when another run of the task ends."""
+        harness = Harness("a", "b")
+        harness.submit(fakes.job("0" * 16))
+        (start,) = harness.place()
+        harness.send(start)
+        task = start.run.task
+        (other,) = {"a", "b"} - {start.worker}
+        self.report(harness, other, (task, ids.Attempt(0)))
+        end = orders.EndRow(
+            1,
+            task,
+            ids.Attempt(0),
+            model.EndKind.STOPPED,
+            ids.CheckpointId(""),
+        )
+        self.report(harness, other, ends=(end,))
+        assert not harness.place()
+        assert harness.dispatcher.workers[other].acknowledged == 1
+
     def test_run_that_a_final_job_left(self):
         """Guards against placing beside a run that a canceled job has left.
 
