Count the members of an ended gang until their workers report the ends

A worker that does not enforce limits could get a task beside a member of a gang that had not ended there yet.

Cause: the end of one member removed the runs of all members from the workers.

The runs now stay until their worker reports the end. One that a later report still lists as running is stopped.

--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -18,6 +18,15 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.workflow import model
 
+# Phases in which a worker may list a run that is not being stopped.
+_STARTED_PHASES = frozenset(
+    (
+        fleet.RunPhase.STARTING,
+        fleet.RunPhase.UNCERTAIN,
+        fleet.RunPhase.RUNNING,
+    )
+)
+
 
 class Settlement:
     """Determines the state of each run from the answers of its worker."""
@@ -86,7 +95,7 @@
             if run is None:
                 self._stop_stray(worker, row, now)
             return
-        if run.phase in (fleet.RunPhase.STARTING, fleet.RunPhase.UNCERTAIN):
+        if run.phase in _STARTED_PHASES:
             if run.should_run:
                 run.phase = fleet.RunPhase.RUNNING
             else:
@@ -208,15 +217,17 @@
     def _finish_gang(
         self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
     ) -> None:
-        # The end of one member is the end of the whole gang.
+        # The end of one member is the end of the whole gang. The other
+        # members use their workers' capacity until these report their ends.
         ready: list[model.TaskKey] = []
         for index in range(job.spec.steps[task.step].count):
             member = task._replace(index=index)
             record = job.progress.tasks.get(member)
             if record is not None and record.worker:
                 member_worker = self.run_tracker.workers.get(record.worker)
-                if member_worker is not None:
-                    member_worker.remove(member)
+                run = member_worker.runs.get(member) if member_worker else None
+                if run is not None:
+                    run.should_run = False
             self.run_tracker.waiting.remove(member)
             ready += job.progress.finish(member)
         self.run_tracker.enqueue_next(job, ready, now)
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -217,3 +217,56 @@
         assert not harness.place()
         harness.run_steps(3)
         assert harness.started("1" * 16) == ["a"]
+
+
+class TestEndOfGang:
+    """One member's end is known before those of the others."""
+
+    def make_gang(self):
+        """Run a gang on two workers; return the harness and the job."""
+        harness = Harness("a", "b")
+        spec = fakes.job("0" * 16, cores(16, count=2, gang=True))
+        harness.submit(spec)
+        harness.step()
+        assert sorted(harness.started(spec.job)) == ["a", "b"]
+        (task,) = harness.workers["a"].running
+        harness.workers["a"].end(task, model.EndKind.DONE)
+        harness.renew_leases("a")
+        return harness, spec
+
+    def test_room_of_members_that_run(self):
+        """Guards against a start beside a member that has not ended yet."""
+        harness, _ = self.make_gang()
+        harness.submit(fakes.job("1" * 16, cores(16)))
+        harness.submit(fakes.job("2" * 16, cores(16)))
+        assert {start.worker for start in harness.place()} == {"a"}
+
+    @pytest.mark.parametrize("kind", tuple(model.EndKind))
+    def test_end_of_another_member(self, kind):
+        """Guards against a finished gang that is run again."""
+        harness, spec = self.make_gang()
+        (task,) = harness.workers["b"].running
+        harness.workers["b"].end(task, kind)
+        harness.run_steps(3)
+        assert not harness.started(spec.job)
+        assert len(harness.workers["a"].starts) == 1
+        assert len(harness.workers["b"].starts) == 1
+        assert spec.job in harness.dispatcher.final
+        assert harness.dispatcher.workers["b"].used == resources.NOTHING
+        assert harness.dispatcher.workers["b"].acknowledged == 1
+
+    def test_member_lost_with_its_worker(self):
+        """Guards against running a gang again for a member that was lost."""
+        harness, spec = self.make_gang()
+        harness.workers["b"].restart()
+        harness.set_entry("b", incarnation=2)
+        harness.run_steps(3)
+        assert not harness.started(spec.job)
+        assert harness.dispatcher.workers["b"].used == resources.NOTHING
+
+    def test_member_that_goes_on(self):
+        """Guards against a member that runs on after the gang's end."""
+        harness, spec = self.make_gang()
+        harness.run_steps(3)
+        assert not harness.started(spec.job)
+        assert harness.dispatcher.workers["b"].used == resources.NOTHING
