Place nothing on a worker whose entry is of another incarnation

A restarted worker may be of another kind and have less capacity. Its report can arrive before its new registry entry, and tasks were then placed by the former incarnation's entry.

Cause: the incarnation of the entry was not compared with that of the report.

Nothing is placed or started on such a worker until the two agree; the obstacle is logged as "entry-outdated". An entry without an incarnation is accepted as before. The test test_entry_of_the_former_incarnation failed before and passes now.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -127,6 +127,7 @@
 
     entry = VersionedAttribute()
     listed = VersionedAttribute()
+    incarnation = VersionedAttribute()
     reachable = VersionedAttribute()
     report_received = VersionedAttribute()
     suspended_until = VersionedAttribute()
@@ -181,6 +182,15 @@
         """Highest end number up to which all ends are durable."""
         return min(self.unsaved) - 1 if self.unsaved else self.last_end_number
 
+    @property
+    def entry_outdated(self) -> bool:
+        """Whether the registry entry is of another incarnation.
+
+        The present one may be another kind of worker. Incarnation 0 is one
+        that was not reported.
+        """
+        return 0 != self.entry.incarnation != self.incarnation
+
     @property
     def suspected(self) -> bool:
         """Whether tasks of several jobs failed and none succeeded since."""
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -19,6 +19,7 @@
     NOT_LISTED = "not-listed"
     NOT_APPROVED = "not-approved"
     OTHER_KIND = "other-kind"
+    ENTRY_OUTDATED = "entry-outdated"
     ZONE_CLOSED = "zone-closed"
     LEAVING = "leaving"
     OUT_OF_REACH = "out-of-reach"
@@ -55,6 +56,8 @@
     entry = worker.entry
     if entry is None or not worker.listed:
         return Obstacle.NOT_LISTED
+    if worker.entry_outdated:
+        return Obstacle.ENTRY_OUTDATED
     if entry.zone in closed:
         return Obstacle.ZONE_CLOSED
     if entry.state is not deployment.WorkerState.READY:
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -169,6 +169,7 @@
     return (
         entry is not None
         and worker.listed
+        and not worker.entry_outdated
         and worker.clock is not None
         and not worker.unknown_demands
         and entry.state is deployment.WorkerState.READY
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -270,3 +270,29 @@
         harness.run_steps(3)
         assert not harness.started(spec.job)
         assert harness.dispatcher.workers["b"].used == resources.NOTHING
+
+
+class TestRestartedWorker:
+    """A worker's report and its registry entry are of two incarnations."""
+
+    def test_entry_of_the_former_incarnation(self):
+        """Guards against using the former incarnation's capacity.
+
+        The new one may be another kind of worker.
+        """
+        harness = Harness("a")
+        harness.workers["a"].restart()
+        harness.renew_leases("a")
+        harness.renew_leases("a")
+        harness.submit(fakes.job("0" * 16, fakes.step(10)))
+        assert not harness.place()
+        harness.set_entry("a", incarnation=2)
+        harness.resize("a", 4000)
+        assert len(harness.place()) == 4
+
+    def test_entry_without_an_incarnation(self):
+        """Guards against ignoring workers that do not report their start."""
+        harness = Harness("a")
+        harness.set_entry("a", incarnation=0)
+        harness.submit(fakes.job("0" * 16))
+        assert len(harness.place()) == 1
