Do not start tasks by registry entries that are too old

Workers that do not enforce limits were overloaded when their capacity had shrunk while the leader could not read the registry: its commits still succeeded, so it went on placing by entries of any age.

Cause: nothing recorded how old the entries were.

The follower reports when the request of the last successful read was sent. Once that is longer ago than the contact time, nothing is placed or started on workers of services that do not enforce limits; the others refuse what does not fit. The registry watch now waits for a third of the contact time at most, so that a quiet registry is confirmed often enough. New events: registry-outdated, registry-current.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -45,6 +45,10 @@
         # granted have ended.
         self.inherited_leases_until = inherited_leases_until
         self.configuration = configuration
+        # Our time as of which all registry entries are up to date; None if no
+        # registry is followed. And whether that is too long ago.
+        self.registry_confirmed_at: datetime.timedelta | None = None
+        self.registry_outdated = False
         self.closed_zones: set[ids.ZoneId] = set()
         self.interference = interference.Interference()
         self.run_tracker = run_trackers.RunTracker()
@@ -207,6 +211,39 @@
                 runs=len(worker.runs),
             )
 
+    def confirm_registry(self, at: datetime.timedelta) -> None:
+        """Record that all entries are up to date as of our time ``at``."""
+        self.registry_confirmed_at = at
+
+    def _check_registry_age(self, now: datetime.timedelta) -> None:
+        """Mark the entries that are too old for placement.
+
+        A worker that does not enforce its capacity starts what it is told,
+        so that its present capacity must be known.
+        """
+        confirmed_at = self.registry_confirmed_at
+        outdated = (
+            confirmed_at is not None
+            and now - confirmed_at > self.timing.contact
+        )
+        if not outdated and not self.registry_outdated:
+            return
+        if outdated != self.registry_outdated:
+            logs.emit(
+                events.DispatchEvent.REGISTRY_OUTDATED
+                if outdated
+                else events.DispatchEvent.REGISTRY_CURRENT,
+                age_ms=round((now - confirmed_at) / clocks.MILLISECOND),
+            )
+        self.registry_outdated = outdated
+        guarded = {s.service for s in self.configuration.services if s.guarded}
+        for worker in self.workers.values():
+            worker.entry_unconfirmed = (
+                outdated
+                and worker.entry is not None
+                and worker.entry.service not in guarded
+            )
+
     def pop_orders(self) -> list[decisions.Order]:
         """Return the pending stop and pace orders, and clear the list."""
         pending_orders, self.run_tracker.orders = self.run_tracker.orders, []
@@ -228,6 +265,7 @@
             commit has made durable yet.
         :returns: the number of tasks assigned.
         """
+        self._check_registry_age(now)
         unreleased = self.run_tracker.unreleased
         return self.waiting.place(
             workers=self.workers.values(),
@@ -306,6 +344,7 @@
         self, saves: list[jobs.JobSnapshot], now: datetime.timedelta
     ) -> list[decisions.StartOrder]:
         """Record durable snapshots; return the starts that they release."""
+        self._check_registry_age(now)
         return self.saves.apply_committed(saves, self.closed_zones, now)
 
     def add_final(
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -148,6 +148,19 @@
         level=events.Level.WARNING,
         summary="a registry entry is not a valid worker entry",
     )
+    REGISTRY_OUTDATED = events.Event(
+        number=7038,
+        level=events.Level.WARNING,
+        summary="the registry was last read too long ago; nothing is placed"
+        " on workers that do not enforce their capacity",
+        limit=50,
+    )
+    REGISTRY_CURRENT = events.Event(
+        number=7039,
+        level=events.Level.INFO,
+        summary="the registry has been read again",
+        limit=50,
+    )
     COMMIT_RETRIED = events.Event(
         number=7040,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/dispatch/feeds.py
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -25,6 +25,11 @@
 from turmerichook import exceptions
 
 
+# Number of registry reads that begin within the longest age of an entry. The
+# entries are up to date as of the last but one request, and a call takes time.
+REGISTRY_READS = 3
+
+
 class RegistryFormat(typing.Protocol):
     """Location and format of the workers' registry entries."""
 
@@ -81,6 +86,11 @@
             clock=clock,
             replace=self._replace_entries,
             apply=self._apply_entry,
+            watch_timeout=min(
+                follower.WATCH_TIMEOUT,
+                dispatcher.timing.contact / REGISTRY_READS,
+            ),
+            confirm=self._confirm_registry,
         )
 
     async def recover(self, term: leadership.Term) -> None:
@@ -206,6 +216,10 @@
         self.on_worker(worker_id)
         self.changed.set()
 
+    def _confirm_registry(self, sent_at: datetime.timedelta) -> None:
+        self.dispatcher.confirm_registry(sent_at)
+        self.changed.set()
+
     def wall(self) -> datetime.timedelta:
         """Return the current Unix time."""
         return datetime.timedelta(seconds=self.clock.now().timestamp())
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -127,6 +127,7 @@
 
     entry = VersionedAttribute()
     listed = VersionedAttribute()
+    entry_unconfirmed = VersionedAttribute()
     incarnation = VersionedAttribute()
     reachable = VersionedAttribute()
     report_received = VersionedAttribute()
@@ -142,6 +143,9 @@
         self.version = 0
         self.worker = worker
         self.entry = entry
+        # Whether the worker does not enforce its capacity, and its entry was
+        # read too long ago to rely on.
+        self.entry_unconfirmed = False
         # Whether the registry lists the worker.
         self.listed = entry is not None
         self.reachable = True
@@ -184,11 +188,13 @@
 
     @property
     def entry_outdated(self) -> bool:
-        """Whether the registry entry is of another incarnation.
+        """Whether the worker may differ from its registry entry.
 
-        The present one may be another kind of worker. Incarnation 0 is one
-        that was not reported.
+        Another incarnation may be another kind of worker. Incarnation 0 is
+        one that was not reported.
         """
+        if self.entry_unconfirmed:
+            return True
         return 0 != self.entry.incarnation != self.incarnation
 
     @property
--- a/src/turmerichook/_internal/storage/follower.py
+++ b/src/turmerichook/_internal/storage/follower.py
@@ -18,6 +18,7 @@
 RETRY_DELAY = datetime.timedelta(milliseconds=300)
 
 ReplaceCallback = collections.abc.Callable[[list[interface.Item]], None]
+ConfirmCallback = collections.abc.Callable[[datetime.timedelta], None]
 ApplyCallback = collections.abc.Callable[
     [interface.Item | interface.Removed], None
 ]
@@ -30,6 +31,9 @@
         were missed.
     :param apply: called with each later change. A change may be reported more
         than once.
+    :param watch_timeout: longest time for which a watch waits for a change.
+    :param confirm: called after each successful call with our time at which
+        the call was sent. All changes made before have been reported.
     """
 
     def __init__(
@@ -40,12 +44,16 @@
         clock: clocks.Clock,
         replace: ReplaceCallback,
         apply: ApplyCallback,
+        watch_timeout: datetime.timedelta = WATCH_TIMEOUT,
+        confirm: ConfirmCallback = lambda sent_at: None,
     ):
         self.storage = storage
         self.prefix = prefix
         self.clock = clock
         self.replace = replace
         self.apply = apply
+        self.watch_timeout = watch_timeout
+        self.confirm = confirm
         self.revision: ids.Revision | None = None
         self.failing = False
 
@@ -71,17 +79,21 @@
 
     async def list(self) -> None:
         """Read all items and pass them to ``replace``."""
+        sent_at = self.clock.uptime()
         items, revision = await interface.read_all(self.storage, self.prefix)
         self.replace(items)
         self.revision = revision
+        self.confirm(sent_at)
 
     async def _watch(self) -> None:
+        sent_at = self.clock.uptime()
         changes = await self.storage.watch(
-            self.prefix, after=self.revision, wait=WATCH_TIMEOUT
+            self.prefix, after=self.revision, wait=self.watch_timeout
         )
         for change in changes.changes:
             self.apply(change)
         self.revision = changes.revision
+        self.confirm(sent_at)
 
     def _note_failure(self, error: exceptions.TurmerichookError) -> None:
         if not self.failing:
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -296,3 +296,46 @@
         harness.set_entry("a", incarnation=0)
         harness.submit(fakes.job("0" * 16))
         assert len(harness.place()) == 1
+
+
+class TestSilentRegistry:
+    """The leader cannot read the registry while its commits succeed."""
+
+    def make(self, guarded):
+        harness = Harness("a")
+        service = dataclasses.replace(
+            fakes.CONFIGURATION.services[0], guarded=guarded
+        )
+        harness.dispatcher.configure(
+            dataclasses.replace(fakes.CONFIGURATION, services=(service,))
+        )
+        harness.dispatcher.confirm_registry(harness.now)
+        harness.submit(fakes.job("0" * 16))
+        return harness
+
+    def test_nothing_is_placed_by_old_entries(self):
+        """Guards against the use of a capacity that may have shrunk."""
+        harness = self.make(guarded=False)
+        harness.advance(fakes.TIMING.contact + MS)
+        assert not harness.place()
+        harness.dispatcher.confirm_registry(harness.now)
+        assert len(harness.place()) == 1
+
+    def test_nothing_is_started_by_old_entries(self):
+        """Guards against an entry that gets too old during a slow commit."""
+        harness = self.make(guarded=False)
+        saves = harness.begin(100, 100)
+        harness.advance(fakes.TIMING.contact + MS)
+        assert not harness.commit(saves)
+
+    def test_entries_that_are_recent_enough(self):
+        """Guards against tasks that wait although the entries are recent."""
+        harness = self.make(guarded=False)
+        harness.advance(fakes.TIMING.contact)
+        assert len(harness.place()) == 1
+
+    def test_workers_that_refuse_what_does_not_fit(self):
+        """Guards against waiting for the registry without need."""
+        harness = self.make(guarded=True)
+        harness.advance(fakes.TIMING.contact + MS)
+        assert len(harness.place()) == 1
