Log a capacity that is less than a worker's tasks use

Operators could not see why a worker that was listed and ready got no task after its capacity had shrunk.

test_operators_see_it failed before and passes now. The other tests of TestOverCapacity, TestLateStart and TestUnguardedWorker passed before these changes too: placement already gave nothing to a worker over its capacity, saw the growth, and kept the room of a start without an answer.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -188,6 +188,14 @@
                 state=entry.state.value,
                 capacity=entry.capacity.text(),
             )
+            if not worker.used.fits(entry.capacity):
+                logs.emit(
+                    events.DispatchEvent.CAPACITY_BELOW_USE,
+                    worker=entry.worker,
+                    capacity=entry.capacity.text(),
+                    used=worker.used.text(),
+                    runs=len(worker.runs),
+                )
         worker.entry = entry
         worker.listed = True
         if entry.remaining is not None:
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -107,6 +107,13 @@
         summary="a worker's registry entry is new or has changed",
         limit=200,
     )
+    CAPACITY_BELOW_USE = events.Event(
+        number=7029,
+        level=events.Level.WARNING,
+        summary="a worker's capacity is less than its tasks use; it gets no"
+        " task until it is enough",
+        limit=200,
+    )
     WORKER_UNLISTED = events.Event(
         number=7031,
         level=events.Level.WARNING,
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -6,6 +6,9 @@
 
 from tests.dispatch import fakes
 from tests.dispatch import test_dispatcher
+from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
@@ -339,3 +342,137 @@
         harness = self.make(guarded=True)
         harness.advance(fakes.TIMING.contact + MS)
         assert len(harness.place()) == 1
+
+
+class TestOverCapacity:
+    """A worker's capacity has shrunk below what its tasks use."""
+
+    def make_full(self):
+        harness = Harness("a")
+        step = fakes.step(10, estimate=60 * SECOND)
+        harness.submit(fakes.job("0" * 16, step))
+        harness.step()
+        harness.resize("a", 4000)
+        return harness
+
+    def test_running_tasks_stay(self):
+        """Guards against lost work when a capacity shrinks for a while."""
+        harness = self.make_full()
+        harness.run_steps(5)
+        assert len(harness.workers["a"].running) == 10
+
+    @pytest.mark.parametrize(
+        "step",
+        (
+            fakes.step(),
+            cores(1, filler=True),
+            cores(1, long_running=True),
+            cores(0),
+        ),
+    )
+    def test_nothing_is_started_until_it_fits(self, step):
+        """Guards against any start on a worker over its capacity."""
+        harness = self.make_full()
+        harness.submit(fakes.job("1" * 16, step))
+        harness.run_steps(20)
+        assert not harness.started("1" * 16)
+        fake = harness.workers["a"]
+        for task in list(fake.running)[:9]:
+            fake.end(task, model.EndKind.DONE)
+        harness.run_steps(2)
+        assert harness.started("1" * 16) == ["a"]
+
+    def test_capacity_that_grows_again(self):
+        """Guards against a waiting task that does not see the growth."""
+        harness = self.make_full()
+        harness.submit(fakes.job("1" * 16))
+        harness.run_steps(5)
+        assert not harness.started("1" * 16)
+        harness.resize("a", 16_000)
+        harness.step()
+        assert harness.started("1" * 16) == ["a"]
+
+    def test_no_capacity_at_all(self):
+        """Guards against errors with an entry that offers no processors."""
+        harness = self.make_full()
+        harness.set_entry("a", capacity=resources.NOTHING)
+        harness.submit(fakes.job("1" * 16))
+        harness.submit(fakes.job("2" * 16, cores(1, filler=True)))
+        harness.run_steps(15)
+        assert len(harness.workers["a"].running) == 10
+        harness.resize("a", 16_000)
+        harness.run_steps(2)
+        assert len(harness.workers["a"].running) == 12
+
+    def test_new_leader(self):
+        """Guards against a leader that forgets what its predecessor started.
+
+        It finds tasks that use more than the worker's present capacity.
+        """
+        harness = self.make_full()
+        harness.take_over()
+        harness.resize("a", 4000)
+        harness.renew_leases("a")
+        harness.submit(fakes.job("1" * 16))
+        harness.run_steps(5)
+        assert len(harness.workers["a"].running) == 10
+
+    def test_operators_see_it(self, monkeypatch):
+        """Guards against a worker over its capacity that is not noticed."""
+        rows = []
+        monkeypatch.setattr(
+            dispatchers.logs,
+            "emit",
+            lambda event, **fields: rows.append((event, fields)),
+        )
+        harness = self.make_full()
+        harness.resize("a", 4000)
+        harness.resize("a", 3000)
+        harness.resize("a", 16_000)
+        below = events.DispatchEvent.CAPACITY_BELOW_USE
+        logged = [fields for event, fields in rows if event is below]
+        assert [fields["capacity"] for fields in logged] == [
+            "4000m/64000MiB",
+            "3000m/64000MiB",
+        ]
+        assert logged[0]["used"] == "10000m/10000MiB"
+        assert logged[0]["runs"] == 10
+
+
+class TestLateStart:
+    """A worker executes a start after the leader stopped waiting for it."""
+
+    def test_room_is_kept_until_the_outcome_is_certain(self):
+        """Guards against giving away the room of a start that may be late."""
+        harness = Harness("a")
+        harness.submit(fakes.job("0" * 16, cores(16)))
+        (start,) = harness.place()
+        worker = harness.dispatcher.workers["a"]
+        late = harness.order(worker, start)
+        harness.dispatcher.settlement.apply_start_outcome(
+            worker, start.run, orders.Unknown(detail="late"), harness.now
+        )
+        harness.submit(fakes.job("1" * 16, cores(16)))
+        harness.workers["a"].cut_off = True
+        for _ in range(50):
+            harness.advance(200 * MS)
+            harness.step()
+        assert worker.used.millicores == 16_000
+        harness.workers["a"].cut_off = False
+        assert isinstance(harness.workers["a"].start(late), orders.Refused)
+
+
+class TestUnguardedWorker:
+    """A worker that does not enforce its capacity."""
+
+    def test_demand_of_all_phases_counts(self):
+        """Guards against not counting runs that are being stopped."""
+        harness = Harness("a")
+        spec = fakes.job("0" * 16, cores(16))
+        harness.submit(spec)
+        harness.step()
+        harness.dispatcher.cancel(spec.job, harness.now)
+        harness.submit(fakes.job("1" * 16, cores(16)))
+        assert not harness.place()
+        (run,) = harness.dispatcher.workers["a"].runs.values()
+        assert run.phase is fleet.RunPhase.STOPPING
