Test a shrinking capacity with real processes

The stand-in's workers have a capacity that a test can change, and compare the use after each start with the largest capacity of the contact time and one heartbeat before it. In the new scenario callers submit 55 jobs while both workers shrink twice and grow again; no start exceeds the capacity and all jobs complete. With the capacity in the entries ignored, the scenario fails.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -46,3 +46,10 @@
     And the caller cancels it once it runs
     Then nothing of it runs after 3 s
     And its state is "canceled"
+
+  Scenario: The capacity of workers that enforce no limits shrinks and grows
+    Given a platform with 2 workers that start whatever they are told and 2 entry processes
+    When callers submit jobs while all workers shrink to 3 cores and grow
+    Then all jobs complete
+    And no start exceeded a worker's capacity
+    And tasks started on workers that were full
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -33,6 +33,22 @@
     run(context, context.platform.start())
 
 
+@behave.given(
+    "a platform with {workers:d} workers that start whatever they are told"
+    " and {entries:d} entry processes"
+)
+def step_unguarded_platform(context, workers, entries):
+    context.runner = asyncio.Runner()
+    context.platform = batch_platform.BatchPlatform(
+        folder=context.folder,
+        workers=workers,
+        entries=entries,
+        enforce_limits=False,
+    )
+    context.jobs = []
+    run(context, context.platform.start())
+
+
 @behave.when("callers submit {count:d} jobs at all entry processes")
 def step_submit(context, count):
     async def submit():
@@ -47,6 +63,42 @@
     run(context, submit())
 
 
+@behave.when(
+    "callers submit jobs while all workers shrink to {cores:d} cores and grow"
+)
+def step_shrink(context, cores):
+    platform = context.platform
+    sizes = {3: cores, 24: 16, 31: 2 * cores, 50: 16}
+
+    async def submit():
+        for number in range(55):
+            for worker in platform.workers:
+                if number in sizes:
+                    platform.resize(worker, sizes[number] * 1000)
+            job = f"{number:016x}"
+            entry = platform.entries[number % len(platform.entries)]
+            answer = await platform.submit(entry, job, tasks=12, seconds=0.5)
+            assert answer.status == 200, answer
+            context.jobs.append(job)
+            await asyncio.sleep(0.25)
+
+    run(context, submit())
+
+
+@behave.then("no start exceeded a worker's capacity")
+def step_within_capacity(context):
+    for worker in context.platform.workers:
+        assert not worker.excesses, worker.excesses
+
+
+@behave.then("tasks started on workers that were full")
+def step_were_full(context):
+    for worker in context.platform.workers:
+        (_, (shrunk_at, small), (grown_at, _), *_) = worker.capacities
+        uses = [used for at, used in worker.uses if shrunk_at < at < grown_at]
+        assert small in uses, uses
+
+
 @behave.when("the leader is killed")
 def step_kill(context):
     context.platform.kill(context.platform.leader())
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -38,6 +38,10 @@
 REASON_NAMES = {reason: name for name, reason in worker_calls.REFUSALS.items()}
 START_TIMEOUT_S = 10.0
 TICK_INTERVAL_S = 0.02
+MILLICORES = 16_000
+# Time after which a capacity that has shrunk binds: the contact time of the
+# settings below and one heartbeat of a worker.
+CAPACITY_GRACE_S = 4.0
 
 SETTINGS = """\
 node-name = "{node}"
@@ -68,7 +72,13 @@
     """Serves a simulated worker over HTTP.
 
     Each task runs for the number of seconds given as ``s`` in its
-    specification.
+    specification, and uses ``cpu`` millicores, or none. The worker starts what
+    it is told.
+
+    :ivar capacities: each millicores of the worker, and its time in seconds.
+    :ivar uses: time of each start, and the millicores in use after it.
+    :ivar excesses: starts beyond the capacity: the task, the millicores in use
+        and the largest capacity that may count.
     """
 
     def __init__(self, *, name: str, zone: str):
@@ -77,6 +87,10 @@
         self.state = batch_worker.BatchWorker()
         self.ends_at: dict[model.TaskKey, float] = {}
         self.started_at: list[tuple[model.TaskKey, float]] = []
+        self.demands: dict[model.TaskKey, int] = {}
+        self.capacities = [(0.0, MILLICORES)]
+        self.uses: list[tuple[float, int]] = []
+        self.excesses: list[tuple[model.TaskKey, int, int]] = []
         self.server = server.Server(handler=self.handle)
         self.changed = asyncio.Event()
         self.port = 0
@@ -97,7 +111,11 @@
                 "state": "ready",
                 "cold-remaining-ms": 0,
                 "born": self.state.incarnation,
-                "free-capacity": {"cpu": 16000, "mem-mb": 64000, "gpu": 0},
+                "free-capacity": {
+                    "cpu": self.capacities[-1][1],
+                    "mem-mb": 64000,
+                    "gpu": 0,
+                },
                 "labels": ["a", "r1-1"],
                 "clock-ms": self.state.clock // MS,
                 "sequence": 1,
@@ -153,9 +171,24 @@
         now = asyncio.get_running_loop().time()
         if isinstance(outcome, orders.Accepted) and task not in self.ends_at:
             self.started_at.append((task, now))
-            self.ends_at[task] = now + json.loads(document["spec"])["s"]
+            spec = json.loads(document["spec"])
+            self.ends_at[task] = now + spec["s"]
+            self.demands[task] = spec.get("cpu", 0)
+            self._check_use(task, now)
         return outcome
 
+    def _check_use(self, task: model.TaskKey, now: float) -> None:
+        used = sum(self.demands[running] for running in self.state.running)
+        self.uses.append((now, used))
+        ends = [since for since, _ in self.capacities[1:]] + [now]
+        allowed = max(
+            millicores
+            for (_, millicores), end in zip(self.capacities, ends, strict=True)
+            if end >= now - CAPACITY_GRACE_S
+        )
+        if used > allowed:
+            self.excesses.append((task, used, allowed))
+
     async def _hold(self, exchange: server.Exchange, document: dict) -> None:
         until = document.get("deadline-ms")
         order = orders.Renewal(
@@ -358,7 +391,15 @@
 class BatchPlatform:
     """The simulated store and workers, and several entry host processes."""
 
-    def __init__(self, *, folder: pathlib.Path, workers: int, entries: int):
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        workers: int,
+        entries: int,
+        enforce_limits: bool = True,
+    ):
+        self.enforce_limits = enforce_limits
         self.store = StoreHost()
         self.workers = [
             WorkerHost(name=f"i-{n}", zone=ZONES[n % len(ZONES)])
@@ -423,11 +464,19 @@
                     "slack-factor": 1.5,
                 }
             ],
-            "services": [{"name": "bells", "enforce-limits": True}],
+            "services": [
+                {"name": "bells", "enforce-limits": self.enforce_limits}
+            ],
             "limits": {"max-body-bytes": 262144},
         }
         self.store.storage.put("op/config", json.dumps(document).encode())
 
+    def resize(self, worker: WorkerHost, millicores: int) -> None:
+        """Change a worker's capacity, and write its registry entry."""
+        now = asyncio.get_running_loop().time()
+        worker.capacities.append((now, millicores))
+        self.store.storage.put(f"servers/{worker.name}", worker.entry())
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
@@ -468,13 +517,14 @@
         self, entry: Entry, job: str, *, tasks: int = 3, seconds: float = 0.3
     ) -> calls.Answer:
         """Submit a job whose second step waits for its first step."""
-        task = {"cpu": 1000, "mem-mb": 500, "estimate-ms": 300}
+        millicores = 1000
+        task = {"cpu": millicores, "mem-mb": 500, "estimate-ms": 300}
         return await self.call(
             entry,
             "POST",
             job,
             {
-                "spec": json.dumps({"s": seconds}),
+                "spec": json.dumps({"s": seconds, "cpu": millicores}),
                 "steps": [
                     {"count": tasks, **task},
                     {"count": 1, "after": [0], **task},
