Leave time for a start to arrive before its entry is too old

A start could reach a worker up to 0.8 s, the time-out of an order, after the contact time since the registry had last been read.

Cause: the age of the entries was compared with the whole contact time.

Entries count as current for 0.7 of the contact time, and a registry watch waits for a quarter of it at most.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -29,6 +29,10 @@
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 
+# Age of the registry entries, as a share of the contact time, up to which they
+# count as current. An order by such an entry has to arrive within that time.
+ENTRY_AGE_SHARE_MAX = 0.7
+
 
 class Dispatcher:
     """Jobs, workers and assignments as the current leader knows them."""
@@ -232,7 +236,7 @@
         confirmed_at = self.registry_confirmed_at
         outdated = (
             confirmed_at is not None
-            and now - confirmed_at > self.timing.contact
+            and now - confirmed_at > self.timing.contact * ENTRY_AGE_SHARE_MAX
         )
         if not outdated and not self.registry_outdated:
             return
--- a/src/turmerichook/_internal/dispatch/feeds.py
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -25,9 +25,9 @@
 from turmerichook import exceptions
 
 
-# Number of registry reads that begin within the longest age of an entry. The
-# entries are up to date as of the last but one request, and a call takes time.
-REGISTRY_READS = 3
+# Number of registry reads that begin within the contact time. The entries are
+# up to date as of the last but one request, and a call takes time.
+REGISTRY_READS = 4
 
 
 class RegistryFormat(typing.Protocol):
