Check the age of the registry entries when a start is sent

A process that was suspended between the commit and the call sent its starts by entries that had become too old in the meantime.

Cause: only the leader's authority was checked again when a start was sent.

The age of the entries is checked there too. The test test_no_start_is_sent_by_entries_that_are_too_old failed before and passes now, as do all of tests/dispatch.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -227,7 +227,7 @@
         """Record that all entries are up to date as of our time ``at``."""
         self.registry_confirmed_at = at
 
-    def _check_registry_age(self, now: datetime.timedelta) -> None:
+    def check_registry_age(self, now: datetime.timedelta) -> None:
         """Mark the entries that are too old for placement.
 
         A worker that does not enforce its capacity starts what it is told,
@@ -277,7 +277,7 @@
             commit has made durable yet.
         :returns: the number of tasks assigned.
         """
-        self._check_registry_age(now)
+        self.check_registry_age(now)
         unreleased = self.run_tracker.unreleased
         return self.waiting.place(
             workers=self.workers.values(),
@@ -356,7 +356,7 @@
         self, saves: list[jobs.JobSnapshot], now: datetime.timedelta
     ) -> list[decisions.StartOrder]:
         """Record durable snapshots; return the starts that they release."""
-        self._check_registry_age(now)
+        self.check_registry_age(now)
         return self.saves.apply_committed(saves, self.closed_zones, now)
 
     def add_final(
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -191,10 +191,18 @@
         )
 
     async def start(self, order: decisions.StartOrder) -> None:
-        """Send a start, unless the leader has no authority for it now."""
+        """Send a start, unless the leader must not rely on its state now.
+
+        The process may have been suspended since the commit.
+        """
         worker, run = self.worker, order.run
         now = self.clock.uptime()
-        if worker.clock is None or not self.term.has_authority():
+        self.dispatcher.check_registry_age(now)
+        if (
+            worker.clock is None
+            or worker.entry_outdated
+            or not self.term.has_authority()
+        ):
             # Nothing is sent. The assignment is in the store, so a successor
             # reads it.
             outcome: orders.Outcome = orders.Refused(
--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -1,6 +1,7 @@
 """Tests of the leader's session with one worker."""
 
 import asyncio
+import dataclasses
 import datetime
 
 from tests.dispatch import fakes
@@ -315,6 +316,34 @@
 
         assert asyncio.run(scenario()) == (2, [])
 
+    def test_no_start_is_sent_by_entries_that_are_too_old(self):
+        """Guards against a capacity that has shrunk during the pause.
+
+        The lease may last longer than the entries are relied on.
+        """
+
+        async def scenario():
+            fixture = SessionFixture(SkippingClock())
+            service = dataclasses.replace(
+                fakes.CONFIGURATION.services[0], guarded=False
+            )
+            fixture.dispatcher.configure(
+                dataclasses.replace(fakes.CONFIGURATION, services=(service,))
+            )
+            await fixture.session._renew()
+            now = fixture.clock.uptime()
+            fixture.dispatcher.confirm_registry(now - fakes.SECOND)
+            fixture.dispatcher.place(now, now, 10)
+            saves = fixture.dispatcher.next_saves(10)
+            releases = fixture.dispatcher.committed(saves, now)
+            await fixture.clock.sleep(1.5 * fakes.SECOND)
+            assert fixture.session.term.has_authority()
+            for order in releases:
+                await fixture.session.start(order)
+            return len(releases), fixture.worker.starts
+
+        assert asyncio.run(scenario()) == (2, [])
+
     def test_no_lease_is_granted_long_after_the_last_confirmation(self):
         """Guards against leases that a successor takes for ended.
 
