--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -127,6 +127,19 @@
         harness.set_entry("a", **fields)
         assert not harness.commit(saves)
 
+    def test_queue_that_moves_to_another_service(self):
+        """Guards against a start on a service that the queue has left."""
+        harness = Harness("a")
+        harness.submit(fakes.job("0" * 16))
+        saves = harness.begin(100, 100)
+        queue = dataclasses.replace(
+            fakes.QUEUE, service=ids.ServiceId("other")
+        )
+        harness.dispatcher.configure(
+            dataclasses.replace(fakes.CONFIGURATION, queues=(queue,))
+        )
+        assert not harness.commit(saves)
+
 
 class TestUnassignedRuns:
     """A worker has runs that the leader has not assigned."""
