--- a/features/platform.feature
+++ b/features/platform.feature
@@ -53,3 +53,10 @@
     And a worker falls silent for good and the leader is restarted
     Then the tasks of that worker run elsewhere within 9 s
     And each other task was started once
+
+  Scenario: The capacity of workers that enforce no limits shrinks and grows
+    Given a platform with 2 workers that start whatever they are told and 2 entry processes
+    When callers submit jobs while all workers shrink to 3 cores and grow
+    Then all jobs complete
+    And no start exceeded a worker's capacity
+    And tasks started on workers that were full
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -123,6 +123,13 @@
         summary="a worker's registry entry is new or has changed",
         limit=200,
     )
+    CAPACITY_BELOW_USE = events.Event(
+        number=7029,
+        level=events.Level.WARNING,
+        summary="a worker's capacity is less than its tasks use; it gets no"
+        " task until it is enough",
+        limit=200,
+    )
     WORKER_UNLISTED = events.Event(
         number=7031,
         level=events.Level.WARNING,
@@ -164,6 +171,19 @@
         level=events.Level.WARNING,
         summary="a registry entry is not a valid worker entry",
     )
+    REGISTRY_OUTDATED = events.Event(
+        number=7038,
+        level=events.Level.WARNING,
+        summary="the registry was last read too long ago; nothing is placed"
+        " on workers that do not enforce their capacity",
+        limit=50,
+    )
+    REGISTRY_CURRENT = events.Event(
+        number=7039,
+        level=events.Level.INFO,
+        summary="the registry has been read again",
+        limit=50,
+    )
     COMMIT_RETRIED = events.Event(
         number=7040,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -50,6 +50,8 @@
 class Run:
     """One run of a task on a worker.
 
+    :param demand_known: whether ``step`` states what the run takes of the
+        worker's capacity; False for a run of a job that the leader lacks.
     :param last_outcome_number: sequence number of the last order's outcome. A
         report that was requested later shows for certain whether the run
         exists.
@@ -74,6 +76,7 @@
     run: ids.Attempt
     step: model.Step
     phase: RunPhase
+    demand_known: bool = True
     last_outcome_number: int = 0
     fenced: bool = False
     should_run: bool = True
@@ -127,6 +130,8 @@
 
     entry = VersionedAttribute()
     listed = VersionedAttribute()
+    entry_unconfirmed = VersionedAttribute()
+    incarnation = VersionedAttribute()
     reachable = VersionedAttribute()
     report_received = VersionedAttribute()
     suspended_until = VersionedAttribute()
@@ -141,6 +146,9 @@
         self.version = 0
         self.worker = worker
         self.entry = entry
+        # Whether the worker does not enforce its capacity, and its entry was
+        # read too long ago to rely on.
+        self.entry_unconfirmed = False
         # Whether the registry lists the worker.
         self.listed = entry is not None
         self.reachable = True
@@ -149,6 +157,8 @@
         self.used = resources.NOTHING
         # The part of it that long-running tasks use.
         self.long_running_use = resources.NOTHING
+        # Number of runs that are not included in ``used``.
+        self.unknown_demands = 0
         # Millicores that the filler tasks on the worker request.
         self.filler_millicores = 0
         self.incarnation = entry.incarnation if entry else 0
@@ -183,6 +193,17 @@
         """Highest end number up to which all ends are durable."""
         return min(self.unsaved) - 1 if self.unsaved else self.last_end_number
 
+    @property
+    def entry_outdated(self) -> bool:
+        """Whether the worker may differ from its registry entry.
+
+        Another incarnation may be another kind of worker. Incarnation 0 is
+        one that was not reported.
+        """
+        if self.entry_unconfirmed:
+            return True
+        return 0 != self.entry.incarnation != self.incarnation
+
     @property
     def suspected(self) -> bool:
         """Whether tasks of several jobs failed and none succeeded since."""
@@ -193,6 +214,7 @@
         self.runs[run.task] = run
         self.version += 1
         self.reserve(run.step)
+        self.unknown_demands += not run.demand_known
         if self.suspected:
             # This run tests whether the worker has recovered; until it has
             # had time to end, the worker gets no other task.
@@ -206,6 +228,7 @@
             return None
         self.version += 1
         self.release(run.step)
+        self.unknown_demands -= not run.demand_known
         return run
 
     def serving(self) -> collections.abc.Iterator[Run]:
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -16,6 +16,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 
 # Step of a run whose job the leader does not hold, so that its demand is
 # unknown.
@@ -135,8 +136,7 @@
         job = self.jobs.get(run.task.job)
         if job is None:
             return
-        record = job.progress.tasks.get(run.task)
-        if record is not None and record.run == run.run:
+        if is_current(job, worker, run):
             self.return_task(
                 job,
                 run.task,
@@ -192,7 +192,10 @@
         number: ids.Attempt,
         step: model.Step,
     ) -> fleet.Run:
-        """Add a run that a former leader may have started."""
+        """Add a run that a former leader may have started.
+
+        :param step: step of the task; ``STRAY_STEP`` if it is unknown.
+        """
         worker = self.workers.get(worker_id)
         if worker is None:
             worker = fleet.Worker(worker=worker_id, entry=None)
@@ -204,12 +207,26 @@
             run=number,
             step=step,
             phase=fleet.RunPhase.UNCERTAIN,
+            demand_known=step is not STRAY_STEP,
             fenced=True,
         )
         worker.add(run)
         return run
 
 
+def is_current(
+    job: jobs.Job, worker: fleet.Worker, run: fleet.Run | orders.EndRow
+) -> bool:
+    """Return whether a run is the one that its task is assigned to."""
+    record = job.progress.tasks.get(run.task)
+    return (
+        record is not None
+        and record.phase is progresses.Phase.ASSIGNED
+        and record.worker == worker.worker
+        and record.run == run.run
+    )
+
+
 def log_run(
     event: events.DispatchEvent,
     worker: fleet.Worker,
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -4,6 +4,7 @@
 of either.
 """
 
+import dataclasses
 import datetime
 
 from turmerichook._internal.dispatch import events
@@ -17,6 +18,15 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.workflow import model
 
+# Phases in which a worker may list a run that is not being stopped.
+_STARTED_PHASES = frozenset(
+    (
+        fleet.RunPhase.STARTING,
+        fleet.RunPhase.UNCERTAIN,
+        fleet.RunPhase.RUNNING,
+    )
+)
+
 
 class Settlement:
     """Determines the state of each run from the answers of its worker."""
@@ -82,17 +92,10 @@
     ) -> None:
         run = worker.runs.get(row.task)
         if run is None or run.run != row.run:
-            stray = fleet.Run(
-                task=row.task,
-                run=row.run,
-                step=run_trackers.STRAY_STEP,
-                phase=fleet.RunPhase.STOPPING,
-            )
             if run is None:
-                worker.add(stray)
-                self.run_tracker.stop(worker, stray, now, "not-assigned")
+                self._stop_stray(worker, row, now)
             return
-        if run.phase in (fleet.RunPhase.STARTING, fleet.RunPhase.UNCERTAIN):
+        if run.phase in _STARTED_PHASES:
             if run.should_run:
                 run.phase = fleet.RunPhase.RUNNING
             else:
@@ -111,6 +114,32 @@
             if record is not None and record.run == row.run:
                 record.checkpoint = row.checkpoint
 
+    def _stop_stray(
+        self,
+        worker: fleet.Worker,
+        row: orders.RunningRow,
+        now: datetime.timedelta,
+    ) -> None:
+        """Stop a run that is not assigned to its worker.
+
+        The run takes its demand of the worker's capacity until it has ended.
+        """
+        step = run_trackers.STRAY_STEP
+        job = self.run_tracker.jobs.get(row.task.job)
+        known = job is not None and row.task.step < len(job.spec.steps)
+        if known:
+            committed = job.spec.steps[row.task.step].committed
+            step = dataclasses.replace(step, demand=committed)
+        stray = fleet.Run(
+            task=row.task,
+            run=row.run,
+            step=step,
+            phase=fleet.RunPhase.STOPPING,
+            demand_known=known,
+        )
+        worker.add(stray)
+        self.run_tracker.stop(worker, stray, now, "not-assigned")
+
     def _handle_unreported_run(
         self,
         worker: fleet.Worker,
@@ -163,6 +192,9 @@
             )
         if job is None:
             return
+        finished = _finishes(job, end)
+        if not finished and not run_trackers.is_current(job, worker, end):
+            return
         worker.unsaved.add(end.number)
         job.unsaved_ends.append(
             jobs.End(worker.worker, worker.incarnation, end.number)
@@ -170,7 +202,7 @@
         job.begun = True
         self.run_tracker.note_change(job.spec.job, now)
         step = job.spec.steps[end.task.step]
-        if end.kind is model.EndKind.DONE and not step.long_running:
+        if finished:
             if step.gang:
                 self._finish_gang(job, end.task, now)
             else:
@@ -186,15 +218,17 @@
     def _finish_gang(
         self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
     ) -> None:
-        # The end of one member is the end of the whole gang.
+        # The end of one member is the end of the whole gang. The other
+        # members use their workers' capacity until these report their ends.
         ready: list[model.TaskKey] = []
         for index in range(job.spec.steps[task.step].count):
             member = task._replace(index=index)
             record = job.progress.tasks.get(member)
             if record is not None and record.worker:
                 member_worker = self.run_tracker.workers.get(record.worker)
-                if member_worker is not None:
-                    member_worker.remove(member)
+                run = member_worker.runs.get(member) if member_worker else None
+                if run is not None:
+                    run.should_run = False
             self.run_tracker.waiting.remove(member)
             ready += job.progress.finish(member)
         self.run_tracker.enqueue_next(job, ready, now)
@@ -308,3 +342,13 @@
                 self.run_tracker.drop_run(
                     worker, run, "incarnation-ended", now
                 )
+
+
+def _finishes(job: jobs.Job, end: orders.EndRow) -> bool:
+    """Return whether a task is done with this end of one of its runs."""
+    steps = job.spec.steps
+    return (
+        end.kind is model.EndKind.DONE
+        and end.task.step < len(steps)
+        and not steps[end.task.step].long_running
+    )
