Add failing tests of tasks that crash their workers

The stand-ins' workers can crash at the start of a task, and return after some time as a new incarnation. A scenario with real processes kills the leader too.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -46,3 +46,12 @@
     And the caller cancels it once it runs
     Then nothing of it runs after 3 s
     And its state is "canceled"
+
+  Scenario: A task crashes each worker that starts it
+    Given a platform with 6 workers and 3 entry processes
+    When a caller submits a job whose task crashes its workers
+    And callers submit 6 jobs at all entry processes
+    And the leader is killed once a worker has crashed
+    Then the job of that task is shown as failed, as it crashed workers
+    And all jobs complete
+    And the workers counted at most 5 starts of that task
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -38,6 +38,8 @@
 REASON_NAMES = {reason: name for name, reason in worker_calls.REFUSALS.items()}
 START_TIMEOUT_S = 10.0
 TICK_INTERVAL_S = 0.02
+# Time for which a worker that has crashed is away.
+DOWN_TIME_S = 1.5
 
 SETTINGS = """\
 node-name = "{node}"
@@ -68,7 +70,11 @@
     """Serves a simulated worker over HTTP.
 
     Each task runs for the number of seconds given as ``s`` in its
-    specification.
+    specification. A task with ``crash`` in its specification crashes the
+    worker when it starts. The worker is back after ``DOWN_TIME_S`` as a new
+    incarnation; until then it breaks off each call.
+
+    :ivar back_at: when a crashed worker is back; None if it is up.
     """
 
     def __init__(self, *, name: str, zone: str):
@@ -80,6 +86,7 @@
         self.server = server.Server(handler=self.handle)
         self.changed = asyncio.Event()
         self.port = 0
+        self.back_at: float | None = None
 
     async def start(self) -> None:
         """Start listening on a free loopback port."""
@@ -104,6 +111,21 @@
             }
         ).encode()
 
+    def crash(self) -> None:
+        """Lose all runs, and answer no call for ``DOWN_TIME_S``."""
+        self.state.restart()
+        self.ends_at.clear()
+        self.back_at = asyncio.get_running_loop().time() + DOWN_TIME_S
+
+    def has_returned(self) -> bool:
+        """Return whether a crashed worker has just become available again."""
+        if self.back_at is None:
+            return False
+        if asyncio.get_running_loop().time() < self.back_at:
+            return False
+        self.back_at = None
+        return True
+
     def tick(self, span: datetime.timedelta) -> None:
         """Advance the worker's clock, then expire leases and end due tasks."""
         self.state.clock += span
@@ -118,9 +140,16 @@
     async def handle(self, exchange: server.Exchange) -> None:
         """Handle one HTTP request."""
         document = json.loads(await exchange.read_all() or b"{}")
+        if self.back_at is not None:
+            exchange.connection.wire.abort()
+            return
         match exchange.head.path:
             case "/v1/run-start":
-                await self._answer(exchange, self._start(document))
+                outcome = self._start(document)
+                if self.back_at is None:
+                    await self._answer(exchange, outcome)
+                else:
+                    exchange.connection.wire.abort()
             case "/v1/run-stop":
                 await self._answer(
                     exchange,
@@ -153,7 +182,10 @@
         now = asyncio.get_running_loop().time()
         if isinstance(outcome, orders.Accepted) and task not in self.ends_at:
             self.started_at.append((task, now))
-            self.ends_at[task] = now + json.loads(document["spec"])["s"]
+            spec = json.loads(document["spec"])
+            self.ends_at[task] = now + spec["s"]
+            if spec.get("crash"):
+                self.crash()
         return outcome
 
     async def _hold(self, exchange: server.Exchange, document: dict) -> None:
@@ -170,6 +202,9 @@
                 await clocks.SystemClock().wait_event(
                     self.changed, document["wait-ms"] * MS
                 )
+                if self.back_at is not None:
+                    exchange.connection.wire.abort()
+                    return
                 report = self.state.renew(order)
         except exceptions.StaleTokenError:
             await exchange.respond_json(
@@ -433,6 +468,10 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             for worker in self.workers:
                 worker.tick(TICK_INTERVAL_S * SECOND)
+                if worker.has_returned():
+                    self.store.storage.put(
+                        f"servers/{worker.name}", worker.entry()
+                    )
 
     async def until(self, condition, timeout: float = START_TIMEOUT_S) -> None:
         """Poll a condition until it holds.
@@ -465,16 +504,25 @@
             pool.close()
 
     async def submit(
-        self, entry: Entry, job: str, *, tasks: int = 3, seconds: float = 0.3
+        self,
+        entry: Entry,
+        job: str,
+        *,
+        tasks: int = 3,
+        seconds: float = 0.3,
+        crash: bool = False,
     ) -> calls.Answer:
-        """Submit a job whose second step waits for its first step."""
+        """Submit a job whose second step waits for its first step.
+
+        :param crash: whether its tasks crash the workers that start them.
+        """
         task = {"cpu": 1000, "mem-mb": 500, "estimate-ms": 300}
         return await self.call(
             entry,
             "POST",
             job,
             {
-                "spec": json.dumps({"s": seconds}),
+                "spec": json.dumps({"s": seconds, "crash": crash}),
                 "steps": [
                     {"count": tasks, **task},
                     {"count": 1, "after": [0], **task},
