Give up a task that crashes the workers that start it

Cause: a run lost with its worker returned to the queue without a trace. Only ends that a worker reports as failed counted, and a crashed worker reports nothing.

Change: the stored progress of a task has the incarnation of its worker and the number of workers that crashed under it. dispatch/crashes.py decides which tasks of a lost worker are suspected; they start alone, and no other task is placed on their worker until they have run on for 2 s or have ended. A task is given up after two crashes, if it was the only suspect at the last one, and after three in any case. Losses of many workers at once and planned stops count for nobody that had begun to run. Progress that earlier versions stored is read. A query of a failed job's state answers the reason too.

--- /dev/null
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -0,0 +1,170 @@
+"""Crashes of workers, and the tasks that they may be due to.
+
+A task that crashes its worker is not reported by anything: the worker loses
+its runs and returns as another incarnation, or not at all. Of a crashed
+worker's tasks, those that had just started are suspected. A suspected task is
+started again alone, so that the next crash tells whether it was the cause. It
+is cleared once it has run on for some time or has ended by itself.
+"""
+
+import collections
+import collections.abc
+import datetime
+
+from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.models import deployment
+from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import model
+
+# A task is suspected if its worker crashed within this time of the start, and
+# is cleared once reports have listed it for this time.
+SUSPECT_TIME = datetime.timedelta(seconds=2)
+# Workers whose last answers are no further apart are lost at the same time.
+SAME_TIME = datetime.timedelta(seconds=1)
+# Lost workers from which on a loss at the same time has another cause than a
+# task, such as a loss of power, and the share of the busy workers that this
+# takes.
+MANY_WORKERS = 3
+MANY_SHARE = 0.1
+# Time for which losses are kept to be compared with later ones, which takes
+# until all leases of a worker have ended.
+LOSSES_KEPT = datetime.timedelta(seconds=30)
+# Crashes from which on a task is given up, if it was alone at the last one.
+ISOLATED_CRASHES_MAX = 2
+# Crashes from which on a task is given up in any case. The platform allows two
+# starts after the third crash; both are left for crashes that were not counted
+# and for starts that a former leader may have sent.
+CRASHES_MAX = 3
+# Ends of a run that show that the task did not crash its worker.
+OWN_ENDS = (model.EndKind.DONE, model.EndKind.FAILED)
+
+
+class Losses:
+    """Lost workers, and the suspicion that follows from a loss."""
+
+    def __init__(
+        self,
+        *,
+        workers: collections.abc.Mapping[ids.WorkerId, fleet.Worker],
+    ):
+        self.workers = workers
+        # Worker, our time of its last answer, and our time of the notice.
+        self.losses: collections.deque[
+            tuple[ids.WorkerId, datetime.timedelta, datetime.timedelta]
+        ] = collections.deque()
+
+    def note_restart(
+        self,
+        worker: fleet.Worker,
+        incarnation: int,
+        now: datetime.timedelta,
+    ) -> None:
+        """Mark the runs that may have ended the worker's last incarnation."""
+        ended = [
+            run
+            for run in worker.runs.values()
+            if run.incarnation and run.incarnation < incarnation
+        ]
+        if ended or worker.incarnation:
+            self._note(worker, ended, now)
+
+    def note_loss(self, worker: fleet.Worker, now: datetime.timedelta) -> None:
+        """Mark the runs that may have crashed a worker that is gone."""
+        self._note(worker, list(worker.runs.values()), now)
+
+    def _note(
+        self,
+        worker: fleet.Worker,
+        runs: list[fleet.Run],
+        now: datetime.timedelta,
+    ) -> None:
+        entry = worker.entry
+        if entry is not None and (
+            entry.state is deployment.WorkerState.DRAINING
+        ):
+            return
+        # A leader that has not heard of the worker yet only knows that the
+        # worker is lost by now.
+        last_answer = worker.clock_read_at or now
+        while self.losses and now - self.losses[0][2] > LOSSES_KEPT:
+            self.losses.popleft()
+        self.losses.append((worker.worker, last_answer, now))
+        many = self._many_at(last_answer)
+        suspects = _suspects(worker, runs, last_answer)
+        for run in suspects:
+            if many:
+                # A task that a report has listed did not crash its worker at
+                # the start, so that the other cause is more likely.
+                if run.sent_at is not None and not run.begun:
+                    run.crash = fleet.Crash.MANY
+            elif run.isolated and len(suspects) == 1:
+                run.crash = fleet.Crash.ISOLATED
+            else:
+                run.crash = fleet.Crash.SHARED
+
+    def _many_at(self, time: datetime.timedelta) -> bool:
+        """Return whether many workers were lost at about the same time."""
+        lost = {
+            worker
+            for worker, last_answer, _ in self.losses
+            if abs(last_answer - time) <= SAME_TIME
+        }
+        lost.update(
+            worker.worker
+            for worker in self.workers.values()
+            if not (worker.reachable and worker.listed)
+            and abs(worker.clock_read_at - time) <= SAME_TIME
+        )
+        # An idle worker is not renewed, so that its loss is noticed later.
+        observed = lost.union(
+            worker.worker for worker in self.workers.values() if worker.runs
+        )
+        return len(lost) >= MANY_WORKERS and (
+            len(lost) > MANY_SHARE * len(observed)
+        )
+
+
+def _suspects(
+    worker: fleet.Worker,
+    runs: list[fleet.Run],
+    last_answer: datetime.timedelta,
+) -> list[fleet.Run]:
+    """Return the runs that may have crashed their worker."""
+    recent = []
+    for run in runs:
+        if run.phase is fleet.RunPhase.ASSIGNED:
+            continue
+        if run.task == worker.probation:
+            # The other runs had proved to run on, or were sent no start.
+            return [run]
+        began = run.listed_at if run.sent_at is None else run.sent_at
+        if not run.begun or last_answer - began < SUSPECT_TIME:
+            recent.append(run)
+    return recent
+
+
+def must_give_up(count: int, crash: fleet.Crash) -> bool:
+    """Return whether a task must not be started again.
+
+    :param count: number of crashes of workers under the task.
+    :param crash: how the last one counts.
+    """
+    if crash is fleet.Crash.ISOLATED and count >= ISOLATED_CRASHES_MAX:
+        return True
+    return count >= CRASHES_MAX
+
+
+def isolates(worker: fleet.Worker) -> bool:
+    """Return whether all tasks on a worker have begun to run."""
+    return worker.probation is None and all(
+        run.begun for run in worker.runs.values()
+    )
+
+
+def harm(worker: fleet.Worker) -> tuple[int, int]:
+    """Return a sort key for the harm that a crash of the worker would do."""
+    services = sum(
+        run.step.long_running or bool(run.step.latency_target)
+        for run in worker.runs.values()
+    )
+    return services, len(worker.runs)
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 import sys
 
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -101,6 +102,7 @@
                 record.run,
                 step,
                 self.inherited_leases_until,
+                incarnation=record.incarnation,
             )
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
@@ -175,7 +177,9 @@
         if worker is None:
             worker = fleet.Worker(worker=entry.worker, entry=entry)
             self.workers[entry.worker] = worker
-        incarnations.accept_incarnation(worker, entry.incarnation)
+        incarnations.accept_incarnation(
+            worker, entry.incarnation, self.run_tracker.losses, now
+        )
         if not _same_state(worker.entry, entry):
             logs.emit(
                 events.DispatchEvent.WORKER_SEEN,
@@ -272,7 +276,9 @@
         now: datetime.timedelta,
     ) -> None:
         """Assign a task to a worker under a run number."""
-        record = job.progress.assign(task, worker.worker, run)
+        record = job.progress.assign(
+            task, worker.worker, run, incarnation=worker.incarnation
+        )
         step = job.spec.steps[task.step]
         new_run = fleet.Run(
             task=task,
@@ -280,7 +286,11 @@
             step=step,
             phase=fleet.RunPhase.ASSIGNED,
             progress_changed_at=now,
+            incarnation=worker.incarnation,
         )
+        if job.suspected(task):
+            new_run.isolated = crashes.isolates(worker)
+            worker.probation = task
         worker.add(new_run)
         self.run_tracker.note_change(job.spec.job, now)
         self.run_tracker.unreleased.add(job.spec.job)
@@ -292,6 +302,7 @@
             used=worker.used.millicores,
             filling=worker.filler_millicores,
             failures=record.failures,
+            crashes=record.crashes,
         )
 
     def next_saves(self, room: int) -> list[jobs.JobSnapshot]:
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -101,6 +101,12 @@
         summary="the pace of a worker's filler tasks has changed",
         limit=200,
     )
+    TASK_CRASHED_WORKER = events.Event(
+        number=7028,
+        level=events.Level.WARNING,
+        summary="a worker crashed, possibly because of a task",
+        limit=200,
+    )
     WORKER_SEEN = events.Event(
         number=7030,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -32,6 +32,17 @@
 NO_ROOM_PAUSE = datetime.timedelta(milliseconds=500)
 
 
+class Crash(enum.Enum):
+    """How the crash of a worker counts for a run that it may be due to."""
+
+    # The run's task was the only suspect on the worker.
+    ISOLATED = "isolated"
+    # Other tasks may have crashed the worker as well.
+    SHARED = "shared"
+    # Many workers were lost at the same time, probably for another reason.
+    MANY = "many"
+
+
 class RunPhase(enum.Enum):
     """Phase of a run on its worker, as far as the leader can tell."""
 
@@ -66,6 +77,14 @@
         filler tasks on the same worker.
     :param pace: share of its full speed that a filler task works at, in
         percent.
+    :param incarnation: incarnation of the worker that the task was assigned
+        to; 0 if unknown.
+    :param sent_at: our time at which the start was sent; None if it was not,
+        or if a former leader sent it.
+    :param listed_at: our time of the first report that listed the run.
+    :param isolated: whether the task is suspected to crash workers, and had
+        no other suspect and no starting task beside it when it was placed.
+    :param crash: set when the worker has crashed, possibly due to the run.
     """
 
     task: model.TaskKey
@@ -82,6 +101,16 @@
     pace: int = 100
     stop_sent: datetime.timedelta | None = None
     stop_accepted: bool = False
+    incarnation: int = 0
+    sent_at: datetime.timedelta | None = None
+    listed_at: datetime.timedelta | None = None
+    isolated: bool = False
+    crash: Crash | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether a report has listed the run."""
+        return self.listed_at is not None
 
     @property
     def full_use(self) -> float:
@@ -129,6 +158,9 @@
     suspended_until = VersionedAttribute()
     no_room_until = VersionedAttribute()
     over_target_since = VersionedAttribute()
+    # The task that is suspected to crash workers and has the worker for itself
+    # until it has run on for some time; None if there is none.
+    probation = VersionedAttribute()
     # Set when the filler tasks' paces change, on which placement depends too.
     paced_at = VersionedAttribute()
 
@@ -167,6 +199,7 @@
         # Our time since which a tail latency has been above its target; None
         # if none is.
         self.over_target_since = None
+        self.probation: model.TaskKey | None = None
         self.paced_at = ZERO
         # Our time at which the worker will shut down, if it announced one.
         self.shutdown_at: datetime.timedelta | None = None
@@ -198,6 +231,8 @@
         if run is None:
             return None
         self.version += 1
+        if self.probation == task:
+            self.probation = None
         self.release(run.step)
         return run
 
--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -1,11 +1,19 @@
 """Incarnations of a worker; each start of its process is a new one."""
 
+import datetime
+
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.logs import setup as logs
 
 
-def accept_incarnation(worker: fleet.Worker, incarnation: int) -> bool:
+def accept_incarnation(
+    worker: fleet.Worker,
+    incarnation: int,
+    losses: crashes.Losses,
+    now: datetime.timedelta,
+) -> bool:
     """Update the worker's incarnation; return False for an outdated one.
 
     :param incarnation: Unix time in milliseconds of the start, or 0 if it was
@@ -16,6 +24,7 @@
     previous = worker.incarnation
     if previous and incarnation < previous:
         return False
+    losses.note_restart(worker, incarnation, now)
     worker.incarnation = incarnation
     if previous:
         _reset_after_restart(worker)
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -224,6 +224,7 @@
         self._send_orders()
         self.committer.wake.set()
         self.meter.note_round()
+        self.meter.note_crashes(dispatcher.run_tracker.pop_crashes())
         self.meter.report(
             jobs=len(dispatcher.jobs),
             waiting=len(dispatcher.waiting),
--- a/src/turmerichook/_internal/dispatch/load.py
+++ b/src/turmerichook/_internal/dispatch/load.py
@@ -4,6 +4,7 @@
 for the store, or finds no worker with free capacity.
 """
 
+import collections
 import datetime
 
 from turmerichook._internal import clock as clocks
@@ -91,6 +92,16 @@
         self.longest_wait = max(self.longest_wait, waited)
         self.metrics.observe("release_seconds", waited.total_seconds())
 
+    def note_crashes(self, counted: collections.Counter[bool]) -> None:
+        """Count crashes of workers that may be due to tasks.
+
+        :param counted: number of crashes, by whether a job was given up.
+        """
+        for given_up, number in counted.items():
+            self.metrics.count("task_crashes_total", number)
+            if given_up:
+                self.metrics.count("jobs_given_up_total", number)
+
     def report(
         self,
         *,
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -24,6 +24,7 @@
     OUT_OF_REACH = "out-of-reach"
     HAS_REFUSED = "has-refused"
     SUSPECTED = "suspected"
+    ON_PROBATION = "on-probation"
     ENOUGH_OF_STEP = "enough-of-step"
     RESERVED = "reserved"
     NO_PROCESSORS = "no-processors"
@@ -64,6 +65,8 @@
         return Obstacle.HAS_REFUSED
     if worker.suspected and now < worker.suspended_until:
         return Obstacle.SUSPECTED
+    if worker.probation is not None:
+        return Obstacle.ON_PROBATION
     return None
 
 
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -82,6 +82,10 @@
         self.last_taken = best[1]
         return best[2]
 
+    def remaining(self) -> list[fleet.Worker]:
+        """Return the ranked workers, the best first."""
+        return [worker for _, _, worker in sorted(self.heap)]
+
     def put_back(self, worker: fleet.Worker) -> None:
         """Score the worker that was taken last, and rank it again."""
         self._rank(self.last_taken, worker)
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -7,6 +7,7 @@
 import typing
 
 from turmerichook._internal.dispatch import candidates
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
@@ -31,6 +32,10 @@
 # more would leave too little capacity to short tasks.
 RESERVED_MAX = 2
 
+# Time after which a task that may crash its worker is placed beside others
+# that have not proved to run on either.
+ISOLATION_WAIT = datetime.timedelta(seconds=3)
+
 # Returns the workers that the policy of a step's queue allows, or None if the
 # policy allows all workers.
 Approved = collections.abc.Callable[
@@ -114,6 +119,8 @@
         self, waiting: waiting_step.WaitingStep, limit: int
     ) -> list[Choice]:
         """Choose workers for up to ``limit`` tasks of a step."""
+        if waiting.suspected:
+            return self._choose_for_suspect(waiting)
         if self._blocked(waiting):
             return []
         if waiting.step.gang:
@@ -172,6 +179,42 @@
             choice.worker.release(step)
         return chosen
 
+    def _choose_for_suspect(
+        self, waiting: waiting_step.WaitingStep
+    ) -> list[Choice]:
+        """Choose a worker for a task that may crash it."""
+        if self.now < waiting.blocked_until:
+            return []
+        (task,) = waiting.tasks
+        conditions = self._conditions(waiting, waiting.tasks_by_worker())
+        worker = self._worker_for_suspect(waiting, conditions)
+        if worker is None:
+            waiting.blocked_until = self.now + BLOCKED_PAUSE
+            if waiting.starving(self.now):
+                self._reserve_room(conditions)
+            return []
+        run = ids.Attempt(waiting.job.progress.tasks[task].run + 1)
+        return [Choice(task, worker, run)]
+
+    def _worker_for_suspect(
+        self,
+        waiting: waiting_step.WaitingStep,
+        conditions: obstacles.Conditions,
+    ) -> fleet.Worker | None:
+        """Return the worker whose crash would do the least harm, or None."""
+        ranking = placement.Ranking(
+            conditions=conditions,
+            workers=self.workers,
+            reserved=self._reserved_from(waiting),
+            interference=self.interference,
+            overdue=waiting.overdue(self.now),
+        )
+        fitting = ranking.remaining()
+        isolated = [worker for worker in fitting if crashes.isolates(worker)]
+        if not isolated and self.now - waiting.since < ISOLATION_WAIT:
+            return None
+        return min(isolated or fitting, key=crashes.harm, default=None)
+
     def explain(self, waiting: waiting_step.WaitingStep) -> None:
         """Log what keeps the workers from running the tasks of a step.
 
@@ -296,12 +339,54 @@
             ):
                 waiting.checked_position = self.room.position
                 return []
-        chosen = self._choose(waiting, count)
+        suspects = [t for t in waiting.tasks if waiting.job.suspected(t)]
+        if suspects:
+            chosen = self._choose_gang_of_suspects(waiting, suspects)
+        else:
+            chosen = self._choose(waiting, count)
         if len(chosen) < count:
             return []
         run = max(choice.run for choice in chosen)
         return [choice._replace(run=run) for choice in chosen]
 
+    def _choose_gang_of_suspects(
+        self,
+        waiting: waiting_step.WaitingStep,
+        suspects: list[model.TaskKey],
+    ) -> list[Choice]:
+        """Choose workers for a gang with members that may crash theirs."""
+        step = waiting.step
+        counts = waiting.tasks_by_worker()
+        conditions = self._conditions(waiting, counts)
+        records = waiting.job.progress.tasks
+        chosen: list[Choice] = []
+        for task in suspects:
+            worker = self._worker_for_suspect(waiting, conditions)
+            if worker is None:
+                break
+            # Keeps the other members of the gang off the worker.
+            worker.probation = task
+            self.room.refresh(worker)
+            worker.reserve(step)
+            counts[worker.worker] += 1
+            run = ids.Attempt(records[task].run + 1)
+            chosen.append(Choice(task, worker, run))
+        if len(chosen) == len(suspects):
+            others = dataclasses.replace(
+                waiting,
+                tasks={
+                    task: last
+                    for task, last in waiting.tasks.items()
+                    if task not in suspects
+                },
+            )
+            chosen += self._choose(others, len(others.tasks))
+        for choice in chosen[: len(suspects)]:
+            choice.worker.release(step)
+            choice.worker.probation = None
+            self.room.refresh(choice.worker)
+        return chosen
+
     def _reserve_room(self, conditions: obstacles.Conditions) -> None:
         """Reserve the worker with the most free capacity for a starving task.
 
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -1,10 +1,12 @@
 """State shared by the parts of the dispatcher: jobs, workers and runs."""
 
+import collections
 import collections.abc
 import datetime
 import typing
 
 from turmerichook._internal.dispatch import advice as advices
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -15,6 +17,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 
 # Step of a run whose job the leader does not hold, so that its demand is
 # unknown.
@@ -31,6 +34,8 @@
         change.
     :ivar unreleased: jobs with assignments that are in no commit yet.
     :ivar orders: orders to be sent.
+    :ivar crashes_counted: number of crashes of workers that counted for a
+        task, by whether the task's job was given up.
     """
 
     def __init__(self):
@@ -42,11 +47,21 @@
         self.unsaved_jobs: dict[ids.JobId, datetime.timedelta] = {}
         self.unreleased: set[ids.JobId] = set()
         self.orders: list[decisions.Order] = []
+        self.losses = crashes.Losses(workers=self.workers)
+        self.crashes_counted: collections.Counter[bool] = collections.Counter()
 
     def note_change(self, job: ids.JobId, now: datetime.timedelta) -> None:
         """Mark a job's progress as changed, to be written to the store."""
         self.unsaved_jobs.setdefault(job, now)
 
+    def pop_crashes(self) -> collections.Counter[bool]:
+        """Return the crashes counted since the last call."""
+        counted, self.crashes_counted = (
+            self.crashes_counted,
+            collections.Counter(),
+        )
+        return counted
+
     def oldest_unsaved_age(
         self, now: datetime.timedelta
     ) -> datetime.timedelta:
@@ -75,10 +90,15 @@
         if not job.progress.state.final:
             self.enqueue(job, tasks, now)
 
-    def fail_job(self, job: jobs.Job, now: datetime.timedelta) -> None:
+    def fail_job(
+        self,
+        job: jobs.Job,
+        now: datetime.timedelta,
+        reason: progresses.FailureReason,
+    ) -> None:
         """Mark a job as failed and stop its runs, unless it is final."""
         if not job.progress.state.final:
-            job.progress.failed = True
+            job.progress.failed = reason
             self.stop_job_runs(job, now)
 
     def stop_job_runs(self, job: jobs.Job, now: datetime.timedelta) -> None:
@@ -123,7 +143,47 @@
             return
         record = job.progress.tasks.get(run.task)
         if record is not None and record.run == run.run:
-            self.return_task(job, run.task, worker.worker, "", False, now)
+            if run.crash is None:
+                self.return_task(job, run.task, worker.worker, "", False, now)
+            else:
+                self._return_crashed(job, worker, run, run.crash, now)
+
+    def _return_crashed(
+        self,
+        job: jobs.Job,
+        worker: fleet.Worker,
+        run: fleet.Run,
+        crash: fleet.Crash,
+        now: datetime.timedelta,
+    ) -> None:
+        """Return a task to the queue whose run may have crashed its worker.
+
+        The job fails instead if the task must not be started again.
+        """
+        suspected = job.suspected(run.task)
+        counted = suspected or crash is not fleet.Crash.MANY
+        record = job.progress.return_to_queue(
+            run.task, checkpoint="", failed=False, crashed=counted
+        )
+        self.note_change(job.spec.job, now)
+        if not counted:
+            job.suspects.add(run.task)
+        given_up = crashes.must_give_up(record.crashes, crash)
+        log_run(
+            events.DispatchEvent.TASK_CRASHED_WORKER,
+            worker,
+            run,
+            crashes=record.crashes,
+            isolated=run.isolated,
+            many=crash is fleet.Crash.MANY,
+            given_up=given_up,
+        )
+        if counted:
+            self.crashes_counted[given_up] += 1
+        if given_up:
+            self.fail_job(job, now, progresses.FailureReason.WORKERS_CRASHED)
+        if not job.progress.state.final:
+            self.waiting.add(job, run.task, worker.worker, now)
 
     def return_task(
         self,
@@ -143,7 +203,9 @@
         )
         self.note_change(job.spec.job, now)
         if failed and record.failures >= job.queue.max_attempts:
-            self.fail_job(job, now)
+            self.fail_job(
+                job, now, progresses.FailureReason.ATTEMPTS_EXHAUSTED
+            )
         if not job.progress.state.final:
             self.waiting.add(job, task, worker, now)
 
@@ -154,11 +216,14 @@
         number: ids.Attempt,
         step: model.Step,
         lapsed_at: datetime.timedelta,
+        incarnation: int = 0,
     ) -> fleet.Run:
         """Add a run that a former leader may have started.
 
         :param lapsed_at: our time at which all leases that former leaders
             granted on the worker have certainly ended.
+        :param incarnation: incarnation of the worker that the task was
+            assigned to; 0 if unknown.
         """
         worker = self.workers.get(worker_id)
         if worker is None:
@@ -172,7 +237,11 @@
             step=step,
             phase=fleet.RunPhase.UNCERTAIN,
             fenced=True,
+            incarnation=incarnation,
         )
+        job = self.jobs.get(task.job)
+        if job is not None and job.suspected(task):
+            worker.probation = task
         worker.add(run)
         return run
 
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -90,6 +90,7 @@
                     self.run_tracker.drop_run(worker, run, "not-sent", now)
                     continue
                 run.phase = fleet.RunPhase.STARTING
+                run.sent_at = now
                 record = save.job.progress.tasks[run.task]
                 starts.append(
                     decisions.StartOrder(
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -6,6 +6,7 @@
 
 import datetime
 
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import incarnations
@@ -51,7 +52,9 @@
 
         :param requested_at: sequence number of the request for the report.
         """
-        if not incarnations.accept_incarnation(worker, report.incarnation):
+        if not incarnations.accept_incarnation(
+            worker, report.incarnation, self.run_tracker.losses, now
+        ):
             return
         worker.record_clock(report, now)
         worker.report_received = True
@@ -101,15 +104,31 @@
             run.percent = row.percent
             run.progress_changed_at = now
         run.measurement = row.measurement
+        # A run that is listed has not ended with an earlier incarnation.
+        run.crash = None
+        if run.listed_at is None:
+            run.listed_at = now
         job = self.run_tracker.jobs.get(row.task.job)
         if job is None:
             return
         job.begun = True
+        if now - run.listed_at >= crashes.SUSPECT_TIME:
+            self._clear_suspicion(job, row.task, now)
+            if worker.probation == row.task:
+                worker.probation = None
         if row.checkpoint:
             record = job.progress.tasks.get(row.task)
             if record is not None and record.run == row.run:
                 record.checkpoint = row.checkpoint
 
+    def _clear_suspicion(
+        self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
+    ) -> None:
+        """Forget earlier crashes of workers under a task."""
+        if job.suspected(task):
+            job.clear_suspicion(task)
+            self.run_tracker.note_change(job.spec.job, now)
+
     def _handle_unreported_run(
         self,
         worker: fleet.Worker,
@@ -162,6 +181,8 @@
             )
         if job is None:
             return
+        if end.kind in crashes.OWN_ENDS:
+            self._clear_suspicion(job, end.task, now)
         worker.unsaved.add(end.number)
         job.unsaved_ends.append(
             jobs.End(worker.worker, worker.incarnation, end.number)
@@ -243,6 +264,7 @@
             run,
             reason=reason.value,
         )
+        run.crash = None
         match reason:
             case orders.RefusalReason.NO_ROOM:
                 worker.no_room_until = now + fleet.NO_ROOM_PAUSE
@@ -302,6 +324,7 @@
         Called when another incarnation answers at the worker's address.
         """
         worker.listed = False
+        self.run_tracker.losses.note_loss(worker, now)
         for run in list(worker.runs.values()):
             if run.phase is not fleet.RunPhase.ASSIGNED:
                 self.run_tracker.drop_run(
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import datetime
+import itertools
 
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import interference as interferences
@@ -44,14 +45,17 @@
 ]
 
 
+# Step, whether its tasks restart, and the task if it may crash workers.
+StepsKey = tuple[model.StepKey, bool, model.TaskKey | None]
+
+
 class WaitingTasks:
     """All tasks that wait for a worker."""
 
     def __init__(self):
-        # By step, and by whether the tasks restart after an earlier run.
-        self.steps: dict[
-            tuple[model.StepKey, bool], waiting_step.WaitingStep
-        ] = {}
+        # By step, and by whether the tasks restart after an earlier run. A
+        # task that may crash workers is kept by itself.
+        self.steps: dict[StepsKey, waiting_step.WaitingStep] = {}
         self.urgency: urgency.UrgencyOrder[waiting_step.WaitingStep] = (
             urgency.UrgencyOrder()
         )
@@ -77,18 +81,24 @@
         :param last: worker of the task's last run; empty if there was none.
         """
         restarts = _restarts(job, task)
-        key = task.step_key
-        step = self.steps.get((key, restarts))
+        # The tasks of a gang are placed together, suspected or not.
+        suspected = job.suspected(task) and not _in_gang(job, task)
+        key = (task.step_key, restarts, task if suspected else None)
+        step = self.steps.get(key)
         if step is None:
-            step = waiting_step.create(job, task, restarts=restarts, now=now)
-            self.steps[key, restarts] = step
+            step = waiting_step.create(
+                job, task, restarts=restarts, suspected=suspected, now=now
+            )
+            self.steps[key] = step
             self.urgency.add(step)
         step.tasks[task] = last
 
     def remove(self, task: model.TaskKey) -> None:
         """Remove a task, if it is waiting."""
-        for restarts in (False, True):
-            key = (task.step_key, restarts)
+        for restarts, suspect in itertools.product(
+            (False, True), (None, task)
+        ):
+            key = (task.step_key, restarts, suspect)
             step = self.steps.get(key)
             if step is not None:
                 step.tasks.pop(task, None)
@@ -184,6 +194,10 @@
             round_.explain(waiting)
 
 
+def _in_gang(job: jobs.Job, task: model.TaskKey) -> bool:
+    return job.spec.steps[task.step].gang
+
+
 def _restarts(job: jobs.Job, task: model.TaskKey) -> bool:
     """Return whether a task is a long-running one that has run before."""
     step = job.spec.steps[task.step]
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -59,6 +59,8 @@
 
     :param restarts: whether the tasks are long-running ones that have run
         before.
+    :param suspected: whether this is a single task that may crash the worker
+        that starts it.
     :param deadline: when the job has to end to meet its latency objective.
     :param useful_until: when a result of the job loses its value.
     :param chain: estimated time from the step's start to the job's end, along
@@ -74,6 +76,7 @@
     job: jobs.Job
     key: model.StepKey
     restarts: bool
+    suspected: bool
     deadline: datetime.timedelta
     useful_until: datetime.timedelta
     chain: datetime.timedelta
@@ -166,6 +169,7 @@
     task: model.TaskKey,
     *,
     restarts: bool,
+    suspected: bool,
     now: datetime.timedelta,
 ) -> WaitingStep:
     """Return a waiting step for a task, without any waiting tasks yet."""
@@ -176,6 +180,7 @@
         job=job,
         key=task.step_key,
         restarts=restarts,
+        suspected=suspected,
         deadline=deadline,
         useful_until=job.deadline(task.occurrence, USEFUL_TIME_FACTOR),
         chain=job.progress.critical_path_from(task.step),
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -104,5 +104,7 @@
             worker=worker.worker,
             runs=len(expired_runs),
         )
+        if not worker.listed:
+            self.run_tracker.losses.note_loss(worker, now)
         for run in expired_runs:
             self.run_tracker.drop_run(worker, run, "lapsed", now)
--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -17,6 +17,7 @@
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 from turmerichook import exceptions
 
 # A response is due this long before the caller's time-out, so that it reaches
@@ -63,8 +64,15 @@
         :raises MessageError: if the body is malformed.
         """
 
-    def state_body(self, state: model.JobState) -> bytes:
-        """Return the response body for a job's state."""
+    def state_body(
+        self,
+        state: model.JobState,
+        reason: progresses.FailureReason | None,
+    ) -> bytes:
+        """Return the response body for a job's state.
+
+        :param reason: why the job has failed; None if it has not.
+        """
 
     def pending_body(self, count: int) -> bytes:
         """Return the response body for a queue's length.
@@ -222,8 +230,10 @@
                     job=job,
                     state=outcome.value,
                 )
+                reason = self.jobs.failure_reason(job)
                 await exchange.respond(
-                    status=200, body=self.call_format.state_body(outcome)
+                    status=200,
+                    body=self.call_format.state_body(outcome, reason),
                 )
             case job_store.NoSuchJob():
                 logs.emit(
--- a/src/turmerichook/_internal/intake/job_store.py
+++ b/src/turmerichook/_internal/intake/job_store.py
@@ -13,6 +13,7 @@
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import interface
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import stored
 from turmerichook import exceptions
 
@@ -58,12 +59,14 @@
     """Submits and cancels jobs, and reads jobs' states and queues' lengths.
 
     :ivar final_states: cache of the states of jobs that are final.
+    :ivar failures: reasons of the failed jobs in this cache.
     """
 
     def __init__(self, *, storage: interface.Storage, clock: clocks.Clock):
         self.storage = storage
         self.clock = clock
         self.final_states: dict[ids.JobId, model.JobState] = {}
+        self.failures: dict[ids.JobId, progresses.FailureReason] = {}
 
     async def submit(
         self, spec: model.JobSpec, deadline: datetime.timedelta
@@ -141,6 +144,15 @@
             return item
         return self._decode_state(job, item)
 
+    def failure_reason(
+        self, job: ids.JobId
+    ) -> progresses.FailureReason | None:
+        """Return why a job failed whose state has just been read.
+
+        None if the job has not failed.
+        """
+        return self.failures.get(job)
+
     async def _find_job(
         self, job: ids.JobId, deadline: datetime.timedelta
     ) -> interface.Item | model.JobState | NoSuchJob | NoResultReason:
@@ -166,12 +178,17 @@
     ) -> model.JobState | NoResultReason:
         try:
             state = stored.decode_state(job, item.value)
+            failure = stored.decode_failure(job, item.value)
         except exceptions.StoredValueError:
             return NoResultReason.NOT_READ
         if state.final:
             while len(self.final_states) >= FINAL_STATES_MAX:
-                del self.final_states[next(iter(self.final_states))]
+                oldest = next(iter(self.final_states))
+                del self.final_states[oldest]
+                self.failures.pop(oldest, None)
             self.final_states[job] = state
+            if failure is not None:
+                self.failures[job] = failure
         return state
 
     async def waiting_jobs_count(
--- a/src/turmerichook/_internal/platform/caller_calls.py
+++ b/src/turmerichook/_internal/platform/caller_calls.py
@@ -11,6 +11,7 @@
 from turmerichook._internal.platform import documents
 from turmerichook._internal.platform import fields
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 from turmerichook import exceptions
 
 READY_PATH = "/v1/ready"
@@ -95,9 +96,17 @@
     )
 
 
-def state_body(state: model.JobState) -> bytes:
-    """Return the response body for a query of a job's state."""
-    return json.dumps({"state": state.value}).encode()
+def state_body(
+    state: model.JobState, reason: progresses.FailureReason | None
+) -> bytes:
+    """Return the response body for a query of a job's state.
+
+    :param reason: why the job has failed; None if it has not.
+    """
+    document = {"state": state.value}
+    if reason is not None:
+        document["reason"] = reason.value
+    return json.dumps(document).encode()
 
 
 def pending_body(count: int) -> bytes:
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -26,6 +26,13 @@
     DONE = "done"
 
 
+class FailureReason(enum.Enum):
+    """Reason why a job has failed, as it is shown to callers."""
+
+    ATTEMPTS_EXHAUSTED = "attempts-exhausted"
+    WORKERS_CRASHED = "workers-crashed"
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class TaskRecord:
     """Stored state of one task.
@@ -35,6 +42,10 @@
     :param failures: number of runs that a fault of the task or of its worker
         ended.
     :param checkpoint: latest checkpoint that a run reported, or empty.
+    :param incarnation: incarnation of the worker at the assignment; 0 if
+        unknown.
+    :param crashes: number of workers that crashed under the task since it
+        last proved to run on.
     """
 
     phase: Phase = Phase.WAITING
@@ -42,6 +53,8 @@
     worker: ids.WorkerId = ids.WorkerId("")
     failures: int = 0
     checkpoint: ids.CheckpointId = ids.CheckpointId("")
+    incarnation: int = 0
+    crashes: int = 0
 
 
 class Progress:
@@ -49,7 +62,7 @@
 
     :ivar tasks: records of the tasks that were ever assigned to a worker.
     :ivar canceled: whether a caller has cancelled the job.
-    :ivar failed: whether the job has failed.
+    :ivar failed: why the job has failed; None if it has not.
     :ivar unfinished_tasks: number of tasks that are not done, by occurrence
         and index of the step.
     :ivar opened_occurrences: number of occurrences that have been opened,
@@ -63,7 +76,7 @@
         self.spec = spec
         self.tasks: dict[model.TaskKey, TaskRecord] = {}
         self.canceled = False
-        self.failed = False
+        self.failed: FailureReason | None = None
         self.unfinished_tasks: dict[tuple[int, int], int] = {}
         self.opened_occurrences = 0
         self.completed_steps = 0
@@ -115,12 +128,21 @@
         return ready
 
     def assign(
-        self, task: model.TaskKey, worker: ids.WorkerId, run: ids.Attempt
+        self,
+        task: model.TaskKey,
+        worker: ids.WorkerId,
+        run: ids.Attempt,
+        *,
+        incarnation: int = 0,
     ) -> TaskRecord:
-        """Assign a waiting task to a worker and return the task's record."""
+        """Assign a waiting task to a worker and return the task's record.
+
+        :param incarnation: the worker's incarnation; 0 if unknown.
+        """
         record = self.tasks.setdefault(task, TaskRecord())
         record.phase = Phase.ASSIGNED
         record.worker = worker
+        record.incarnation = incarnation
         record.run = run
         return record
 
@@ -135,6 +157,7 @@
             return []
         record.phase = Phase.DONE
         record.worker = ids.WorkerId("")
+        record.incarnation = record.crashes = 0
         step_key = (task.occurrence, task.step)
         self.unfinished_tasks[step_key] -= 1
         if self.unfinished_tasks[step_key]:
@@ -143,7 +166,12 @@
         return self._newly_ready(task.occurrence, task.step)
 
     def return_to_queue(
-        self, task: model.TaskKey, *, checkpoint: str, failed: bool
+        self,
+        task: model.TaskKey,
+        *,
+        checkpoint: str,
+        failed: bool,
+        crashed: bool = False,
     ) -> TaskRecord:
         """Return a task whose run has ended to the waiting phase.
 
@@ -151,14 +179,19 @@
             the earlier one.
         :param failed: whether a fault of the task or of its worker ended the
             run.
+        :param crashed: whether the worker crashed, possibly because of the
+            task.
         """
         record = self.tasks[task]
         record.phase = Phase.WAITING
         record.worker = ids.WorkerId("")
+        record.incarnation = 0
         if checkpoint:
             record.checkpoint = ids.CheckpointId(checkpoint)
         if failed:
             record.failures += 1
+        if crashed:
+            record.crashes += 1
         return record
 
     def assigned(self) -> list[model.TaskKey]:
@@ -257,7 +290,7 @@
     *,
     opened_occurrences: int,
     canceled: bool,
-    failed: bool,
+    failed: FailureReason | None,
 ) -> Progress:
     """Return a job's progress from its stored fields.
 
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -30,6 +30,13 @@
     progresses.Phase.ASSIGNED,
     progresses.Phase.DONE,
 )
+# The reason of a job's failure is stored as its index in this tuple. Earlier
+# versions stored false for no failure, and true for exhausted attempts.
+FAILURE_BY_CODE = (
+    None,
+    progresses.FailureReason.ATTEMPTS_EXHAUSTED,
+    progresses.FailureReason.WORKERS_CRASHED,
+)
 
 
 def encode_spec(spec: model.JobSpec) -> bytes:
@@ -82,14 +89,7 @@
     # Of a final job only the tasks that a worker may still be running are
     # stored; the records of the other tasks are needed no more.
     tasks = [
-        [
-            *task[1:],
-            PHASE_BY_CODE.index(record.phase),
-            record.run,
-            record.worker,
-            record.failures,
-            record.checkpoint,
-        ]
+        [*task[1:], *_encode_record(record)]
         for task, record in progress.tasks.items()
         if not final or record.phase is progresses.Phase.ASSIGNED
     ]
@@ -99,12 +99,25 @@
             progress.state.value,
             progress.opened_occurrences,
             progress.canceled,
-            progress.failed,
+            FAILURE_BY_CODE.index(progress.failed),
             tasks,
         ]
     )
 
 
+def _encode_record(record: progresses.TaskRecord) -> list[typing.Any]:
+    row = [
+        PHASE_BY_CODE.index(record.phase),
+        record.run,
+        record.worker,
+        record.failures,
+        record.checkpoint,
+    ]
+    if record.incarnation or record.crashes:
+        row += [record.incarnation, record.crashes]
+    return row
+
+
 def decode_state(job: ids.JobId, value: bytes) -> model.JobState:
     """Decode a job's state from its encoded progress.
 
@@ -117,6 +130,20 @@
         raise _decoding_error(job, str(error)) from error
 
 
+def decode_failure(
+    job: ids.JobId, value: bytes
+) -> progresses.FailureReason | None:
+    """Decode why a job has failed; None if it has not.
+
+    :raises StoredValueError: if the value is malformed or has another format
+        version.
+    """
+    try:
+        return FAILURE_BY_CODE[_unpack(job, value)[4]]
+    except MALFORMED_ERRORS as error:
+        raise _decoding_error(job, str(error)) from error
+
+
 def decode_progress(spec: model.JobSpec, value: bytes) -> progresses.Progress:
     """Decode a job's progress.
 
@@ -128,7 +155,9 @@
         _, _, opened_occurrences, canceled, failed, rows = document
         tasks = {}
         for occurrence, step, index, phase, *fields in rows:
-            run, worker, failures, checkpoint = fields
+            # Earlier versions stored neither incarnation nor crashes.
+            run, worker, failures, checkpoint, *later = fields
+            incarnation, crashes = later or (0, 0)
             key = model.TaskKey(spec.job, occurrence, step, index)
             tasks[key] = progresses.TaskRecord(
                 phase=PHASE_BY_CODE[phase],
@@ -136,13 +165,15 @@
                 worker=worker,
                 failures=failures,
                 checkpoint=checkpoint,
+                incarnation=incarnation,
+                crashes=crashes,
             )
         return progresses.restore(
             spec,
             tasks,
             opened_occurrences=opened_occurrences,
             canceled=canceled,
-            failed=failed,
+            failed=FAILURE_BY_CODE[failed],
         )
     except MALFORMED_ERRORS as error:
         raise _decoding_error(spec.job, str(error)) from error
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -351,6 +351,22 @@
         assert not harness.state(OTHER_JOB).final
         assert len(harness.running(OTHER_JOB)) == 40
 
+    def test_loss_of_a_site_that_is_mostly_idle(self):
+        """Guards against blame if only few of the lost workers had tasks."""
+        harness = CrashHarness(*workers(40))
+        harness.submit(fakes.job(OTHER_JOB, step(count=3)))
+        for _ in range(4):
+            harness.play(
+                30, until=lambda: len(harness.running(OTHER_JOB)) == 3
+            )
+            harness.play(0.3)
+            harness.crash(*harness.workers)
+            harness.play(DOWN_TIME / SECOND + 0.5)
+        harness.play(30)
+        assert len(harness.running(OTHER_JOB)) == 3
+        records = harness.dispatcher.jobs[OTHER_JOB].progress.tasks
+        assert not any(record.crashes for record in records.values())
+
     def test_planned_stop_does_not_count(self):
         """Guards against blame for a worker that leaves as planned."""
         harness = CrashHarness("w0")
--- a/tests/intake/test_job_store.py
+++ b/tests/intake/test_job_store.py
@@ -3,6 +3,8 @@
 import asyncio
 import datetime
 
+import pytest
+
 from tests.dispatch import fakes
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import keys
@@ -148,6 +150,39 @@
         assert outcome is job_store.NoResultReason.NOT_READ
 
 
+class TestFailedJob:
+    """The state of a job that has failed, and the reason."""
+
+    @pytest.mark.parametrize("reason", list(progresses.FailureReason))
+    def test_reason_is_kept(self, reason):
+        """Guards against a failure whose reason callers do not learn.
+
+        The second answer comes from the cache of final states.
+        """
+
+        async def scenario(harness):
+            progress = progresses.Progress(spec=SPEC)
+            progress.failed = reason
+            value = stored.encode_progress(progress)
+            harness.storage.put(keys.progress(SPEC.job), value)
+            for _ in range(2):
+                state = await harness.jobs.state(SPEC.job, harness.deadline())
+                assert state is model.JobState.FAILED
+                assert harness.jobs.failure_reason(SPEC.job) is reason
+
+        asyncio.run(scenario(Harness()))
+
+    def test_other_states_have_no_reason(self):
+        """Guards against a reason beside the state of another job."""
+
+        async def scenario(harness):
+            harness.store_completed(SPEC)
+            await harness.jobs.state(SPEC.job, harness.deadline())
+            return harness.jobs.failure_reason(SPEC.job)
+
+        assert asyncio.run(scenario(Harness())) is None
+
+
 class TestCancellation:
     """A cancellation is only acknowledged after it is durable."""
 
