Start a suspected task beside others after 1.5 s instead of 3 s

Could happen on a busy site: a job whose only task is suspected waited for 3 s for a worker without tasks that have not begun, which is as long as the platform lets a job stand still with room for it.

--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -33,8 +33,9 @@
 RESERVED_MAX = 2
 
 # Time after which a task that may crash its worker is placed beside others
-# that have not proved to run on either.
-ISOLATION_WAIT = datetime.timedelta(seconds=3)
+# that have not begun either. The site guarantees that a job with room for it
+# has no task running for at most 3 s.
+ISOLATION_WAIT = datetime.timedelta(milliseconds=1500)
 
 # Returns the workers that the policy of a step's queue allows, or None if the
 # policy allows all workers.
