--- a/features/platform.feature
+++ b/features/platform.feature
@@ -60,3 +60,12 @@
     Then all jobs complete
     And no start exceeded a worker's capacity
     And tasks started on workers that were full
+
+  Scenario: A task crashes each worker that starts it
+    Given a platform with 6 workers and 3 entry processes
+    When a caller submits a job whose task crashes its workers
+    And callers submit 6 jobs at all entry processes
+    And the leader is killed once a worker has crashed
+    Then the job of that task is shown as failed, as it crashed workers
+    And all jobs complete
+    And the workers counted at most 5 starts of that task
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 import sys
 
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -101,7 +102,13 @@
         for task in progress.assigned():
             record = progress.tasks[task]
             step = progress.spec.steps[task.step]
-            self.run_tracker.recover_run(task, record.worker, record.run, step)
+            self.run_tracker.recover_run(
+                task,
+                record.worker,
+                record.run,
+                step,
+                incarnation=record.incarnation,
+            )
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
         else:
@@ -175,7 +182,9 @@
         if worker is None:
             worker = fleet.Worker(worker=entry.worker, entry=entry)
             self.workers[entry.worker] = worker
-        incarnations.accept_incarnation(worker, entry.incarnation)
+        incarnations.accept_incarnation(
+            worker, entry.incarnation, self.run_tracker.losses, now
+        )
         if not _same_state(worker.entry, entry):
             logs.emit(
                 events.DispatchEvent.WORKER_SEEN,
@@ -314,7 +323,9 @@
         now: datetime.timedelta,
     ) -> None:
         """Assign a task to a worker under a run number."""
-        record = job.progress.assign(task, worker.worker, run)
+        record = job.progress.assign(
+            task, worker.worker, run, incarnation=worker.incarnation
+        )
         step = job.spec.steps[task.step]
         new_run = fleet.Run(
             task=task,
@@ -322,7 +333,11 @@
             step=step,
             phase=fleet.RunPhase.ASSIGNED,
             progress_changed_at=now,
+            incarnation=worker.incarnation,
         )
+        if job.suspected(task):
+            new_run.isolated = crashes.isolates(worker)
+            worker.probation = task
         worker.add(new_run)
         self.run_tracker.note_change(job.spec.job, now)
         self.run_tracker.unreleased.add(job.spec.job)
@@ -334,6 +349,7 @@
             used=worker.used.millicores,
             filling=worker.filler_millicores,
             failures=record.failures,
+            crashes=record.crashes,
         )
 
     def next_saves(self, room: int) -> list[jobs.JobSnapshot]:
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -26,6 +26,7 @@
     UNKNOWN_DEMAND = "unknown-demand"
     HAS_REFUSED = "has-refused"
     SUSPECTED = "suspected"
+    ON_PROBATION = "on-probation"
     ENOUGH_OF_STEP = "enough-of-step"
     RESERVED = "reserved"
     NO_PROCESSORS = "no-processors"
@@ -70,6 +71,8 @@
         return Obstacle.HAS_REFUSED
     if worker.suspected and now < worker.suspended_until:
         return Obstacle.SUSPECTED
+    if worker.probation is not None:
+        return Obstacle.ON_PROBATION
     return None
 
 
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -112,6 +112,7 @@
                 unsent.append((worker, run))
                 continue
             run.phase = fleet.RunPhase.STARTING
+            run.sent_at = now
             record = save.job.progress.tasks[run.task]
             starts.append(
                 decisions.StartOrder(
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import incarnations
@@ -61,7 +62,9 @@
 
         :param requested_at: sequence number of the request for the report.
         """
-        if not incarnations.accept_incarnation(worker, report.incarnation):
+        if not incarnations.accept_incarnation(
+            worker, report.incarnation, self.run_tracker.losses, now
+        ):
             return
         worker.record_clock(report, now)
         worker.report_received = True
@@ -100,15 +103,23 @@
                 run.phase = fleet.RunPhase.RUNNING
             else:
                 self.run_tracker.stop(worker, run, now, "not-wanted")
-        run.seen_at = now
+        run.last_listed_at = now
         if row.percent != run.percent:
             run.percent = row.percent
             run.progress_changed_at = now
         run.measurement = row.measurement
+        # A run that is listed has not ended with an earlier incarnation.
+        run.crash = None
+        if run.first_listed_at is None:
+            run.first_listed_at = now
         job = self.run_tracker.jobs.get(row.task.job)
         if job is None:
             return
         job.begun = True
+        if now - run.first_listed_at >= crashes.SUSPECT_TIME:
+            self._clear_suspicion(job, row.task, now)
+            if worker.probation == row.task:
+                worker.probation = None
         if row.checkpoint:
             record = job.progress.tasks.get(row.task)
             if record is not None and record.run == row.run:
@@ -140,6 +151,14 @@
         worker.add(stray)
         self.run_tracker.stop(worker, stray, now, "not-assigned")
 
+    def _clear_suspicion(
+        self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
+    ) -> None:
+        """Forget earlier crashes of workers under a task."""
+        if job.suspected(task):
+            job.clear_suspicion(task)
+            self.run_tracker.note_change(job.spec.job, now)
+
     def _handle_unreported_run(
         self,
         worker: fleet.Worker,
@@ -195,6 +214,8 @@
         finished = _finishes(job, end)
         if not finished and not run_trackers.is_current(job, worker, end):
             return
+        if end.kind in crashes.OWN_ENDS:
+            self._clear_suspicion(job, end.task, now)
         worker.unsaved.add(end.number)
         job.unsaved_ends.append(
             jobs.End(worker.worker, worker.incarnation, end.number)
@@ -250,7 +271,7 @@
         match outcome:
             case orders.Accepted():
                 run.phase = fleet.RunPhase.RUNNING
-                run.progress_changed_at = run.seen_at = now
+                run.progress_changed_at = run.last_listed_at = now
                 self._mark_job_begun(run)
                 if not run.should_run:
                     self.run_tracker.stop(worker, run, now, "not-wanted")
@@ -278,6 +299,7 @@
             run,
             reason=reason.value,
         )
+        run.crash = None
         match reason:
             case orders.RefusalReason.NO_ROOM:
                 worker.no_room_until = now + fleet.NO_ROOM_PAUSE
@@ -337,6 +359,7 @@
         Called when another incarnation answers at the worker's address.
         """
         worker.listed = False
+        self.run_tracker.losses.note_loss(worker, now)
         for run in list(worker.runs.values()):
             if run.phase is not fleet.RunPhase.ASSIGNED:
                 self.run_tracker.drop_run(
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -46,6 +46,8 @@
 # Time after which a capacity that has shrunk binds: the contact time of the
 # settings below and one heartbeat of a worker.
 CAPACITY_GRACE_S = 4.0
+# Time for which a worker that has crashed is away.
+DOWN_TIME_S = 1.5
 
 SETTINGS = """\
 node-name = "{node}"
@@ -77,9 +79,12 @@
 
     Each task runs for the number of seconds given as ``s`` in its
     specification, and uses ``cpu`` millicores, or none. The worker starts what
-    it is told.
+    it is told. A task with ``crash`` in its specification crashes the worker
+    when it starts. The worker is back after ``DOWN_TIME_S`` as a new
+    incarnation; until then it breaks off each call.
 
     :ivar silent: whether no call is executed or answered any more.
+    :ivar back_at: when a crashed worker is back; None if it is up.
     :ivar capacities: each millicores of the worker, and its time in seconds.
     :ivar uses: time of each start, and the millicores in use after it.
     :ivar excesses: starts beyond the capacity: the task, the millicores in use
@@ -100,6 +105,7 @@
         self.changed = asyncio.Event()
         self.port = 0
         self.silent = False
+        self.back_at: float | None = None
 
     async def start(self) -> None:
         """Start listening on a free loopback port."""
@@ -128,6 +134,21 @@
             }
         ).encode()
 
+    def crash(self) -> None:
+        """Lose all runs, and answer no call for ``DOWN_TIME_S``."""
+        self.state.restart()
+        self.ends_at.clear()
+        self.back_at = asyncio.get_running_loop().time() + DOWN_TIME_S
+
+    def has_returned(self) -> bool:
+        """Return whether a crashed worker has just become available again."""
+        if self.back_at is None:
+            return False
+        if asyncio.get_running_loop().time() < self.back_at:
+            return False
+        self.back_at = None
+        return True
+
     def tick(self, span: datetime.timedelta) -> None:
         """Advance the worker's clock, then expire leases and end due tasks."""
         self.state.clock += span
@@ -145,9 +166,16 @@
         if self.silent:
             await asyncio.sleep(SILENCE_S)
             return
+        if self.back_at is not None:
+            exchange.connection.wire.abort()
+            return
         match exchange.head.path:
             case "/v1/run-start":
-                await self._answer(exchange, self._start(document))
+                outcome = self._start(document)
+                if self.back_at is None:
+                    await self._answer(exchange, outcome)
+                else:
+                    exchange.connection.wire.abort()
             case "/v1/run-stop":
                 await self._answer(
                     exchange,
@@ -184,6 +212,8 @@
             self.ends_at[task] = now + spec["s"]
             self.demands[task] = spec.get("cpu", 0)
             self._check_use(task, now)
+            if spec.get("crash"):
+                self.crash()
         return outcome
 
     def _check_use(self, task: model.TaskKey, now: float) -> None:
@@ -212,6 +242,9 @@
                 await clocks.SystemClock().wait_event(
                     self.changed, document["wait-ms"] * MS
                 )
+                if self.back_at is not None:
+                    exchange.connection.wire.abort()
+                    return
                 report = self.state.renew(order)
         except exceptions.StaleTokenError:
             await exchange.respond_json(
@@ -504,6 +537,10 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             for worker in self.workers:
                 worker.tick(TICK_INTERVAL_S * SECOND)
+                if worker.has_returned():
+                    self.store.storage.put(
+                        f"servers/{worker.name}", worker.entry()
+                    )
 
     async def until(self, condition, timeout: float = START_TIMEOUT_S) -> None:
         """Poll a condition until it holds.
@@ -536,9 +573,18 @@
             pool.close()
 
     async def submit(
-        self, entry: Entry, job: str, *, tasks: int = 3, seconds: float = 0.3
+        self,
+        entry: Entry,
+        job: str,
+        *,
+        tasks: int = 3,
+        seconds: float = 0.3,
+        crash: bool = False,
     ) -> calls.Answer:
-        """Submit a job whose second step waits for its first step."""
+        """Submit a job whose second step waits for its first step.
+
+        :param crash: whether its tasks crash the workers that start them.
+        """
         millicores = 1000
         task = {"cpu": millicores, "mem-mb": 500, "estimate-ms": 300}
         return await self.call(
@@ -546,7 +592,9 @@
             "POST",
             job,
             {
-                "spec": json.dumps({"s": seconds, "cpu": millicores}),
+                "spec": json.dumps(
+                    {"s": seconds, "cpu": millicores, "crash": crash}
+                ),
                 "steps": [
                     {"count": tasks, **task},
                     {"count": 1, "after": [0], **task},
