--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -48,6 +48,22 @@
     run(context, context.platform.start())
 
 
+@behave.given(
+    "a platform with {workers:d} workers that start whatever they are told"
+    " and {entries:d} entry processes"
+)
+def step_unguarded_platform(context, workers, entries):
+    context.runner = asyncio.Runner()
+    context.platform = batch_platform.BatchPlatform(
+        folder=context.folder,
+        workers=workers,
+        entries=entries,
+        enforce_limits=False,
+    )
+    context.jobs = []
+    run(context, context.platform.start())
+
+
 @behave.when("callers submit {count:d} jobs at all entry processes")
 def step_submit(context, count):
     async def submit():
@@ -62,6 +78,42 @@
     run(context, submit())
 
 
+@behave.when(
+    "callers submit jobs while all workers shrink to {cores:d} cores and grow"
+)
+def step_shrink(context, cores):
+    platform = context.platform
+    sizes = {3: cores, 24: 16, 31: 2 * cores, 50: 16}
+
+    async def submit():
+        for number in range(55):
+            for worker in platform.workers:
+                if number in sizes:
+                    platform.resize(worker, sizes[number] * 1000)
+            job = f"{number:016x}"
+            entry = platform.entries[number % len(platform.entries)]
+            answer = await platform.submit(entry, job, tasks=12, seconds=0.5)
+            assert answer.status == 200, answer
+            context.jobs.append(job)
+            await asyncio.sleep(0.25)
+
+    run(context, submit())
+
+
+@behave.then("no start exceeded a worker's capacity")
+def step_within_capacity(context):
+    for worker in context.platform.workers:
+        assert not worker.excesses, worker.excesses
+
+
+@behave.then("tasks started on workers that were full")
+def step_were_full(context):
+    for worker in context.platform.workers:
+        (_, (shrunk_at, small), (grown_at, _), *_) = worker.capacities
+        uses = [used for at, used in worker.uses if shrunk_at < at < grown_at]
+        assert small in uses, uses
+
+
 @behave.when("the leader is killed")
 def step_kill(context):
     context.platform.kill(context.platform.leader())
@@ -279,3 +331,48 @@
         if task not in context.bound_tasks
     )
     assert set(counts.values()) <= {1}, counts
+
+
+@behave.when("a caller submits a job whose task crashes its workers")
+def step_deadly(context):
+    context.deadly_job = "d" * 16
+    answer = run(
+        context,
+        context.platform.submit(
+            running_entry(context), context.deadly_job, tasks=1, crash=True
+        ),
+    )
+    assert answer.status == 200
+
+
+@behave.when("the leader is killed once a worker has crashed")
+def step_kill_after_crash(context):
+    run(context, context.platform.until(lambda: deadly_starts(context)))
+    context.platform.kill(context.platform.leader())
+
+
+@behave.then("the job of that task is shown as failed, as it crashed workers")
+def step_deadly_failed(context):
+    async def wait():
+        entry = running_entry(context)
+        await context.platform.wait_for(entry, context.deadly_job, "failed")
+        return await context.platform.call(entry, "GET", context.deadly_job)
+
+    answer = run(context, wait())
+    expected = {"state": "failed", "reason": "workers-crashed"}
+    assert answer.json() == expected, answer
+
+
+@behave.then("the workers counted at most {count:d} starts of that task")
+def step_deadly_starts(context, count):
+    starts = deadly_starts(context)
+    assert 2 <= len(starts) <= count, starts
+
+
+def deadly_starts(context) -> list:
+    """Return the starts of the tasks of the job that crashes workers."""
+    return [
+        start
+        for start in context.platform.starts()
+        if start[0].job == context.deadly_job
+    ]
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 import sys
 
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -29,6 +30,10 @@
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 
+# Age of the registry entries, as a share of the contact time, up to which they
+# count as current. An order by such an entry has to arrive within that time.
+ENTRY_AGE_SHARE_MAX = 0.7
+
 
 class Dispatcher:
     """Jobs, workers and assignments as the current leader knows them."""
@@ -42,6 +47,10 @@
     ):
         self.timing = timing
         self.configuration = configuration
+        # Our time as of which all registry entries are up to date; None if no
+        # registry is followed. And whether that is too long ago.
+        self.registry_confirmed_at: datetime.timedelta | None = None
+        self.registry_outdated = False
         self.closed_zones: set[ids.ZoneId] = set()
         self.interference = interference.Interference()
         self.run_tracker = run_trackers.RunTracker()
@@ -93,7 +102,13 @@
         for task in progress.assigned():
             record = progress.tasks[task]
             step = progress.spec.steps[task.step]
-            self.run_tracker.recover_run(task, record.worker, record.run, step)
+            self.run_tracker.recover_run(
+                task,
+                record.worker,
+                record.run,
+                step,
+                incarnation=record.incarnation,
+            )
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
         else:
@@ -167,7 +182,9 @@
         if worker is None:
             worker = fleet.Worker(worker=entry.worker, entry=entry)
             self.workers[entry.worker] = worker
-        incarnations.accept_incarnation(worker, entry.incarnation)
+        incarnations.accept_incarnation(
+            worker, entry.incarnation, self.run_tracker.losses, now
+        )
         if not _same_state(worker.entry, entry):
             logs.emit(
                 events.DispatchEvent.WORKER_SEEN,
@@ -176,6 +193,14 @@
                 state=entry.state.value,
                 capacity=entry.capacity.text(),
             )
+            if not worker.used.fits(entry.capacity):
+                logs.emit(
+                    events.DispatchEvent.CAPACITY_BELOW_USE,
+                    worker=entry.worker,
+                    capacity=entry.capacity.text(),
+                    used=worker.used.text(),
+                    runs=len(worker.runs),
+                )
         worker.entry = entry
         worker.listed = True
         if entry.remaining is not None:
@@ -199,6 +224,39 @@
                 runs=len(worker.runs),
             )
 
+    def confirm_registry(self, at: datetime.timedelta) -> None:
+        """Record that all entries are up to date as of our time ``at``."""
+        self.registry_confirmed_at = at
+
+    def check_registry_age(self, now: datetime.timedelta) -> None:
+        """Mark the entries that are too old for placement.
+
+        A worker that does not enforce its capacity starts what it is told,
+        so that its present capacity must be known.
+        """
+        confirmed_at = self.registry_confirmed_at
+        outdated = (
+            confirmed_at is not None
+            and now - confirmed_at > self.timing.contact * ENTRY_AGE_SHARE_MAX
+        )
+        if not outdated and not self.registry_outdated:
+            return
+        if outdated != self.registry_outdated:
+            logs.emit(
+                events.DispatchEvent.REGISTRY_OUTDATED
+                if outdated
+                else events.DispatchEvent.REGISTRY_CURRENT,
+                age_ms=round((now - confirmed_at) / clocks.MILLISECOND),
+            )
+        self.registry_outdated = outdated
+        guarded = {s.service for s in self.configuration.services if s.guarded}
+        for worker in self.workers.values():
+            worker.entry_unconfirmed = (
+                outdated
+                and worker.entry is not None
+                and worker.entry.service not in guarded
+            )
+
     def pop_orders(self) -> list[decisions.Order]:
         """Return the pending stop and pace orders, and clear the list."""
         pending_orders, self.run_tracker.orders = self.run_tracker.orders, []
@@ -220,6 +278,7 @@
             commit has made durable yet.
         :returns: the number of tasks assigned.
         """
+        self.check_registry_age(now)
         unreleased = self.run_tracker.unreleased
         return self.waiting.place(
             workers=self.workers.values(),
@@ -264,7 +323,9 @@
         now: datetime.timedelta,
     ) -> None:
         """Assign a task to a worker under a run number."""
-        record = job.progress.assign(task, worker.worker, run)
+        record = job.progress.assign(
+            task, worker.worker, run, incarnation=worker.incarnation
+        )
         step = job.spec.steps[task.step]
         new_run = fleet.Run(
             task=task,
@@ -272,7 +333,11 @@
             step=step,
             phase=fleet.RunPhase.ASSIGNED,
             progress_changed_at=now,
+            incarnation=worker.incarnation,
         )
+        if job.suspected(task):
+            new_run.isolated = crashes.isolates(worker)
+            worker.probation = task
         worker.add(new_run)
         self.run_tracker.note_change(job.spec.job, now)
         self.run_tracker.unreleased.add(job.spec.job)
@@ -284,6 +349,7 @@
             used=worker.used.millicores,
             filling=worker.filler_millicores,
             failures=record.failures,
+            crashes=record.crashes,
         )
 
     def next_saves(self, room: int) -> list[jobs.JobSnapshot]:
@@ -298,6 +364,7 @@
         self, saves: list[jobs.JobSnapshot], now: datetime.timedelta
     ) -> list[decisions.StartOrder]:
         """Record durable snapshots; return the starts that they release."""
+        self.check_registry_age(now)
         return self.saves.apply_committed(saves, self.closed_zones, now)
 
     def add_final(
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -117,12 +117,25 @@
         summary="the pace of a worker's filler tasks has changed",
         limit=200,
     )
+    TASK_CRASHED_WORKER = events.Event(
+        number=7028,
+        level=events.Level.WARNING,
+        summary="a worker crashed, possibly because of a task",
+        limit=200,
+    )
     WORKER_SEEN = events.Event(
         number=7030,
         level=events.Level.INFO,
         summary="a worker's registry entry is new or has changed",
         limit=200,
     )
+    CAPACITY_BELOW_USE = events.Event(
+        number=7029,
+        level=events.Level.WARNING,
+        summary="a worker's capacity is less than its tasks use; it gets no"
+        " task until it is enough",
+        limit=200,
+    )
     WORKER_UNLISTED = events.Event(
         number=7031,
         level=events.Level.WARNING,
@@ -164,6 +177,19 @@
         level=events.Level.WARNING,
         summary="a registry entry is not a valid worker entry",
     )
+    REGISTRY_OUTDATED = events.Event(
+        number=7038,
+        level=events.Level.WARNING,
+        summary="the registry was last read too long ago; nothing is placed"
+        " on workers that do not enforce their capacity",
+        limit=50,
+    )
+    REGISTRY_CURRENT = events.Event(
+        number=7039,
+        level=events.Level.INFO,
+        summary="the registry has been read again",
+        limit=50,
+    )
     COMMIT_RETRIED = events.Event(
         number=7040,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -32,6 +32,17 @@
 NO_ROOM_PAUSE = datetime.timedelta(milliseconds=500)
 
 
+class Crash(enum.Enum):
+    """How the crash of a worker counts for a run that it may be due to."""
+
+    # The run's task was the only suspect on the worker.
+    ISOLATED = "isolated"
+    # Other tasks may have crashed the worker as well.
+    SHARED = "shared"
+    # Many workers were lost at the same time, probably for another reason.
+    MANY = "many"
+
+
 class RunPhase(enum.Enum):
     """Phase of a run on its worker, as far as the leader can tell."""
 
@@ -50,6 +61,8 @@
 class Run:
     """One run of a task on a worker.
 
+    :param demand_known: whether ``step`` states what the run takes of the
+        worker's capacity; False for a run of a job that the leader lacks.
     :param last_outcome_number: sequence number of the last order's outcome. A
         report that was requested later shows for certain whether the run
         exists.
@@ -61,30 +74,49 @@
     :param progress_changed_at: our time at which ``percent`` last changed.
         Before the first change, our time at which the task was placed or its
         start accepted.
-    :param seen_at: our time at which a report last listed the run, or its
-        start was accepted; zero if neither is known.
+    :param last_listed_at: our time at which a report last listed the run, or
+        its start was accepted; zero if neither is known.
     :param measurement: last measurement reported, see ``orders.RunningRow``.
     :param load: estimated load of the task's own, without the influence of the
         filler tasks on the same worker.
     :param pace: share of its full speed that a filler task works at, in
         percent.
+    :param incarnation: incarnation of the worker that the task was assigned
+        to; 0 if unknown.
+    :param sent_at: our time at which the start was sent; None if it was not,
+        or if a former leader sent it.
+    :param first_listed_at: our time of the first report that listed the run.
+    :param isolated: whether the task is suspected to crash workers, and had
+        no other suspect and no starting task beside it when it was placed.
+    :param crash: set when the worker has crashed, possibly due to the run.
     """
 
     task: model.TaskKey
     run: ids.Attempt
     step: model.Step
     phase: RunPhase
+    demand_known: bool = True
     last_outcome_number: int = 0
     fenced: bool = False
     should_run: bool = True
     percent: int = -1
     progress_changed_at: datetime.timedelta = ZERO
-    seen_at: datetime.timedelta = ZERO
+    last_listed_at: datetime.timedelta = ZERO
     measurement: int | None = None
     load: interference.Estimate | None = None
     pace: int = 100
     stop_sent: datetime.timedelta | None = None
     stop_accepted: bool = False
+    incarnation: int = 0
+    sent_at: datetime.timedelta | None = None
+    first_listed_at: datetime.timedelta | None = None
+    isolated: bool = False
+    crash: Crash | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether a report has listed the run."""
+        return self.first_listed_at is not None
 
     @property
     def full_use(self) -> float:
@@ -127,11 +159,16 @@
 
     entry = VersionedAttribute()
     listed = VersionedAttribute()
+    entry_unconfirmed = VersionedAttribute()
+    incarnation = VersionedAttribute()
     reachable = VersionedAttribute()
     report_received = VersionedAttribute()
     suspended_until = VersionedAttribute()
     no_room_until = VersionedAttribute()
     over_target_since = VersionedAttribute()
+    # The task that is suspected to crash workers and has the worker for itself
+    # until it has run on for some time; None if there is none.
+    probation = VersionedAttribute()
     # Set when the filler tasks' paces change, on which placement depends too.
     paced_at = VersionedAttribute()
 
@@ -141,6 +178,9 @@
         self.version = 0
         self.worker = worker
         self.entry = entry
+        # Whether the worker does not enforce its capacity, and its entry was
+        # read too long ago to rely on.
+        self.entry_unconfirmed = False
         # Whether the registry lists the worker.
         self.listed = entry is not None
         self.reachable = True
@@ -149,6 +189,8 @@
         self.used = resources.NOTHING
         # The part of it that long-running tasks use.
         self.long_running_use = resources.NOTHING
+        # Number of runs that are not included in ``used``.
+        self.unknown_demands = 0
         # Millicores that the filler tasks on the worker request.
         self.filler_millicores = 0
         self.incarnation = entry.incarnation if entry else 0
@@ -174,6 +216,7 @@
         # Our time since which a tail latency has been above its target; None
         # if none is.
         self.over_target_since = None
+        self.probation: model.TaskKey | None = None
         self.paced_at = ZERO
         # Our time at which the worker will shut down, if it announced one.
         self.shutdown_at: datetime.timedelta | None = None
@@ -183,6 +226,17 @@
         """Highest end number up to which all ends are durable."""
         return min(self.unsaved) - 1 if self.unsaved else self.last_end_number
 
+    @property
+    def entry_outdated(self) -> bool:
+        """Whether the worker may differ from its registry entry.
+
+        Another incarnation may be another kind of worker. Incarnation 0 is
+        one that was not reported.
+        """
+        if self.entry_unconfirmed:
+            return True
+        return 0 != self.entry.incarnation != self.incarnation
+
     @property
     def suspected(self) -> bool:
         """Whether tasks of several jobs failed and none succeeded since."""
@@ -193,6 +247,7 @@
         self.runs[run.task] = run
         self.version += 1
         self.reserve(run.step)
+        self.unknown_demands += not run.demand_known
         if self.suspected:
             # This run tests whether the worker has recovered; until it has
             # had time to end, the worker gets no other task.
@@ -205,7 +260,10 @@
         if run is None:
             return None
         self.version += 1
+        if self.probation == task:
+            self.probation = None
         self.release(run.step)
+        self.unknown_demands -= not run.demand_known
         return run
 
     def serving(self) -> collections.abc.Iterator[Run]:
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -19,11 +19,14 @@
     NOT_LISTED = "not-listed"
     NOT_APPROVED = "not-approved"
     OTHER_KIND = "other-kind"
+    ENTRY_OUTDATED = "entry-outdated"
     ZONE_CLOSED = "zone-closed"
     LEAVING = "leaving"
     OUT_OF_REACH = "out-of-reach"
+    UNKNOWN_DEMAND = "unknown-demand"
     HAS_REFUSED = "has-refused"
     SUSPECTED = "suspected"
+    ON_PROBATION = "on-probation"
     ENOUGH_OF_STEP = "enough-of-step"
     RESERVED = "reserved"
     NO_PROCESSORS = "no-processors"
@@ -54,16 +57,22 @@
     entry = worker.entry
     if entry is None or not worker.listed:
         return Obstacle.NOT_LISTED
+    if worker.entry_outdated:
+        return Obstacle.ENTRY_OUTDATED
     if entry.zone in closed:
         return Obstacle.ZONE_CLOSED
     if entry.state is not deployment.WorkerState.READY:
         return Obstacle.LEAVING
     if not worker.report_received or not worker.reachable:
         return Obstacle.OUT_OF_REACH
+    if worker.unknown_demands:
+        return Obstacle.UNKNOWN_DEMAND
     if now < worker.no_room_until:
         return Obstacle.HAS_REFUSED
     if worker.suspected and now < worker.suspended_until:
         return Obstacle.SUSPECTED
+    if worker.probation is not None:
+        return Obstacle.ON_PROBATION
     return None
 
 
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -76,34 +76,66 @@
         starts: list[decisions.StartOrder] = []
         for save in saves:
             self._mark_ends_saved(save.ends)
-            for worker_id, run in save.runs:
-                worker = self.run_tracker.workers.get(worker_id)
-                if worker is None or worker.runs.get(run.task) is not run:
-                    continue
-                ticket = self.run_tracker.advice.ticket(
-                    run.task.step_key, worker, now
-                )
-                allowed = bool(ticket) or save.job.queue.advisor is None
-                if not (
-                    run.should_run and allowed and _may_start(worker, closed)
-                ):
-                    self.run_tracker.drop_run(worker, run, "not-sent", now)
-                    continue
-                run.phase = fleet.RunPhase.STARTING
-                record = save.job.progress.tasks[run.task]
-                starts.append(
-                    decisions.StartOrder(
-                        worker=worker_id,
-                        run=run,
-                        payload=save.job.spec.payload,
-                        checkpoint=record.checkpoint,
-                        ticket=ticket,
-                    )
-                )
+            starts += self._release_starts(save, closed, now)
             if save.state.final:
                 self._finish_job(save, now)
         return starts
 
+    def _release_starts(
+        self,
+        save: jobs.JobSnapshot,
+        closed: collections.abc.Container[ids.ZoneId],
+        now: datetime.timedelta,
+    ) -> list[decisions.StartOrder]:
+        """Return the starts of a durable snapshot that may still be sent.
+
+        A gang is started as a whole or not at all: its members would wait for
+        those that are missing.
+        """
+        starts: list[decisions.StartOrder] = []
+        unsent: list[tuple[fleet.Worker, fleet.Run]] = []
+        for worker_id, run in save.runs:
+            worker = self.run_tracker.workers.get(worker_id)
+            if worker is None or worker.runs.get(run.task) is not run:
+                continue
+            ticket = self.run_tracker.advice.ticket(
+                run.task.step_key, worker, now
+            )
+            allowed = bool(ticket) or save.job.queue.advisor is None
+            if not (
+                run.should_run
+                and allowed
+                and _may_start(worker, closed)
+                and _same_kind(worker, save.job, run)
+                and _fits(worker, run)
+            ):
+                unsent.append((worker, run))
+                continue
+            run.phase = fleet.RunPhase.STARTING
+            run.sent_at = now
+            record = save.job.progress.tasks[run.task]
+            starts.append(
+                decisions.StartOrder(
+                    worker=worker_id,
+                    run=run,
+                    payload=save.job.spec.payload,
+                    checkpoint=record.checkpoint,
+                    ticket=ticket,
+                )
+            )
+        incomplete = {run.task.step_key for _, run in unsent if run.step.gang}
+        for start in starts:
+            if start.run.task.step_key in incomplete:
+                worker = self.run_tracker.workers[start.worker]
+                unsent.append((worker, start.run))
+        for worker, run in unsent:
+            self.run_tracker.drop_run(worker, run, "not-sent", now)
+        return [
+            start
+            for start in starts
+            if start.run.task.step_key not in incomplete
+        ]
+
     def _mark_ends_saved(
         self, ends: collections.abc.Iterable[jobs.End]
     ) -> None:
@@ -138,7 +170,32 @@
     return (
         entry is not None
         and worker.listed
+        and not worker.entry_outdated
         and worker.clock is not None
+        and not worker.unknown_demands
         and entry.state is deployment.WorkerState.READY
         and entry.zone not in closed
     )
+
+
+def _same_kind(worker: fleet.Worker, job: jobs.Job, run: fleet.Run) -> bool:
+    """Return whether a worker still is of the kind that a task requires."""
+    entry, label = worker.entry, run.step.label
+    return entry.service == job.queue.service and (
+        not label or label in entry.labels
+    )
+
+
+def _fits(worker: fleet.Worker, run: fleet.Run) -> bool:
+    """Return whether a run fits beside those whose starts may be sent.
+
+    The worker's capacity may have shrunk since the run was placed.
+    """
+    capacity = worker.entry.capacity
+    if worker.used.fits(capacity):
+        return True
+    used = run.step.committed
+    for other in worker.runs.values():
+        if other.phase is not fleet.RunPhase.ASSIGNED:
+            used = used.plus(other.step.committed)
+    return used.fits(capacity)
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -4,8 +4,10 @@
 of either.
 """
 
+import dataclasses
 import datetime
 
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import incarnations
@@ -17,6 +19,15 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.workflow import model
 
+# Phases in which a worker may list a run that is not being stopped.
+_STARTED_PHASES = frozenset(
+    (
+        fleet.RunPhase.STARTING,
+        fleet.RunPhase.UNCERTAIN,
+        fleet.RunPhase.RUNNING,
+    )
+)
+
 
 class Settlement:
     """Determines the state of each run from the answers of its worker."""
@@ -51,7 +62,9 @@
 
         :param requested_at: sequence number of the request for the report.
         """
-        if not incarnations.accept_incarnation(worker, report.incarnation):
+        if not incarnations.accept_incarnation(
+            worker, report.incarnation, self.run_tracker.losses, now
+        ):
             return
         worker.record_clock(report, now)
         worker.report_received = True
@@ -82,35 +95,70 @@
     ) -> None:
         run = worker.runs.get(row.task)
         if run is None or run.run != row.run:
-            stray = fleet.Run(
-                task=row.task,
-                run=row.run,
-                step=run_trackers.STRAY_STEP,
-                phase=fleet.RunPhase.STOPPING,
-            )
             if run is None:
-                worker.add(stray)
-                self.run_tracker.stop(worker, stray, now, "not-assigned")
+                self._stop_stray(worker, row, now)
             return
-        if run.phase in (fleet.RunPhase.STARTING, fleet.RunPhase.UNCERTAIN):
+        if run.phase in _STARTED_PHASES:
             if run.should_run:
                 run.phase = fleet.RunPhase.RUNNING
             else:
                 self.run_tracker.stop(worker, run, now, "not-wanted")
-        run.seen_at = now
+        run.last_listed_at = now
         if row.percent != run.percent:
             run.percent = row.percent
             run.progress_changed_at = now
         run.measurement = row.measurement
+        # A run that is listed has not ended with an earlier incarnation.
+        run.crash = None
+        if run.first_listed_at is None:
+            run.first_listed_at = now
         job = self.run_tracker.jobs.get(row.task.job)
         if job is None:
             return
         job.begun = True
+        if now - run.first_listed_at >= crashes.SUSPECT_TIME:
+            self._clear_suspicion(job, row.task, now)
+            if worker.probation == row.task:
+                worker.probation = None
         if row.checkpoint:
             record = job.progress.tasks.get(row.task)
             if record is not None and record.run == row.run:
                 record.checkpoint = row.checkpoint
 
+    def _stop_stray(
+        self,
+        worker: fleet.Worker,
+        row: orders.RunningRow,
+        now: datetime.timedelta,
+    ) -> None:
+        """Stop a run that is not assigned to its worker.
+
+        The run takes its demand of the worker's capacity until it has ended.
+        """
+        step = run_trackers.STRAY_STEP
+        job = self.run_tracker.jobs.get(row.task.job)
+        known = job is not None and row.task.step < len(job.spec.steps)
+        if known:
+            committed = job.spec.steps[row.task.step].committed
+            step = dataclasses.replace(step, demand=committed)
+        stray = fleet.Run(
+            task=row.task,
+            run=row.run,
+            step=step,
+            phase=fleet.RunPhase.STOPPING,
+            demand_known=known,
+        )
+        worker.add(stray)
+        self.run_tracker.stop(worker, stray, now, "not-assigned")
+
+    def _clear_suspicion(
+        self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
+    ) -> None:
+        """Forget earlier crashes of workers under a task."""
+        if job.suspected(task):
+            job.clear_suspicion(task)
+            self.run_tracker.note_change(job.spec.job, now)
+
     def _handle_unreported_run(
         self,
         worker: fleet.Worker,
@@ -163,6 +211,11 @@
             )
         if job is None:
             return
+        finished = _finishes(job, end)
+        if not finished and not run_trackers.is_current(job, worker, end):
+            return
+        if end.kind in crashes.OWN_ENDS:
+            self._clear_suspicion(job, end.task, now)
         worker.unsaved.add(end.number)
         job.unsaved_ends.append(
             jobs.End(worker.worker, worker.incarnation, end.number)
@@ -170,7 +223,7 @@
         job.begun = True
         self.run_tracker.note_change(job.spec.job, now)
         step = job.spec.steps[end.task.step]
-        if end.kind is model.EndKind.DONE and not step.long_running:
+        if finished:
             if step.gang:
                 self._finish_gang(job, end.task, now)
             else:
@@ -186,15 +239,17 @@
     def _finish_gang(
         self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
     ) -> None:
-        # The end of one member is the end of the whole gang.
+        # The end of one member is the end of the whole gang. The other
+        # members use their workers' capacity until these report their ends.
         ready: list[model.TaskKey] = []
         for index in range(job.spec.steps[task.step].count):
             member = task._replace(index=index)
             record = job.progress.tasks.get(member)
             if record is not None and record.worker:
                 member_worker = self.run_tracker.workers.get(record.worker)
-                if member_worker is not None:
-                    member_worker.remove(member)
+                run = member_worker.runs.get(member) if member_worker else None
+                if run is not None:
+                    run.should_run = False
             self.run_tracker.waiting.remove(member)
             ready += job.progress.finish(member)
         self.run_tracker.enqueue_next(job, ready, now)
@@ -216,7 +271,7 @@
         match outcome:
             case orders.Accepted():
                 run.phase = fleet.RunPhase.RUNNING
-                run.progress_changed_at = run.seen_at = now
+                run.progress_changed_at = run.last_listed_at = now
                 self._mark_job_begun(run)
                 if not run.should_run:
                     self.run_tracker.stop(worker, run, now, "not-wanted")
@@ -244,6 +299,7 @@
             run,
             reason=reason.value,
         )
+        run.crash = None
         match reason:
             case orders.RefusalReason.NO_ROOM:
                 worker.no_room_until = now + fleet.NO_ROOM_PAUSE
@@ -303,8 +359,19 @@
         Called when another incarnation answers at the worker's address.
         """
         worker.listed = False
+        self.run_tracker.losses.note_loss(worker, now)
         for run in list(worker.runs.values()):
             if run.phase is not fleet.RunPhase.ASSIGNED:
                 self.run_tracker.drop_run(
                     worker, run, "incarnation-ended", now
                 )
+
+
+def _finishes(job: jobs.Job, end: orders.EndRow) -> bool:
+    """Return whether a task is done with this end of one of its runs."""
+    steps = job.spec.steps
+    return (
+        end.kind is model.EndKind.DONE
+        and end.task.step < len(steps)
+        and not steps[end.task.step].long_running
+    )
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -115,5 +115,7 @@
             or self.run_tracker.leases_until(worker) > worker.lapsed_at,
             **fields,
         )
+        if not worker.listed:
+            self.run_tracker.losses.note_loss(worker, now)
         for run in expired_runs:
             self.run_tracker.drop_run(worker, run, "lapsed", now)
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -42,6 +42,12 @@
 SILENCE_S = 600.0
 # Length of the leases on workers.
 LEASE_MS = 10_000
+MILLICORES = 16_000
+# Time after which a capacity that has shrunk binds: the contact time of the
+# settings below and one heartbeat of a worker.
+CAPACITY_GRACE_S = 4.0
+# Time for which a worker that has crashed is away.
+DOWN_TIME_S = 1.5
 
 SETTINGS = """\
 node-name = "{node}"
@@ -72,9 +78,17 @@
     """Serves a simulated worker over HTTP.
 
     Each task runs for the number of seconds given as ``s`` in its
-    specification.
+    specification, and uses ``cpu`` millicores, or none. The worker starts what
+    it is told. A task with ``crash`` in its specification crashes the worker
+    when it starts. The worker is back after ``DOWN_TIME_S`` as a new
+    incarnation; until then it breaks off each call.
 
     :ivar silent: whether no call is executed or answered any more.
+    :ivar back_at: when a crashed worker is back; None if it is up.
+    :ivar capacities: each millicores of the worker, and its time in seconds.
+    :ivar uses: time of each start, and the millicores in use after it.
+    :ivar excesses: starts beyond the capacity: the task, the millicores in use
+        and the largest capacity that may count.
     """
 
     def __init__(self, *, name: str, zone: str):
@@ -83,10 +97,15 @@
         self.state = batch_worker.BatchWorker()
         self.ends_at: dict[model.TaskKey, float] = {}
         self.started_at: list[tuple[model.TaskKey, float]] = []
+        self.demands: dict[model.TaskKey, int] = {}
+        self.capacities = [(0.0, MILLICORES)]
+        self.uses: list[tuple[float, int]] = []
+        self.excesses: list[tuple[model.TaskKey, int, int]] = []
         self.server = server.Server(handler=self.handle)
         self.changed = asyncio.Event()
         self.port = 0
         self.silent = False
+        self.back_at: float | None = None
 
     async def start(self) -> None:
         """Start listening on a free loopback port."""
@@ -104,13 +123,32 @@
                 "state": "ready",
                 "cold-remaining-ms": 0,
                 "born": self.state.incarnation,
-                "free-capacity": {"cpu": 16000, "mem-mb": 64000, "gpu": 0},
+                "free-capacity": {
+                    "cpu": self.capacities[-1][1],
+                    "mem-mb": 64000,
+                    "gpu": 0,
+                },
                 "labels": ["a", "r1-1"],
                 "clock-ms": self.state.clock // MS,
                 "sequence": 1,
             }
         ).encode()
 
+    def crash(self) -> None:
+        """Lose all runs, and answer no call for ``DOWN_TIME_S``."""
+        self.state.restart()
+        self.ends_at.clear()
+        self.back_at = asyncio.get_running_loop().time() + DOWN_TIME_S
+
+    def has_returned(self) -> bool:
+        """Return whether a crashed worker has just become available again."""
+        if self.back_at is None:
+            return False
+        if asyncio.get_running_loop().time() < self.back_at:
+            return False
+        self.back_at = None
+        return True
+
     def tick(self, span: datetime.timedelta) -> None:
         """Advance the worker's clock, then expire leases and end due tasks."""
         self.state.clock += span
@@ -128,9 +166,16 @@
         if self.silent:
             await asyncio.sleep(SILENCE_S)
             return
+        if self.back_at is not None:
+            exchange.connection.wire.abort()
+            return
         match exchange.head.path:
             case "/v1/run-start":
-                await self._answer(exchange, self._start(document))
+                outcome = self._start(document)
+                if self.back_at is None:
+                    await self._answer(exchange, outcome)
+                else:
+                    exchange.connection.wire.abort()
             case "/v1/run-stop":
                 await self._answer(
                     exchange,
@@ -163,9 +208,26 @@
         now = asyncio.get_running_loop().time()
         if isinstance(outcome, orders.Accepted) and task not in self.ends_at:
             self.started_at.append((task, now))
-            self.ends_at[task] = now + json.loads(document["spec"])["s"]
+            spec = json.loads(document["spec"])
+            self.ends_at[task] = now + spec["s"]
+            self.demands[task] = spec.get("cpu", 0)
+            self._check_use(task, now)
+            if spec.get("crash"):
+                self.crash()
         return outcome
 
+    def _check_use(self, task: model.TaskKey, now: float) -> None:
+        used = sum(self.demands[running] for running in self.state.running)
+        self.uses.append((now, used))
+        ends = [since for since, _ in self.capacities[1:]] + [now]
+        allowed = max(
+            millicores
+            for (_, millicores), end in zip(self.capacities, ends, strict=True)
+            if end >= now - CAPACITY_GRACE_S
+        )
+        if used > allowed:
+            self.excesses.append((task, used, allowed))
+
     async def _hold(self, exchange: server.Exchange, document: dict) -> None:
         until = document.get("deadline-ms")
         order = orders.Renewal(
@@ -180,6 +242,9 @@
                 await clocks.SystemClock().wait_event(
                     self.changed, document["wait-ms"] * MS
                 )
+                if self.back_at is not None:
+                    exchange.connection.wire.abort()
+                    return
                 report = self.state.renew(order)
         except exceptions.StaleTokenError:
             await exchange.respond_json(
@@ -382,7 +447,9 @@
         workers: int,
         entries: int,
         lease_ms: int = LEASE_MS,
+        enforce_limits: bool = True,
     ):
+        self.enforce_limits = enforce_limits
         self.store = StoreHost()
         self.workers = [
             WorkerHost(name=f"i-{n}", zone=ZONES[n % len(ZONES)])
@@ -452,16 +519,28 @@
                     "slack-factor": 1.5,
                 }
             ],
-            "services": [{"name": "bells", "enforce-limits": True}],
+            "services": [
+                {"name": "bells", "enforce-limits": self.enforce_limits}
+            ],
             "limits": {"max-body-bytes": 262144},
         }
         self.store.storage.put("op/config", json.dumps(document).encode())
 
+    def resize(self, worker: WorkerHost, millicores: int) -> None:
+        """Change a worker's capacity, and write its registry entry."""
+        now = asyncio.get_running_loop().time()
+        worker.capacities.append((now, millicores))
+        self.store.storage.put(f"servers/{worker.name}", worker.entry())
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             for worker in self.workers:
                 worker.tick(TICK_INTERVAL_S * SECOND)
+                if worker.has_returned():
+                    self.store.storage.put(
+                        f"servers/{worker.name}", worker.entry()
+                    )
 
     async def until(self, condition, timeout: float = START_TIMEOUT_S) -> None:
         """Poll a condition until it holds.
@@ -494,16 +573,28 @@
             pool.close()
 
     async def submit(
-        self, entry: Entry, job: str, *, tasks: int = 3, seconds: float = 0.3
+        self,
+        entry: Entry,
+        job: str,
+        *,
+        tasks: int = 3,
+        seconds: float = 0.3,
+        crash: bool = False,
     ) -> calls.Answer:
-        """Submit a job whose second step waits for its first step."""
-        task = {"cpu": 1000, "mem-mb": 500, "estimate-ms": 300}
+        """Submit a job whose second step waits for its first step.
+
+        :param crash: whether its tasks crash the workers that start them.
+        """
+        millicores = 1000
+        task = {"cpu": millicores, "mem-mb": 500, "estimate-ms": 300}
         return await self.call(
             entry,
             "POST",
             job,
             {
-                "spec": json.dumps({"s": seconds}),
+                "spec": json.dumps(
+                    {"s": seconds, "cpu": millicores, "crash": crash}
+                ),
                 "steps": [
                     {"count": tasks, **task},
                     {"count": 1, "after": [0], **task},
