Let leases end 9 s after the leader's last confirmation

Users would have seen services without their tasks for 18 s after workers and the leader's host were lost together for good (LOST).

Cause: a leader without the store renewed leases for 8 s, the last ones with their full length, so that a successor had to expect leases for 14 s if the former leader's host left no word. Class of fault: a wait for the worst case of two limits that add up.

Change: each lease ends 9 s after the last confirmation at the latest, and the successor's bound follows. For a former leader of a version without records the bound stays as it was.

--- a/src/turmerichook/_internal/dispatch/inherited_leases.py
+++ b/src/turmerichook/_internal/dispatch/inherited_leases.py
@@ -15,6 +15,9 @@
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
 
+# How long leaders of versions that keep no record renew leases while the store
+# does not confirm their own lease. Each of these leases has the full length.
+UNRECORDED_RENEWAL_TIME = datetime.timedelta(seconds=8)
 # Added to the time at which leases from a former leader have ended.
 LEASE_MARGIN = datetime.timedelta(seconds=1)
 # Time between two readings of the records of former terms.
@@ -47,16 +50,19 @@
         self.commit_log = commit_log
         self.run_tracker = run_tracker
         self.clock = clock
-        # Longest time by our clock for which a lease can last, with the
-        # greatest deviation of the worker's clock.
-        self.lease = lease_max / (1 - fleet.CLOCK_RATE_ERROR_MAX)
         self.open_terms: int | None = None
         self.settled = False
+        # Times for which leases can last from a moment on: one lease, the
+        # leases of a leader that has lost the store, and those of one of an
+        # older version.
+        self.lease = _by_our_clock(lease_max)
+        self.unconfirmed = _by_our_clock(
+            sessions.unconfirmed_lease_time(lease_max)
+        )
+        self.unrecorded = UNRECORDED_RENEWAL_TIME + self.lease
+        self.began_at = clock.uptime()
         run_tracker.inherited_leases_until = (
-            clock.uptime()
-            + sessions.UNCONFIRMED_RENEWAL_TIME
-            + self.lease
-            + LEASE_MARGIN
+            self.began_at + self.unrecorded + LEASE_MARGIN
         )
 
     def remaining(self) -> datetime.timedelta:
@@ -73,6 +79,8 @@
         self.commit_log.earlier_terms_recorded = (
             previous is None or previous.endswith(commits.RECORDED_SUFFIX)
         )
+        if self.commit_log.earlier_terms_recorded:
+            self._limit(self.began_at + self.unconfirmed + LEASE_MARGIN)
         while not self.settled:
             try:
                 await self._check()
@@ -102,13 +110,20 @@
             self.settled = True
 
     def _shorten(self) -> None:
-        until = self.clock.uptime() + self.lease + LEASE_MARGIN
-        tracker = self.run_tracker
-        tracker.inherited_leases_until = min(
-            tracker.inherited_leases_until, until
-        )
+        self._limit(self.clock.uptime() + self.lease + LEASE_MARGIN)
         logs.emit(
             events.DispatchEvent.INHERITED_LEASES_SHORTENED,
             epoch=self.term.token,
             inherited_until_ms=round(self.remaining() / clocks.MILLISECOND),
         )
+
+    def _limit(self, until: datetime.timedelta) -> None:
+        tracker = self.run_tracker
+        tracker.inherited_leases_until = min(
+            tracker.inherited_leases_until, until
+        )
+
+
+def _by_our_clock(duration: datetime.timedelta) -> datetime.timedelta:
+    """Return a duration on a worker's clock by ours, at the most."""
+    return duration / (1 - fleet.CLOCK_RATE_ERROR_MAX)
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -36,10 +36,21 @@
 # A listed worker that has not answered for this time gets no more leases, so
 # that its tasks can run where their ends are seen.
 SILENT_RENEWAL_TIME = datetime.timedelta(seconds=20)
-# How long leases on workers are renewed while the store does not confirm the
-# leader's own lease. A successor can rely on all of them having ended after
-# this time and the length of one lease.
-UNCONFIRMED_RENEWAL_TIME = datetime.timedelta(seconds=8)
+# Longest time by which leases on workers outlive the last confirmation of the
+# leader's own lease, unless a single lease is longer. Runs survive a loss of
+# the store for this time, and a successor that the former leader's worker does
+# not answer waits as long.
+UNCONFIRMED_LEASE_TIME = datetime.timedelta(seconds=9)
+
+
+def unconfirmed_lease_time(
+    lease_max: datetime.timedelta,
+) -> datetime.timedelta:
+    """Return how long leases may outlive a leader's last confirmation.
+
+    :param lease_max: longest lease on a worker.
+    """
+    return max(UNCONFIRMED_LEASE_TIME, lease_max)
 
 
 class Session:
@@ -159,10 +170,10 @@
     def _lease_until(self) -> datetime.timedelta | None:
         if self.worker.clock is None or self.term.ended.is_set():
             return None
-        if self.term.unconfirmed_for() > UNCONFIRMED_RENEWAL_TIME:
-            return None
         now = self.clock.uptime()
-        length = self.timing.lease_max
+        length = self._lease_length()
+        if length <= fleet.ZERO:
+            return None
         if self.failures:
             # The leases of a worker that has crashed must end: a renewal
             # counts as granted although no answer confirms it.
@@ -173,6 +184,14 @@
             length = min(length, SILENT_LEASE)
         return self.worker.grant_lease(now, length)
 
+    def _lease_length(self) -> datetime.timedelta:
+        """Return how long a lease that is granted now may last."""
+        lease_max = self.timing.lease_max
+        remaining = (
+            unconfirmed_lease_time(lease_max) - self.term.unconfirmed_for()
+        )
+        return min(lease_max, remaining)
+
     def _report_wait(self) -> datetime.timedelta:
         if (
             not self.worker.report_received
@@ -216,7 +235,7 @@
                     run=run.run,
                     payload=order.payload,
                     token=self.term.token,
-                    valid_until=worker.grant_lease(now, self.timing.lease_max),
+                    valid_until=worker.grant_lease(now, self._lease_length()),
                     checkpoint=order.checkpoint,
                     ticket=order.ticket,
                 ),
