Count each crash under a task across leaders, and keep most workers open

Callers would still have seen a task crash six to eight workers where several such tasks and a change of the leader came together, services kept from their room on full sites, and a job given up although no worker had crashed.

Found by a reviewer who had not seen the work, on: - losses of many workers at once did not count for tasks that a former leader had started, and a suspicion without a count was forgotten with the leader; - after a change of the leader all services of a dead worker were suspected, however long they had run, and each took a worker for itself; - a suspected service had its room reserved in one round of six only; - a worker that was cut off and lived counted as crashed; - of a crashed worker only the suspect was blamed, also where it had been placed beside tasks that had not begun; - a run of a former leader was taken for lost since our clock began.

Change: each crash counts; what is doubtful, many at once or a worker that is out of reach, only raises the number of crashes until the task is given up, from two or three to four. Progress holds the time of the assignment, and a run that was assigned 15 s before a change of the leader counts as begun. A fifth of the workers is on probation at most. Reservations for suspects are made in each round.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -29,12 +29,20 @@
 # Time for which losses are kept to be compared with later ones, which takes
 # until all leases of a worker have ended.
 LOSSES_KEPT = datetime.timedelta(seconds=30)
-# Crashes from which on a task is given up, if it was alone at the last one.
-ISOLATED_CRASHES_MAX = 2
-# Crashes from which on a task is given up in any case. The platform allows two
-# starts after the third crash; both are left for crashes that were not counted
-# and for starts that a former leader may have sent.
-CRASHES_MAX = 3
+# Crashes from which on a task is given up, by how the last one counts. The
+# platform allows two starts after the third crash; at least one is left for a
+# crash that was not noticed or a start that a former leader sent.
+CRASHES_MAX = {
+    fleet.Crash.ISOLATED: 2,
+    fleet.Crash.SHARED: 3,
+    fleet.Crash.DOUBTFUL: 4,
+}
+# A run that was assigned this long before a change of the leader has begun, as
+# the former leader would have noticed a crash at its start.
+BEGUN_AGE = datetime.timedelta(seconds=15)
+# Share of the listed workers that may be on probation at the same time. Other
+# suspected tasks start beside any tasks, so that workers remain for the rest.
+PROBATION_SHARE = 0.2
 # Ends of a run that show that the task did not crash its worker.
 OWN_ENDS = (model.EndKind.DONE, model.EndKind.FAILED)
 
@@ -53,30 +61,38 @@
             tuple[ids.WorkerId, datetime.timedelta, datetime.timedelta]
         ] = collections.deque()
 
-    def note_restart(
+    def mark_restarted(
         self,
         worker: fleet.Worker,
         incarnation: int,
         now: datetime.timedelta,
     ) -> None:
-        """Mark the runs that may have ended the worker's last incarnation."""
+        """Mark the runs that may have crashed the last incarnation."""
         ended = [
             run
             for run in worker.runs.values()
             if run.incarnation and run.incarnation < incarnation
         ]
         if ended or worker.incarnation:
-            self._note(worker, ended, now)
+            self._mark(worker, ended, now, certain=True)
 
-    def note_loss(self, worker: fleet.Worker, now: datetime.timedelta) -> None:
-        """Mark the runs that may have crashed a worker that is gone."""
-        self._note(worker, list(worker.runs.values()), now)
+    def mark_lost(
+        self, worker: fleet.Worker, now: datetime.timedelta, *, certain: bool
+    ) -> None:
+        """Mark the runs that may have crashed a worker that is gone.
+
+        :param certain: whether the worker's process has certainly ended; one
+            that is cut off may still run.
+        """
+        self._mark(worker, list(worker.runs.values()), now, certain=certain)
 
-    def _note(
+    def _mark(
         self,
         worker: fleet.Worker,
         runs: list[fleet.Run],
         now: datetime.timedelta,
+        *,
+        certain: bool,
     ) -> None:
         entry = worker.entry
         if entry is not None and (
@@ -92,11 +108,12 @@
         many = self._many_at(last_answer)
         suspects = _suspects(worker, runs, last_answer)
         for run in suspects:
-            if many:
-                # A task that a report has listed did not crash its worker at
-                # the start, so that the other cause is more likely.
-                if run.sent_at is not None and not run.begun:
-                    run.crash = fleet.Crash.MANY
+            if many and run.begun:
+                # The task did not crash its worker at the start, so that the
+                # other cause is more likely.
+                continue
+            if many or not certain:
+                run.crash = fleet.Crash.DOUBTFUL
             elif run.isolated and len(suspects) == 1:
                 run.crash = fleet.Crash.ISOLATED
             else:
@@ -134,8 +151,8 @@
     for run in runs:
         if run.phase is fleet.RunPhase.ASSIGNED:
             continue
-        if run.task == worker.probation:
-            # The other runs had proved to run on, or were sent no start.
+        if run.task == worker.probation and run.isolated:
+            # The other runs had begun before, or were sent no start.
             return [run]
         began = run.first_listed_at if run.sent_at is None else run.sent_at
         if not run.begun or last_answer - began < SUSPECT_TIME:
@@ -149,19 +166,26 @@
     :param count: number of crashes of workers under the task.
     :param crash: how the last one counts.
     """
-    if crash is fleet.Crash.ISOLATED and count >= ISOLATED_CRASHES_MAX:
-        return True
-    return count >= CRASHES_MAX
+    return count >= CRASHES_MAX[crash]
 
 
-def isolates(worker: fleet.Worker) -> bool:
-    """Return whether all tasks on a worker have begun to run."""
-    return worker.probation is None and all(
-        run.begun for run in worker.runs.values()
-    )
+def all_begun(worker: fleet.Worker) -> bool:
+    """Return whether all runs on a worker have begun."""
+    return all(run.begun for run in worker.runs.values())
+
+
+def probation_allowed(
+    workers: collections.abc.Iterable[fleet.Worker],
+) -> bool:
+    """Return whether one more worker may be on probation."""
+    listed = on_probation = 0
+    for worker in workers:
+        listed += worker.listed
+        on_probation += worker.probation is not None
+    return on_probation < max(1, PROBATION_SHARE * listed)
 
 
-def harm(worker: fleet.Worker) -> tuple[int, int]:
+def crash_cost(worker: fleet.Worker) -> tuple[int, int]:
     """Return a sort key for the harm that a crash of the worker would do."""
     services = sum(
         run.step.long_running or bool(run.step.latency_target)
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -52,6 +52,8 @@
         self.registry_confirmed_at: datetime.timedelta | None = None
         self.registry_outdated = False
         self.closed_zones: set[ids.ZoneId] = set()
+        # Unix time less our time, at the last placement.
+        self.wall_offset = fleet.ZERO
         self.interference = interference.Interference()
         self.run_tracker = run_trackers.RunTracker()
         self.run_tracker.inherited_leases_until = inherited_leases_until
@@ -107,7 +109,11 @@
                 record.worker,
                 record.run,
                 step,
+                now,
                 incarnation=record.incarnation,
+                age=(
+                    wall - record.assigned_at if record.assigned_at else None
+                ),
             )
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
@@ -279,6 +285,7 @@
         :returns: the number of tasks assigned.
         """
         self.check_registry_age(now)
+        self.wall_offset = wall - now
         unreleased = self.run_tracker.unreleased
         return self.waiting.place(
             workers=self.workers.values(),
@@ -324,7 +331,11 @@
     ) -> None:
         """Assign a task to a worker under a run number."""
         record = job.progress.assign(
-            task, worker.worker, run, incarnation=worker.incarnation
+            task,
+            worker.worker,
+            run,
+            incarnation=worker.incarnation,
+            at=now + self.wall_offset,
         )
         step = job.spec.steps[task.step]
         new_run = fleet.Run(
@@ -335,8 +346,10 @@
             progress_changed_at=now,
             incarnation=worker.incarnation,
         )
-        if job.suspected(task):
-            new_run.isolated = crashes.isolates(worker)
+        if job.suspected(task) and crashes.probation_allowed(
+            self.workers.values()
+        ):
+            new_run.isolated = crashes.all_begun(worker)
             worker.probation = task
         worker.add(new_run)
         self.run_tracker.note_change(job.spec.job, now)
@@ -384,6 +397,7 @@
                 worker_id,
                 number,
                 run_trackers.STRAY_STEP,
+                now,
             )
             run.should_run = False
 
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -39,8 +39,9 @@
     ISOLATED = "isolated"
     # Other tasks may have crashed the worker as well.
     SHARED = "shared"
-    # Many workers were lost at the same time, probably for another reason.
-    MANY = "many"
+    # Many workers were lost at the same time, probably for another reason, or
+    # the worker may not have crashed at all.
+    DOUBTFUL = "doubtful"
 
 
 class RunPhase(enum.Enum):
@@ -85,7 +86,8 @@
         to; 0 if unknown.
     :param sent_at: our time at which the start was sent; None if it was not,
         or if a former leader sent it.
-    :param first_listed_at: our time of the first report that listed the run.
+    :param first_listed_at: our time of the first report that listed the run;
+        of a recovered run that must have begun, the time of its assignment.
     :param isolated: whether the task is suspected to crash workers, and had
         no other suspect and no starting task beside it when it was placed.
     :param crash: set when the worker has crashed, possibly due to the run.
@@ -115,7 +117,7 @@
 
     @property
     def begun(self) -> bool:
-        """Whether a report has listed the run."""
+        """Whether the run has certainly begun."""
         return self.first_listed_at is not None
 
     @property
--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -24,7 +24,7 @@
     previous = worker.incarnation
     if previous and incarnation < previous:
         return False
-    losses.note_restart(worker, incarnation, now)
+    losses.mark_restarted(worker, incarnation, now)
     worker.incarnation = incarnation
     if previous:
         _reset_after_restart(worker)
--- a/src/turmerichook/_internal/dispatch/jobs.py
+++ b/src/turmerichook/_internal/dispatch/jobs.py
@@ -29,15 +29,12 @@
 
     :param begun: whether a worker has certainly started one of its tasks.
     :param unsaved_ends: reported ends that the job's next snapshot includes.
-    :param suspects: tasks that may have crashed one of many workers that were
-        lost at the same time, which does not count as a crash.
     """
 
     progress: progresses.Progress
     queue: deployment.Queue
     begun: bool = False
     unsaved_ends: list[End] = dataclasses.field(default_factory=list)
-    suspects: set[model.TaskKey] = dataclasses.field(default_factory=set)
 
     @property
     def spec(self) -> model.JobSpec:
@@ -52,11 +49,10 @@
     def suspected(self, task: model.TaskKey) -> bool:
         """Return whether a task may crash the worker that starts it."""
         record = self.progress.tasks.get(task)
-        return task in self.suspects or bool(record and record.crashes)
+        return record is not None and record.crashes > 0
 
     def clear_suspicion(self, task: model.TaskKey) -> None:
         """Forget earlier crashes of workers under a task."""
-        self.suspects.discard(task)
         record = self.progress.tasks.get(task)
         if record is not None:
             record.crashes = 0
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -184,14 +184,16 @@
         self, waiting: waiting_step.WaitingStep
     ) -> list[Choice]:
         """Choose a worker for a task that may crash it."""
-        if self.now < waiting.blocked_until:
-            return []
         (task,) = waiting.tasks
         conditions = self._conditions(waiting, waiting.tasks_by_worker())
-        worker = self._worker_for_suspect(waiting, conditions)
-        if worker is None:
+        worker = None
+        if self.now >= waiting.blocked_until or self._candidates(waiting):
+            worker = self._worker_for_suspect(waiting, conditions)
             waiting.blocked_until = self.now + BLOCKED_PAUSE
+            waiting.checked_position = self.room.position
+        if worker is None:
             if waiting.starving(self.now):
+                # Reservations last for one round.
                 self._reserve_room(conditions)
             return []
         run = ids.Attempt(waiting.job.progress.tasks[task].run + 1)
@@ -211,10 +213,12 @@
             overdue=waiting.overdue(self.now),
         )
         fitting = ranking.remaining()
-        isolated = [worker for worker in fitting if crashes.isolates(worker)]
-        if not isolated and self.now - waiting.since < ISOLATION_WAIT:
-            return None
-        return min(isolated or fitting, key=crashes.harm, default=None)
+        isolated = []
+        if crashes.probation_allowed(self.workers):
+            isolated = [w for w in fitting if crashes.all_begun(w)]
+            if not isolated and self.now - waiting.since < ISOLATION_WAIT:
+                return None
+        return min(isolated or fitting, key=crashes.crash_cost, default=None)
 
     def explain(self, waiting: waiting_step.WaitingStep) -> None:
         """Log what keeps the workers from running the tasks of a step.
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -179,14 +179,10 @@
 
         The job fails instead if the task must not be started again.
         """
-        suspected = job.suspected(run.task)
-        counted = suspected or crash is not fleet.Crash.MANY
         record = job.progress.return_to_queue(
-            run.task, checkpoint="", failed=False, crashed=counted
+            run.task, checkpoint="", failed=False, crashed=True
         )
         self.note_change(job.spec.job, now)
-        if not counted:
-            job.suspects.add(run.task)
         given_up = crashes.must_give_up(record.crashes, crash)
         log_run(
             events.DispatchEvent.TASK_CRASHED_WORKER,
@@ -194,11 +190,10 @@
             run,
             crashes=record.crashes,
             isolated=run.isolated,
-            many=crash is fleet.Crash.MANY,
+            doubtful=crash is fleet.Crash.DOUBTFUL,
             given_up=given_up,
         )
-        if counted:
-            self.crashes_counted[given_up] += 1
+        self.crashes_counted[given_up] += 1
         if given_up:
             self.fail_job(job, now, progresses.FailureReason.WORKERS_CRASHED)
         if not job.progress.state.final:
@@ -249,13 +244,17 @@
         worker_id: ids.WorkerId,
         number: ids.Attempt,
         step: model.Step,
+        now: datetime.timedelta,
+        *,
         incarnation: int = 0,
+        age: datetime.timedelta | None = None,
     ) -> fleet.Run:
         """Add a run that a former leader may have started.
 
         :param step: step of the task; ``STRAY_STEP`` if it is unknown.
         :param incarnation: incarnation of the worker that the task was
             assigned to; 0 if unknown.
+        :param age: time since the assignment; None if unknown.
         """
         worker = self.workers.get(worker_id)
         if worker is None:
@@ -271,10 +270,10 @@
             demand_known=step is not STRAY_STEP,
             fenced=True,
             incarnation=incarnation,
+            progress_changed_at=now,
         )
-        job = self.jobs.get(task.job)
-        if job is not None and job.suspected(task):
-            worker.probation = task
+        if age is not None and age > crashes.BEGUN_AGE:
+            run.first_listed_at = now - age
         worker.add(run)
         return run
 
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -359,7 +359,7 @@
         Called when another incarnation answers at the worker's address.
         """
         worker.listed = False
-        self.run_tracker.losses.note_loss(worker, now)
+        self.run_tracker.losses.mark_lost(worker, now, certain=True)
         for run in list(worker.runs.values()):
             if run.phase is not fleet.RunPhase.ASSIGNED:
                 self.run_tracker.drop_run(
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -116,6 +116,6 @@
             **fields,
         )
         if not worker.listed:
-            self.run_tracker.losses.note_loss(worker, now)
+            self.run_tracker.losses.mark_lost(worker, now, certain=False)
         for run in expired_runs:
             self.run_tracker.drop_run(worker, run, "lapsed", now)
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -44,6 +44,7 @@
     :param checkpoint: latest checkpoint that a run reported, or empty.
     :param incarnation: incarnation of the worker at the assignment; 0 if
         unknown.
+    :param assigned_at: Unix time of the assignment; zero if unknown.
     :param crashes: number of workers that crashed under the task since it
         last proved to run on.
     """
@@ -54,6 +55,7 @@
     failures: int = 0
     checkpoint: ids.CheckpointId = ids.CheckpointId("")
     incarnation: int = 0
+    assigned_at: datetime.timedelta = datetime.timedelta()
     crashes: int = 0
 
 
@@ -134,15 +136,18 @@
         run: ids.Attempt,
         *,
         incarnation: int = 0,
+        at: datetime.timedelta = datetime.timedelta(),
     ) -> TaskRecord:
         """Assign a waiting task to a worker and return the task's record.
 
         :param incarnation: the worker's incarnation; 0 if unknown.
+        :param at: Unix time of the assignment; zero if unknown.
         """
         record = self.tasks.setdefault(task, TaskRecord())
         record.phase = Phase.ASSIGNED
         record.worker = worker
         record.incarnation = incarnation
+        record.assigned_at = at
         record.run = run
         return record
 
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -114,7 +114,11 @@
         record.checkpoint,
     ]
     if record.incarnation or record.crashes:
-        row += [record.incarnation, record.crashes]
+        row += [
+            record.incarnation,
+            record.crashes,
+            _milliseconds(record.assigned_at),
+        ]
     return row
 
 
@@ -155,9 +159,9 @@
         _, _, opened_occurrences, canceled, failed, rows = document
         tasks = {}
         for occurrence, step, index, phase, *fields in rows:
-            # Earlier versions stored neither incarnation nor crashes.
+            # Earlier versions stored none of the later fields.
             run, worker, failures, checkpoint, *later = fields
-            incarnation, crashes = later or (0, 0)
+            incarnation, crashes, assigned_at = later or (0, 0, 0)
             key = model.TaskKey(spec.job, occurrence, step, index)
             tasks[key] = progresses.TaskRecord(
                 phase=PHASE_BY_CODE[phase],
@@ -167,6 +171,7 @@
                 checkpoint=checkpoint,
                 incarnation=incarnation,
                 crashes=crashes,
+                assigned_at=assigned_at * clocks.MILLISECOND,
             )
         return progresses.restore(
             spec,
--- a/tests/dispatch/test_inherited_leases.py
+++ b/tests/dispatch/test_inherited_leases.py
@@ -678,7 +678,7 @@
         tracker.workers[worker.worker] = worker
         if recovered:
             tracker.recover_run(
-                TASK, worker.worker, ids.Attempt(1), fakes.step()
+                TASK, worker.worker, ids.Attempt(1), fakes.step(), SECOND
             )
         return tracker, worker
 
--- a/tests/dispatch/test_watchdog.py
+++ b/tests/dispatch/test_watchdog.py
@@ -131,7 +131,7 @@
         run_tracker.inherited_leases_until = NOW
         task = model.TaskKey(ids.JobId("j"), 0, 0, 0)
         run_tracker.recover_run(
-            task, ids.WorkerId("a"), ids.Attempt(1), fakes.step()
+            task, ids.WorkerId("a"), ids.Attempt(1), fakes.step(), fakes.SECOND
         )
         worker = run_tracker.workers[ids.WorkerId("a")]
         worker.lapsed_at = own
