Start suspected tasks apart from each other where no worker is free for one alone

Without a free place on probation, each suspected task went to the emptiest worker, where the one that crashes workers took the others along. Workers are chosen by their number of tasks that have not begun first.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -185,10 +185,13 @@
     return on_probation < max(1, PROBATION_SHARE * listed)
 
 
-def crash_cost(worker: fleet.Worker) -> tuple[int, int]:
-    """Return a sort key for the harm that a crash of the worker would do."""
+def crash_cost(worker: fleet.Worker) -> tuple[int, int, int]:
+    """Return a sort key for what a crash of the worker would cost.
+
+    Tasks that have not begun come first, as they would be suspected, too.
+    """
+    runs = worker.runs.values()
     services = sum(
-        run.step.long_running or bool(run.step.latency_target)
-        for run in worker.runs.values()
+        run.step.long_running or bool(run.step.latency_target) for run in runs
     )
-    return services, len(worker.runs)
+    return sum(not run.begun for run in runs), services, len(runs)
