--- a/tests/dispatch/test_inherited_leases.py
+++ b/tests/dispatch/test_inherited_leases.py
@@ -258,6 +258,35 @@
 
         assert asyncio.run(scenario()) == (1, 2)
 
+    def test_second_change_adds_no_wait(self):
+        """Guards against a wait that begins anew with each leader.
+
+        A leader that has not reached the worker grants no lease on it, but its
+        successor expects leases from it, too.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                site.start("a")
+                await site.until(lambda: not site.storage.records())
+                second = site.start("b")
+                await second.lead()
+                await site.move(second, 3 * SECOND)
+                await second.kill()
+                site.start("b")
+                await site.until(lambda: not site.storage.records())
+                third = site.start("c")
+                await third.lead()
+                await site.move(third, SHORT_BOUND + STOP_TIMEOUT - 3 * SECOND)
+                await site.move(third, STOP_TIMEOUT)
+                return site.starts()
+
+        assert asyncio.run(scenario()) == 2
+
     def test_same_host_leads_again(self):
         """Guards against a host that waits for its own former process.
 
