Let a new leader go on with its predecessor's wait for a silent worker

Cause: each new leader began the wait for leases of its predecessors anew, also for workers that the last of them had never reached.

Change: from 2 s after its claim on, each commit of a leader names the workers with runs that have not answered it, with the time that is left for each. It grants no lease on them, nor sends a start, before a commit without them is durable; a successor takes the list over and does the same. So the list in the store is true whenever it is read, and the wait goes on from there.

With the check for withheld leases taken out, test_no_lease_before_the_commit fails.

--- a/src/turmerichook/_internal/dispatch/commits.py
+++ b/src/turmerichook/_internal/dispatch/commits.py
@@ -13,6 +13,7 @@
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import sequence_value
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import interface
@@ -39,10 +40,6 @@
 # Weight of the average call time: a new call counts for one in this many.
 AVERAGE_CALLS = 8
 
-# Ends the value of the sequence key if each earlier term whose leader may
-# still grant leases has a record.
-RECORDED_SUFFIX = b":recorded"
-
 Outcome = interface.Committed | interface.Conflict
 
 
@@ -72,10 +69,6 @@
         self.clock = clock
         self.sequence = interface.ABSENT
         self.number = 0
-        # Whether each earlier term whose leader may still grant leases has a
-        # record. Stored with each commit, so that a successor can tell from
-        # the last one: leaders of older versions keep no record.
-        self.earlier_terms_recorded = False
         # Value of the sequence key when the log was opened; None if there has
         # been no commit.
         self.previous_value: bytes | None = None
@@ -92,28 +85,31 @@
         self,
         writes: tuple[interface.Write, ...],
         removals: tuple[str, ...],
+        lease_notes: sequence_value.LeaseNotes = sequence_value.LeaseNotes(),
     ) -> bool:
         """Commit changes; return True once they are durable.
 
         False means that there is a later leader and that this commit has
         not taken effect and will not take effect later.
+
+        :param lease_notes: what the next leader has to know of leases.
         """
         self.number += 1
-        sequence_value = f"{self.term.token}:{self.number}".encode()
-        if self.earlier_terms_recorded:
-            sequence_value += RECORDED_SUFFIX
+        value = sequence_value.encode(
+            self.term.token, self.number, lease_notes
+        )
         commit = interface.Commit(
             expect={
                 keys.LEADER: ids.Revision(self.term.token),
                 keys.SEQUENCE: self.sequence,
             },
             writes=(
-                interface.Write(key=keys.SEQUENCE, value=sequence_value),
+                interface.Write(key=keys.SEQUENCE, value=value),
                 *writes,
             ),
             removals=removals,
         )
-        return self._apply_outcome(await self._send(commit), sequence_value)
+        return self._apply_outcome(await self._send(commit), value)
 
     async def _send(self, commit: interface.Commit) -> Outcome:
         """Send a commit until a call returns its outcome.
@@ -187,7 +183,7 @@
     def _apply_outcome(
         self,
         outcome: Outcome,
-        sequence_value: bytes,
+        value: bytes,
     ) -> bool:
         match outcome:
             case interface.Committed(revision=revision):
@@ -195,10 +191,7 @@
                 return True
             case interface.Conflict(items=items):
                 sequence_item = items.get(keys.SEQUENCE)
-                if (
-                    sequence_item is not None
-                    and sequence_item.value == sequence_value
-                ):
+                if sequence_item is not None and sequence_item.value == value:
                     # An earlier call took effect, but its answer was lost.
                     self.sequence = sequence_item.revision
                     return True
--- a/src/turmerichook/_internal/dispatch/committer.py
+++ b/src/turmerichook/_internal/dispatch/committer.py
@@ -13,10 +13,12 @@
 from turmerichook._internal.dispatch import commits
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import inherited_leases
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import load
 from turmerichook._internal.dispatch import save_order
+from turmerichook._internal.dispatch import sequence_value
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import interface
 
@@ -39,6 +41,7 @@
 class Committer:
     """Fills and writes commits, and sends the starts that they release.
 
+    :param inherited_leases: notes for the next leader that each commit has.
     :param place: places waiting tasks; the argument is the largest number of
         jobs they may belong to.
     :param removals: returns other keys to remove with a commit; the argument
@@ -55,6 +58,7 @@
         *,
         dispatcher: dispatchers.Dispatcher,
         commit_log: commits.CommitLog,
+        inherited_leases: inherited_leases.InheritedLeases | None = None,
         place: collections.abc.Callable[[int], None],
         removals: collections.abc.Callable[[int], list[str]],
         send: collections.abc.Callable[[decisions.StartOrder], None],
@@ -65,6 +69,7 @@
     ):
         self.dispatcher = dispatcher
         self.commit_log = commit_log
+        self.inherited_leases = inherited_leases
         self.place = place
         self.removals = removals
         self.send = send
@@ -95,12 +100,21 @@
         removals += self.removals(
             commits.CHANGE_ENTRIES_MAX - len(writes) - len(removals)
         )
-        if not writes and not removals:
+        notes = sequence_value.LeaseNotes()
+        named: collections.abc.Set[ids.WorkerId] = frozenset()
+        if self.inherited_leases is not None:
+            named = self.inherited_leases.named
+            notes = self.inherited_leases.next_notes()
+        if not writes and not removals and named == notes.silent.keys():
             return True
         remaining = len(self.dispatcher.unsaved_jobs)
         began = self.clock.monotonic()
-        if not await self.commit_log.write(tuple(writes), tuple(removals)):
+        if not await self.commit_log.write(
+            tuple(writes), tuple(removals), notes
+        ):
             return False
+        if self.inherited_leases is not None:
+            self.inherited_leases.noted(notes)
         self.meter.note_commit(
             saved=len(saves),
             entries=len(writes) + len(removals),
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -101,6 +101,7 @@
         self.committer = committers.Committer(
             dispatcher=self.dispatcher,
             commit_log=self.commit_log,
+            inherited_leases=self.inherited_leases,
             place=self._place,
             removals=self.housekeeping.removals,
             send=self._send,
@@ -122,6 +123,7 @@
         """Act as leader until the term ends."""
         try:
             await self._open_log()
+            self.inherited_leases.open()
             self._spawn(self.inherited_leases.run())
             await self.feeds.recover(self.term)
             self._log_recovered()
@@ -147,7 +149,8 @@
                 await self.clock.sleep(commits.RETRY_PAUSE)
 
     def _log_recovered(self) -> None:
-        remaining = self.inherited_leases.remaining()
+        inherited = self.inherited_leases
+        remaining = inherited.remaining()
         logs.emit(
             events.DispatchEvent.RECOVERED,
             epoch=self.term.token,
@@ -155,8 +158,8 @@
             final=len(self.dispatcher.final),
             workers=len(self.dispatcher.workers),
             inherited_until_ms=round(remaining / clocks.MILLISECOND),
-            open_terms=self.inherited_leases.open_terms,
-            earlier_terms_recorded=self.commit_log.earlier_terms_recorded,
+            open_terms=inherited.open_terms,
+            earlier_terms_recorded=inherited.earlier_terms_recorded,
         )
 
     async def _close(self) -> None:
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -37,12 +37,19 @@
     :ivar orders: orders to be sent.
     :ivar inherited_leases_until: our time at which all leases that former
         leaders granted have certainly ended.
+    :ivar inherited_until_by_worker: the same for workers that no former leader
+        has reached lately; the earlier of both times counts.
+    :ivar withheld: workers on which no lease may be granted yet.
     :ivar crashes_counted: number of crashes of workers that counted for a
         task, by whether the task's job was given up.
     """
 
     def __init__(self):
         self.inherited_leases_until = fleet.ZERO
+        self.inherited_until_by_worker: dict[
+            ids.WorkerId, datetime.timedelta
+        ] = {}
+        self.withheld: frozenset[ids.WorkerId] = frozenset()
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         self.final: dict[ids.JobId, datetime.timedelta] = {}
         self.workers: dict[ids.WorkerId, fleet.Worker] = {}
@@ -236,7 +243,13 @@
         """
         if not worker.may_hold_inherited_leases:
             return worker.lapsed_at
-        return max(self.inherited_leases_until, worker.lapsed_at or fleet.ZERO)
+        inherited = self.inherited_until_by_worker.get(
+            worker.worker, self.inherited_leases_until
+        )
+        return max(
+            min(inherited, self.inherited_leases_until),
+            worker.lapsed_at or fleet.ZERO,
+        )
 
     def recover_run(
         self,
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -170,6 +170,8 @@
     def _lease_until(self) -> datetime.timedelta | None:
         if self.worker.clock is None or self.term.ended.is_set():
             return None
+        if self._lease_withheld():
+            return None
         now = self.clock.uptime()
         length = self._lease_length()
         if length <= fleet.ZERO:
@@ -184,6 +186,10 @@
             length = min(length, SILENT_LEASE)
         return self.worker.grant_lease(now, length)
 
+    def _lease_withheld(self) -> bool:
+        withheld = self.dispatcher.run_tracker.withheld
+        return self.worker.worker in withheld
+
     def _lease_length(self) -> datetime.timedelta:
         """Return how long a lease that is granted now may last."""
         lease_max = self.timing.lease_max
@@ -220,6 +226,7 @@
         if (
             worker.clock is None
             or worker.entry_outdated
+            or self._lease_withheld()
             or not self.term.has_authority()
         ):
             # Nothing is sent. The assignment is in the store, so a successor
--- a/tests/dispatch/test_inherited_leases.py
+++ b/tests/dispatch/test_inherited_leases.py
@@ -18,6 +18,7 @@
 from turmerichook._internal.dispatch import leader as leaders
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import run_tracker as run_trackers
+from turmerichook._internal.dispatch import sequence_value
 from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.metrics import registry
 from turmerichook._internal.models import ids
@@ -287,6 +288,114 @@
 
         assert asyncio.run(scenario()) == 2
 
+    def test_worker_that_answers_late_gets_leases(self):
+        """Guards against runs that end as a worker was silent for a while.
+
+        A worker that commits name as silent gets no lease before the next
+        commit.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                site.start("a")
+                await site.until(lambda: not site.storage.records())
+                second = site.start("b")
+                await second.lead()
+                tracker = second.leader.dispatcher.run_tracker
+                await site.move(second, 3 * SECOND)
+                named = tracker.withheld
+                worker = next(
+                    w for w in site.workers.workers.values() if w.running
+                )
+                before = worker.lease_until
+                worker.clock += 2 * SECOND
+                worker.cut_off = False
+                await site.until(lambda: not tracker.withheld)
+                await site.until(lambda: worker.lease_until > before)
+                return len(named), site.starts()
+
+        assert asyncio.run(scenario()) == (1, 1)
+
+    def test_no_lease_before_the_commit(self):
+        """Guards against a lease that a successor does not expect.
+
+        The store does not answer when the silent worker is back.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                await first.kill()
+                site.start("a")
+                await site.until(lambda: not site.storage.records())
+                second = site.start("b")
+                await second.lead()
+                await site.move(second, 3 * SECOND)
+                worker = next(
+                    w for w in site.workers.workers.values() if w.running
+                )
+                before = worker.lease_until
+                site.storage.down = True
+                worker.clock += 2 * SECOND
+                worker.cut_off = False
+                leader_worker = next(
+                    w
+                    for w in second.leader.dispatcher.workers.values()
+                    if w.runs
+                )
+                await site.until(lambda: leader_worker.report_received)
+                await asyncio.sleep(REACTION_S)
+                granted = worker.lease_until - before
+                site.storage.down = False
+                return granted
+
+        assert not asyncio.run(scenario())
+
+    def test_named_workers_stay_without_leases_at_a_change(self):
+        """Guards against leases of a leader that has committed nothing.
+
+        The last commit of a former leader names the worker.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                notes = sequence_value.LeaseNotes(
+                    earlier_terms_recorded=True,
+                    silent={ids.WorkerId("w1"): 2 * SECOND},
+                )
+                value = sequence_value.encode(ids.FencingToken(12), 7, notes)
+                site.storage.put(keys.SEQUENCE, value)
+                process = site.start("a")
+                await process.claim()
+                log = commits.CommitLog(
+                    storage=site.storage, term=process.term, clock=site.clock
+                )
+                await log.open()
+                tracker = run_trackers.RunTracker()
+                inherited = inherited_leases.InheritedLeases(
+                    storage=site.storage,
+                    term=process.term,
+                    commit_log=log,
+                    run_tracker=tracker,
+                    lease_max=TIMING.lease_max,
+                    clock=site.clock,
+                )
+                inherited.open()
+                worker = fleet.Worker(worker=ids.WorkerId("w1"), entry=None)
+                worker.may_hold_inherited_leases = True
+                until = tracker.leases_until(worker) - site.clock.uptime()
+                return tracker.withheld, until
+
+        withheld, until = asyncio.run(scenario())
+        assert withheld == {ids.WorkerId("w1")}
+        assert until <= 2 * SECOND
+
     def test_same_host_leads_again(self):
         """Guards against a host that waits for its own former process.
 
@@ -502,8 +611,8 @@
                 return before, site.storage.items[keys.SEQUENCE].value
 
         before, after = asyncio.run(scenario())
-        assert not before.endswith(commits.RECORDED_SUFFIX)
-        assert after.endswith(commits.RECORDED_SUFFIX)
+        assert not before.endswith(sequence_value.RECORDED)
+        assert after.endswith(sequence_value.RECORDED)
 
 
 class TestRecordOfAHost:
@@ -687,6 +796,7 @@
                 )
                 site.storage.put(keys.TERM_PREFIX + "later", b"")
                 site.clock.moved += FULL_BOUND
+                inherited.open()
                 await inherited.run()
                 return site.storage.records()
 
