Count commits that could hold the urgent job, not calls of the store

test_urgent_job_overtakes_a_backlog was listed as red: it failed once with three commits counted until the start of the urgent job, where two are allowed.

Cause, in the test: it counted a commit if the job was known when the store was called. The saves of a commit are chosen before that, and a job that arrives in between can only be in the next one.

Change: the test counts the choices of saves that are made while the job is known. The bound is the same.

--- a/tests/dispatch/test_committer.py
+++ b/tests/dispatch/test_committer.py
@@ -170,20 +170,23 @@
             term, running = await site.lead()
             await site.until(site.started)
             job = ids.JobId(f"{999:016x}")
-            commits = []
+            dispatcher = site.leader.dispatcher
+            choose, choices = dispatcher.next_saves, []
 
-            def count(commit):
-                if job in site.leader.dispatcher.jobs:
-                    commits.append(commit)
+            def next_saves(room):
+                # A job that arrives after this can only be in the next commit.
+                if job in dispatcher.jobs:
+                    choices.append(room)
+                return choose(room)
 
-            site.storage.on_commit = count
+            dispatcher.next_saves = next_saves
             site.submit_many(1, first=999, queue=URGENT)
             await site.until(
                 lambda: any(task.job == job for task, _ in site.started())
             )
             term.end("test")
             await running
-            return len(commits)
+            return len(choices)
 
         assert asyncio.run(scenario()) <= 2
 
