--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -334,12 +334,12 @@
 
 
 @behave.when("a caller submits a job whose task crashes its workers")
-def step_deadly(context):
-    context.deadly_job = "d" * 16
+def step_crashing(context):
+    context.crashing_job = "d" * 16
     answer = run(
         context,
         context.platform.submit(
-            running_entry(context), context.deadly_job, tasks=1, crash=True
+            running_entry(context), context.crashing_job, tasks=1, crash=True
         ),
     )
     assert answer.status == 200
@@ -347,16 +347,16 @@
 
 @behave.when("the leader is killed once a worker has crashed")
 def step_kill_after_crash(context):
-    run(context, context.platform.until(lambda: deadly_starts(context)))
+    run(context, context.platform.until(lambda: crash_starts(context)))
     context.platform.kill(context.platform.leader())
 
 
 @behave.then("the job of that task is shown as failed, as it crashed workers")
-def step_deadly_failed(context):
+def step_crashing_failed(context):
     async def wait():
         entry = running_entry(context)
-        await context.platform.wait_for(entry, context.deadly_job, "failed")
-        return await context.platform.call(entry, "GET", context.deadly_job)
+        await context.platform.wait_for(entry, context.crashing_job, "failed")
+        return await context.platform.call(entry, "GET", context.crashing_job)
 
     answer = run(context, wait())
     expected = {"state": "failed", "reason": "workers-crashed"}
@@ -364,15 +364,15 @@
 
 
 @behave.then("the workers counted at most {count:d} starts of that task")
-def step_deadly_starts(context, count):
-    starts = deadly_starts(context)
+def step_crash_starts(context, count):
+    starts = crash_starts(context)
     assert 2 <= len(starts) <= count, starts
 
 
-def deadly_starts(context) -> list:
+def crash_starts(context) -> list:
     """Return the starts of the tasks of the job that crashes workers."""
     return [
         start
         for start in context.platform.starts()
-        if start[0].job == context.deadly_job
+        if start[0].job == context.crashing_job
     ]
--- a/tests/dispatch/test_crashes_and_leaders.py
+++ b/tests/dispatch/test_crashes_and_leaders.py
@@ -30,7 +30,7 @@
     result = test_crashing_tasks.CrashHarness(
         *test_crashing_tasks.workers(count)
     )
-    result.deadly = set()
+    result.crashing = set()
     return result
 
 
@@ -70,20 +70,20 @@
         """
         site = harness(size)
         jobs = [ids.JobId(f"{number:016x}") for number in range(count)]
-        site.deadly = {model.TaskKey(job, 0, 0, 0) for job in jobs}
+        site.crashing = {model.TaskKey(job, 0, 0, 0) for job in jobs}
         for job in jobs:
             site.submit(fakes.job(job, test_crashing_tasks.step()))
         for first in changes:
             site.play(
                 30,
                 until=lambda: (
-                    max(site.starts(task) for task in site.deadly) >= first
+                    max(site.starts(task) for task in site.crashing) >= first
                 ),
             )
             pass_time(site, 2500 * MS)
             site.take_over()
         site.play(120)
-        starts = [site.starts(task) for task in site.deadly]
+        starts = [site.starts(task) for task in site.crashing]
         assert max(starts) <= test_crashing_tasks.STARTS_MAX
 
 
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -23,17 +23,17 @@
 DOWN_TIME = 2 * SECOND
 JOB = ids.JobId("00000000000000aa")
 OTHER_JOB = ids.JobId("00000000000000bb")
-DEADLY = model.TaskKey(JOB, 0, 0, 0)
+CRASHING = model.TaskKey(JOB, 0, 0, 0)
 
 
 class CrashHarness(test_dispatcher.DispatcherHarness):
-    """Workers that crash when they start a task in ``deadly``.
+    """Workers that crash when they start a task in ``crashing``.
 
     :ivar lose: whether the answers to starts are lost.
     """
 
     def __init__(self, *names):
-        self.deadly = {DEADLY}
+        self.crashing = {CRASHING}
         self.lose = False
         self.back_at = {}
         self.entries = names
@@ -77,7 +77,7 @@
         before = len(self.workers[start.worker].starts)
         super().send(start, lose=lose or self.lose)
         started = len(self.workers[start.worker].starts) > before
-        if started and start.run.task in self.deadly:
+        if started and start.run.task in self.crashing:
             self.crash(start.worker)
 
     def renew_leases(self, name):
@@ -104,7 +104,7 @@
     def entry(self, name):
         return fakes.entry(name, incarnation=self.workers[name].incarnation)
 
-    def starts(self, task=DEADLY):
+    def starts(self, task=CRASHING):
         """Count the starts of a task on all workers."""
         return sum(
             started == task
@@ -117,7 +117,7 @@
         return stored.decode_state(job, self.saved[job])
 
     def failed(self):
-        """Return whether the store has the deadly job as failed."""
+        """Return whether the store has the crashing job as failed."""
         value = self.saved.get(JOB)
         return value is not None and (
             stored.decode_state(JOB, value) is model.JobState.FAILED
@@ -239,20 +239,20 @@
         assert harness.failed()
         assert harness.starts() <= STARTS_MAX
 
-    def test_many_deadly_tasks(self):
-        """Guards against deadly tasks that hide behind one another.
+    def test_many_such_tasks(self):
+        """Guards against crashes that are blamed on one another.
 
         Their workers are lost within the same second, as after a loss of
         power.
         """
         harness = CrashHarness(*workers(12))
         names = [ids.JobId(f"{n:016x}") for n in range(6)]
-        harness.deadly = {model.TaskKey(n, 0, 0, 0) for n in names}
+        harness.crashing = {model.TaskKey(n, 0, 0, 0) for n in names}
         for name in names:
             harness.submit(fakes.job(name, step()))
         harness.play(120)
         assert [harness.state(n) for n in names] == 6 * [model.JobState.FAILED]
-        assert max(harness.starts(t) for t in harness.deadly) <= STARTS_MAX
+        assert max(harness.starts(t) for t in harness.crashing) <= STARTS_MAX
 
     def test_other_tasks_stop_and_later_steps_wait(self):
         """Guards against tasks of a job that go on after it was given up."""
@@ -307,7 +307,7 @@
         harness = CrashHarness(*workers(2))
         harness.submit(fakes.job(JOB, step()))
         harness.play(10, until=lambda: harness.starts() == 1)
-        harness.deadly.clear()
+        harness.crashing.clear()
         harness.play(10, until=lambda: harness.starts() == 2)
         (name,) = (n for n, w in harness.workers.items() if w.running)
         worker = harness.dispatcher.workers[ids.WorkerId(name)]
@@ -325,14 +325,14 @@
         harness = CrashHarness("w0")
         harness.submit(fakes.job(JOB, step()))
         harness.play(10, until=lambda: harness.starts() == 1)
-        harness.deadly.clear()
+        harness.crashing.clear()
         for number in range(100):
             name = f"{number:016x}"
             harness.submit(fakes.job(name, step(count=2)))
             harness.play(0.3)
             for worker in harness.workers.values():
                 for task in list(worker.running):
-                    if task != DEADLY:
+                    if task != CRASHING:
                         worker.end(task, model.EndKind.DONE)
         assert harness.starts() == 2
 
@@ -401,10 +401,10 @@
 
 
 class TestRandomFaults:
-    """A deadly task beside innocent ones, with faults drawn at random."""
+    """A task that crashes its workers beside others, with random faults."""
 
     @pytest.mark.parametrize("seed", range(20))
-    def test_only_the_deadly_job_is_given_up(self, seed):
+    def test_only_the_crashing_job_is_given_up(self, seed):
         """Guards against too many starts, and innocent jobs given up."""
         draw = random.Random(seed)
         harness = CrashHarness(*workers(12))
@@ -463,7 +463,7 @@
         row = [0, 0, 0, 1, 4, "w", 2, "c"]
         value = msgpack.packb([1, "running", 1, False, failed, [row]])
         progress = stored.decode_progress(spec, value)
-        record = progress.tasks[DEADLY]
+        record = progress.tasks[CRASHING]
         assert (record.crashes, record.incarnation) == (0, 0)
         assert (record.run, record.failures) == (4, 2)
         expected = progresses.FailureReason.ATTEMPTS_EXHAUSTED
--- a/tests/dispatch/test_inherited_leases.py
+++ b/tests/dispatch/test_inherited_leases.py
@@ -233,7 +233,7 @@
     """A leader's process is killed, and a worker has crashed for good."""
 
     def test_task_runs_elsewhere_after_one_lease(self):
-        """Guards against a service that stands still for 16 s.
+        """Guards against a service that does not run for 16 s.
 
         The process of the former leader was back at once, and yet its
         successor expected it to go on granting leases for 8 s.
