Log every 2 s what a service waits for that has lost its run

Cause: `task-waits` explains a step once in 30 s, and the first explanation may have come, or been skipped, before the wait.

Change: steps of restarting service tasks are explained every 2 s. The line has `restarts`, `waited_ms` and the number of reserved workers.

TestLogOfWait fails before. The recorder of test_full_ranking.py follows the function, which is a method of the round now; what it records is the same.

--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -6,6 +6,7 @@
 import datetime
 import typing
 
+from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import candidates
 from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
@@ -235,9 +236,25 @@
         )
         outcome = ranking.take(ids.WorkerId(""))
         if isinstance(outcome, outcomes.Absent):
-            _log_wait(waiting, outcome.detail)
+            self._log_wait(waiting, outcome.detail)
         elif waiting.step.gang:
-            _log_wait(waiting, ranking.detail())
+            self._log_wait(waiting, ranking.detail())
+
+    def _log_wait(
+        self, waiting: waiting_step.WaitingStep, detail: str
+    ) -> None:
+        logs.emit(
+            events.DispatchEvent.TASK_WAITS,
+            job=waiting.key.job,
+            step=waiting.key.step,
+            tasks=len(waiting.tasks),
+            reason=outcomes.Reason.NO_FIT.value,
+            obstacles=detail,
+            priority=waiting.job.queue.priority,
+            restarts=waiting.restarts,
+            waited_ms=(self.now - waiting.since) // clocks.MILLISECOND,
+            reserved=len(self.reserved),
+        )
 
     def _candidates(
         self, waiting: waiting_step.WaitingStep
@@ -415,15 +432,3 @@
     """Return the group of fillers whose refused needs can be compared."""
     needs = waiting.needs
     return waiting.job.queue.service, needs.label, waiting.step.image, overdue
-
-
-def _log_wait(waiting: waiting_step.WaitingStep, detail: str) -> None:
-    logs.emit(
-        events.DispatchEvent.TASK_WAITS,
-        job=waiting.key.job,
-        step=waiting.key.step,
-        tasks=len(waiting.tasks),
-        reason=outcomes.Reason.NO_FIT.value,
-        obstacles=detail,
-        priority=waiting.job.queue.priority,
-    )
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -25,6 +25,8 @@
 # all workers for each step in each round would use a whole processor.
 EXPLAIN_INTERVAL = datetime.timedelta(milliseconds=100)
 EXPLAIN_STEP_INTERVAL = datetime.timedelta(seconds=30)
+# The latter for tasks of services that have lost their run, which are few.
+EXPLAIN_RESTART_INTERVAL = datetime.timedelta(seconds=2)
 
 # Share of all processors used by long-running tasks above which starving
 # long-running tasks that have never run are no longer placed before short
@@ -195,7 +197,11 @@
         now = round_.now
         if self.explain_at <= now >= waiting.explain_at and waiting.tasks:
             self.explain_at = now + EXPLAIN_INTERVAL
-            waiting.explain_at = now + EXPLAIN_STEP_INTERVAL
+            waiting.explain_at = now + (
+                EXPLAIN_RESTART_INTERVAL
+                if waiting.restarts
+                else EXPLAIN_STEP_INTERVAL
+            )
             round_.explain(waiting)
 
 
--- a/tests/dispatch/test_full_ranking.py
+++ b/tests/dispatch/test_full_ranking.py
@@ -304,11 +304,11 @@
     """Return the obstacles that get logged, by step."""
     logged = {}
 
-    def record(step, detail):
+    def record(_, step, detail):
         if not step.step.gang:
             logged[step.key] = detail
 
-    monkeypatch.setattr(placement_round, "_log_wait", record)
+    monkeypatch.setattr(placement_round.Round, "_log_wait", record)
     return logged
 
 
--- a/tests/dispatch/test_lasting_priorities.py
+++ b/tests/dispatch/test_lasting_priorities.py
@@ -9,6 +9,8 @@
 from tests.dispatch import fakes
 from tests.dispatch import test_dispatcher
 from turmerichook._internal.dispatch import committer
+from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import placement_round
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
@@ -156,3 +158,42 @@
         worker.end(task, model.EndKind.FAILED)
         site.step()
         assert list(worker.running) == [task]
+
+
+class TestLogOfWait:
+    """An ended service waits for room on a full worker."""
+
+    def test_tells_what_it_waits_for(self, monkeypatch):
+        """Guards against a wait of seconds that leaves no line in the log.
+
+        A step is explained once in 30 s, so that no line named a service that
+        had failed and then waited for 12 s.
+        """
+        lines = []
+
+        def emit(event, **fields):
+            if event is events.DispatchEvent.TASK_WAITS:
+                lines.append(fields)
+
+        site = test_dispatcher.DispatcherHarness("a")
+        for name, millicores in (("1" * 16, 9000), ("2" * 16, 7000)):
+            demand = resources.Resources(millicores=millicores, memory_mib=100)
+            step = fakes.step(
+                long_running=True, demand=demand, estimate=60 * SECOND
+            )
+            site.submit(fakes.job(name, step))
+        site.step()
+        worker = site.workers["a"]
+        assert len(worker.running) == 2
+        site.dispatcher.set_entry(
+            fakes.entry("a", millicores=12_000), site.now
+        )
+        worker.end(min(worker.running), model.EndKind.FAILED)
+        monkeypatch.setattr(placement_round.logs, "emit", emit)
+        for _ in range(50):
+            site.advance(100 * MS)
+            site.step()
+        waits = [line["waited_ms"] for line in lines if line["restarts"]]
+        assert len(waits) >= 2
+        assert waits[-1] >= 2000
+        assert lines[-1]["obstacles"] == "no-processors:1"
