--- a/tests/dispatch/test_crashes_and_leaders.py
+++ b/tests/dispatch/test_crashes_and_leaders.py
@@ -233,3 +233,28 @@
             worker.cut_off = False
             site.dispatcher.set_entry(site.entry(name), site.now)
             assert not site.failed()
+
+
+class TestClockSetBack:
+    """A worker's clock is set back while the worker restarts."""
+
+    def test_restarted_worker_is_heard(self):
+        """Guards against a worker that is ignored for good.
+
+        Its new incarnation has an earlier start time than the former one, and
+        passes for an outdated one.
+        """
+        site = harness(2)
+        for worker in site.workers.values():
+            worker.incarnation = 1_000_000
+        for name in site.workers:
+            site.dispatcher.set_entry(site.entry(name), site.now)
+        service = test_crashing_tasks.step(long_running=True)
+        site.submit(fakes.job(SERVICE, service))
+        site.play(3)
+        (name,) = (n for n, w in site.workers.items() if w.running)
+        site.workers[name].restart()
+        site.workers[name].incarnation = 900_000
+        site.dispatcher.set_entry(site.entry(name), site.now)
+        site.play(40)
+        assert site.running(SERVICE)
