Log the room on the workers, and draw an account of the time of jobs

The logs named waiting steps and their obstacles, but not whether the workers were full or their free room scattered, nor how large a job was, nor in which stage its time went.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import fleet_room
 from turmerichook._internal.dispatch import incarnations
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import jobs
@@ -98,6 +99,10 @@
             queue=progress.spec.queue,
             steps=len(progress.spec.steps),
             tasks=sum(step.count for step in progress.spec.steps),
+            work_ms=job.work // clocks.MILLISECOND,
+            largest_task=job.largest_demand.text(),
+            objective_ms=job.time_allowed() // clocks.MILLISECOND,
+            long_running=any(s.long_running for s in progress.spec.steps),
             age_ms=round((wall - progress.spec.accepted) / clocks.MILLISECOND),
             state=progress.state.value,
         )
@@ -300,6 +305,15 @@
             limit=limit,
         )
 
+    def fleet_room(self, now: datetime.timedelta) -> fleet_room.FleetRoom:
+        """Return how the workers are used and what waiting tasks lack."""
+        return fleet_room.measure(
+            self.workers.values(),
+            self.waiting.steps.values(),
+            self.closed_zones,
+            now,
+        )
+
     def _approved(
         self, step: waiting_step.WaitingStep, now: datetime.timedelta
     ) -> frozenset[ids.WorkerId] | None:
@@ -344,6 +358,7 @@
             step=step,
             phase=fleet.RunPhase.ASSIGNED,
             progress_changed_at=now,
+            placed_at=now,
             incarnation=worker.incarnation,
         )
         if job.suspected(task) and crashes.probation_allowed(
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -227,6 +227,12 @@
         summary="queue lengths may still count jobs that have begun",
         limit=50,
     )
+    FLEET_ROOM = events.Event(
+        number=7047,
+        level=events.Level.INFO,
+        summary="how the workers' processors are used, and which waiting"
+        " tasks fit on no worker",
+    )
     ADVICE_TAKEN = events.Event(
         number=7050,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -84,6 +84,8 @@
         percent.
     :param incarnation: incarnation of the worker that the task was assigned
         to; 0 if unknown.
+    :param placed_at: our time at which the task was assigned; None if a
+        former leader assigned it.
     :param sent_at: our time at which the start was sent; None if it was not,
         or if a former leader sent it.
     :param first_listed_at: our time of the first report that listed the run;
@@ -110,6 +112,7 @@
     stop_sent: datetime.timedelta | None = None
     stop_accepted: bool = False
     incarnation: int = 0
+    placed_at: datetime.timedelta | None = None
     sent_at: datetime.timedelta | None = None
     first_listed_at: datetime.timedelta | None = None
     isolated: bool = False
--- a/src/turmerichook/_internal/dispatch/jobs.py
+++ b/src/turmerichook/_internal/dispatch/jobs.py
@@ -7,6 +7,7 @@
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 
@@ -46,6 +47,27 @@
         """Number of entries of a commit that a snapshot needs."""
         return FINAL_ENTRIES if self.progress.state.final else 1
 
+    @property
+    def work(self) -> datetime.timedelta:
+        """Estimated processor time of one occurrence."""
+        return sum(
+            (step.count * step.processor_time for step in self.spec.steps),
+            datetime.timedelta(),
+        )
+
+    @property
+    def largest_demand(self) -> resources.Resources:
+        """The most of each resource that any of the tasks needs."""
+        largest = resources.NOTHING
+        for step in self.spec.steps:
+            largest = largest.greater(step.demand)
+        return largest
+
+    def time_allowed(self) -> datetime.timedelta:
+        """Return the time that the latency objective allows an occurrence."""
+        slack = self.progress.critical_path() * self.queue.slack_factor
+        return slack + self.queue.latency_objective
+
     def suspected(self, task: model.TaskKey) -> bool:
         """Return whether a task may crash the worker that starts it."""
         record = self.progress.tasks.get(task)
@@ -67,8 +89,7 @@
         due = self.spec.accepted
         if self.spec.repetition is not None:
             due = self.spec.repetition.due(occurrence)
-        slack = self.progress.critical_path() * self.queue.slack_factor
-        return due + factor * (slack + self.queue.latency_objective)
+        return due + factor * self.time_allowed()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -241,13 +241,15 @@
         self.committer.wake.set()
         self.meter.note_round()
         self.meter.note_crashes(dispatcher.run_tracker.pop_crashes())
-        self.meter.report(
+        reported = self.meter.report(
             jobs=len(dispatcher.jobs),
             waiting=len(dispatcher.waiting),
             unsaved=len(dispatcher.unsaved_jobs),
             oldest_unsaved_age=dispatcher.run_tracker.oldest_unsaved_age(now),
             orders=len(self.tasks),
         )
+        if reported:
+            self.meter.report_room(dispatcher.fleet_room(now))
 
     def _place(self, jobs_limit: int) -> None:
         """Place waiting tasks of at most ``jobs_limit`` jobs."""
--- a/src/turmerichook/_internal/dispatch/load.py
+++ b/src/turmerichook/_internal/dispatch/load.py
@@ -9,6 +9,7 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import events
+from turmerichook._internal.dispatch import fleet_room
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.metrics import registry
 
@@ -110,7 +111,7 @@
         unsaved: int,
         oldest_unsaved_age: datetime.timedelta,
         orders: int,
-    ) -> None:
+    ) -> bool:
         """Set the metrics, and write the log line once per interval.
 
         :param jobs: number of jobs that are not final.
@@ -118,6 +119,7 @@
         :param unsaved: number of jobs whose progress is not durable yet.
         :param oldest_unsaved_age: how long the first of these jobs has waited.
         :param orders: number of orders sent to workers and not answered yet.
+        :returns: whether a line was written.
         """
         elapsed = self.clock.monotonic() - self.since
         self.metrics.set("waiting_tasks", waiting)
@@ -125,7 +127,7 @@
         self.metrics.set("unsaved_jobs", unsaved)
         self.metrics.set("unsaved_seconds", oldest_unsaved_age.total_seconds())
         if elapsed < REPORT_INTERVAL:
-            return
+            return False
         processor = self.clock.processor_time() - self.processor_since
         logs.emit(
             events.DispatchEvent.LEADER_LOAD,
@@ -154,6 +156,16 @@
             orders=orders,
         )
         self._reset()
+        return True
+
+    def report_room(self, room: fleet_room.FleetRoom) -> None:
+        """Set the metrics and write the log line on the workers' room."""
+        free = room.largest_free
+        self.metrics.set("free_millicores", room.free)
+        self.metrics.set("largest_free_millicores", free.millicores)
+        self.metrics.set("blocked_steps", room.blocked_steps)
+        fields = vars(room) | {"largest_free": free.text()}
+        logs.emit(events.DispatchEvent.FLEET_ROOM, **fields)
 
     def _reset(self) -> None:
         self.since = self.clock.monotonic()
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 
+from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -199,6 +200,7 @@
             kind=end.kind.value,
             number=end.number,
             known=matched,
+            **_durations(run if matched else None, now),
         )
         if not matched:
             return
@@ -367,6 +369,18 @@
                 )
 
 
+def _durations(
+    run: fleet.Run | None, now: datetime.timedelta
+) -> dict[str, int]:
+    """Return log fields with the times until and since a run's start."""
+    if run is None or run.sent_at is None or run.placed_at is None:
+        return {}
+    return {
+        "release_ms": (run.sent_at - run.placed_at) // clocks.MILLISECOND,
+        "run_ms": (now - run.sent_at) // clocks.MILLISECOND,
+    }
+
+
 def _finishes(job: jobs.Job, end: orders.EndRow) -> bool:
     """Return whether a task is done with this end of one of its runs."""
     steps = job.spec.steps
