Keep workers free of long-running tasks as room for large short ones

The class of fault: a resource that is only useful in large parts is given out in small parts that never come back. LONG_RUNNING_SHARE_MAX limits the order only.

Ruled out: intake (0.15 s on average). Not ruled out as a further cause: the time that the leader needs for placements.

Change: first runs of long-running tasks stay off the workers with the least of them, chosen over all zones, with room for 1.3 times the highest demand of short tasks within 10 s, a tenth of the capacity at least and a quarter at most, and none after 60 s without short tasks. Where room is plenty they may still use them. Restarts may use them. Where room is scarce, all but fillers go to the fullest worker that fits, kept ones last, and first runs get no reservations.

The full ranking of the tests follows the same rules. Two of its own faults showed up: it took any old step for overdue, and did not count a suspected worker that it had chosen before.

--- a/src/turmerichook/_internal/dispatch/candidates.py
+++ b/src/turmerichook/_internal/dispatch/candidates.py
@@ -25,6 +25,7 @@
     __slots__ = (
         "accelerators",
         "over_target",
+        "fit_score",
         "idle",
         "memory_mib",
         "millicores",
@@ -43,6 +44,8 @@
         self.recheck = NEVER
         self.set_unavailable()
         self.score = 0.0
+        # Score for tasks that are no fillers.
+        self.fit_score = 0.0
         # Processors that further fillers would get, in millicores.
         self.idle = 0.0
         # Whether the worker runs tasks with a latency target, and whether
@@ -77,13 +80,17 @@
         self.memory_mib = capacity.memory_mib - used.memory_mib
         self.accelerators = capacity.accelerators - used.accelerators
         self.score = placement.base_score(worker)
+        self.fit_score = placement.fit_score(worker)
         self.idle = filling.available_to_fillers(worker)
         self.serving = any(True for _ in worker.serving())
         self.over_target = worker.over_target_since is not None
 
 
 def best(
-    fitting: list[Candidate], needs: task_needs.Needs, count: int
+    fitting: list[Candidate],
+    needs: task_needs.Needs,
+    count: int,
+    packing: placement.Packing | None = None,
 ) -> list[Candidate]:
     """Return the workers among which ``count`` tasks of a step are placed.
 
@@ -100,9 +107,14 @@
         fitting = [c for c in fitting if not c.serving]
 
     def score(candidate: Candidate) -> float:
+        if packing is None or needs.filler:
+            base = candidate.score
+        else:
+            worker = candidate.worker.worker
+            base = packing.score(worker, candidate.fit_score)
         if needs.rack and needs.rack != candidate.worker.entry.rack:
-            return candidate.score + placement.WRONG_RACK_PENALTY
-        return candidate.score
+            return base + placement.WRONG_RACK_PENALTY
+        return base
 
     fitting = heapq.nsmallest(count + 1, fitting, key=score)
     return sorted(fitting + with_serving, key=operator.attrgetter("number"))
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -194,6 +194,8 @@
         self.used = resources.NOTHING
         # The part of it that long-running tasks use.
         self.long_running_use = resources.NOTHING
+        # The part of it that tasks use that end and are no fillers.
+        self.short_use = resources.NOTHING
         # Number of runs that are not included in ``used``.
         self.unknown_demands = 0
         # Millicores that the filler tasks on the worker request.
@@ -284,6 +286,8 @@
         self.used = self.used.plus(step.committed)
         if step.long_running:
             self.long_running_use = self.long_running_use.plus(step.committed)
+        elif not step.filler:
+            self.short_use = self.short_use.plus(step.committed)
         if step.filler:
             self.filler_millicores += step.demand.millicores
 
@@ -292,6 +296,8 @@
         self.used = self.used.minus(step.committed)
         if step.long_running:
             self.long_running_use = self.long_running_use.minus(step.committed)
+        elif not step.filler:
+            self.short_use = self.short_use.minus(step.committed)
         if step.filler:
             self.filler_millicores -= step.demand.millicores
 
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -29,6 +29,7 @@
     ON_PROBATION = "on-probation"
     ENOUGH_OF_STEP = "enough-of-step"
     RESERVED = "reserved"
+    KEPT_FOR_SHORT = "kept-for-short-tasks"
     NO_PROCESSORS = "no-processors"
     NO_MEMORY = "no-memory"
     NO_ACCELERATORS = "no-accelerators"
--- a/src/turmerichook/_internal/dispatch/placement.py
+++ b/src/turmerichook/_internal/dispatch/placement.py
@@ -9,6 +9,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import heapq
 
 from turmerichook._internal.dispatch import filling
@@ -16,6 +17,7 @@
 from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
 from turmerichook._internal import outcomes
 from turmerichook._internal.workflow import model
 
@@ -23,12 +25,27 @@
 COLD_START_PENALTY = 0.5
 WRONG_RACK_PENALTY = 1.0
 SAME_WORKER_PENALTY = 2.0
+KEPT_PENALTY = 0.5
 # Score for packing serving tasks of one image onto few workers, and for adding
 # an image to a worker that already runs several.
 PACKING_WEIGHT = 3.0
 MIXED_IMAGES_WEIGHT = 1.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Packing:
+    """Packs tasks where room for short tasks is scarce.
+
+    :param last: workers that are kept for tasks that fit nowhere else.
+    """
+
+    last: collections.abc.Container[ids.WorkerId]
+
+    def score(self, worker: ids.WorkerId, fit_score: float) -> float:
+        """Return a worker's score from the score by its free capacity."""
+        return fit_score + KEPT_PENALTY if worker in self.last else fit_score
+
+
 class Ranking:
     """Workers that can run a task of one step, the lowest score first.
 
@@ -45,15 +62,21 @@
         reserved: collections.abc.Container[ids.WorkerId],
         interference: interferences.Interference,
         overdue: bool,
+        kept: collections.abc.Container[ids.WorkerId] = (),
+        packing: Packing | None = None,
     ):
         """Rank the workers.
 
         :param reserved: workers whose capacity is reserved for other tasks.
+        :param kept: workers that are kept free of tasks like these.
+        :param packing: how to pack the tasks; None to spread them.
         :param overdue: whether the job has waited for so long that a filler
             is placed whatever its interference cost.
         """
         self.conditions = conditions
         self.reserved = reserved
+        self.kept = kept
+        self.packing = packing
         self.interference = interference
         self.overdue = overdue
         self.obstacles: collections.Counter[obstacles.Obstacle] = (
@@ -106,7 +129,7 @@
         if obstacle is not None:
             self.obstacles[obstacle] += 1
             return
-        score = _score(worker, step) + interference_cost
+        score = _score(worker, step, self.packing) + interference_cost
         heapq.heappush(self.heap, (score, number, worker))
 
     def _obstacle(self, worker: fleet.Worker) -> obstacles.Obstacle | None:
@@ -118,6 +141,8 @@
             return filling.obstacle(worker, step, self.overdue)
         if worker.worker in self.reserved:
             return obstacles.Obstacle.RESERVED
+        if worker.worker in self.kept:
+            return obstacles.Obstacle.KEPT_FOR_SHORT
         return None
 
     def detail(self) -> str:
@@ -152,9 +177,14 @@
     return best
 
 
-def _score(worker: fleet.Worker, step: model.Step) -> float:
+def _score(
+    worker: fleet.Worker, step: model.Step, packing: Packing | None
+) -> float:
     """Return the score of a worker for a task; lower is better."""
-    score = base_score(worker)
+    if packing is None or step.filler:
+        score = base_score(worker)
+    else:
+        score = packing.score(worker.worker, fit_score(worker))
     if step.rack and step.rack != worker.entry.rack:
         score += WRONG_RACK_PENALTY
     if step.latency_target and not step.filler:
@@ -168,6 +198,27 @@
     return score + COLD_START_PENALTY if worker.entry.cold else score
 
 
+def fit_score(worker: fleet.Worker) -> float:
+    """Return the part of a worker's score for tasks that are packed.
+
+    The fullest worker that fits is the best, so that free capacity remains in
+    large parts.
+    """
+    score = 1.0 - share_used(worker.used, worker.entry.capacity)
+    return score + COLD_START_PENALTY if worker.entry.cold else score
+
+
+def share_used(
+    used: resources.Resources, capacity: resources.Resources
+) -> float:
+    """Return the highest share that is used of any resource."""
+    return max(
+        used.millicores / (capacity.millicores or 1),
+        used.memory_mib / (capacity.memory_mib or 1),
+        used.accelerators / (capacity.accelerators or 1),
+    )
+
+
 def _image_mix_score(worker: fleet.Worker, step: model.Step) -> float:
     """Return the score of adding a serving task to those on a worker.
 
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -11,6 +11,7 @@
 from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import headroom as headrooms
 from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import obstacles
 from turmerichook._internal.dispatch import placement
@@ -68,6 +69,7 @@
     refusals: refusals.Refusals
     # Workers whose free capacity is reserved for starving tasks.
     reserved: set[ids.WorkerId]
+    headroom: headrooms.Headroom
 
     def _blocked(self, waiting: waiting_step.WaitingStep) -> bool:
         """Return whether a cheap check shows that no worker fits a step.
@@ -78,7 +80,7 @@
         needs = waiting.needs
         if needs.filler:
             return self._fillers_blocked(waiting)
-        if needs.long_running and waiting.starving(self.now):
+        if self._entitled(waiting):
             # A starving step may use capacity that is reserved for others, or
             # needs a worker reserved for the step itself.
             return len(self.reserved) >= RESERVED_MAX and not self._candidates(
@@ -145,29 +147,41 @@
         overdue = waiting.overdue(self.now)
         chosen: list[Choice] = []
         ranking: placement.Ranking | None = None
-        for task, last in waiting.tasks.items():
-            if len(chosen) == limit:
-                break
+        kept = self._kept_from(waiting)
+        pending = collections.deque(waiting.tasks.items())
+        while pending and len(chosen) < limit:
+            task, last = pending[0]
             if ranking is None:
                 ranking = self._rank(
                     waiting,
                     conditions,
-                    fitting,
+                    [c for c in fitting if c.worker.worker not in kept],
                     count=min(limit, len(waiting.tasks)),
                     overdue=overdue,
                     chosen=[choice.worker for choice in chosen],
                 )
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
+                if kept and not self.headroom.scarce(
+                    waiting.job.queue.service
+                ):
+                    kept, ranking = frozenset(), None
+                    continue
                 if waiting.needs.filler:
                     self._block_fillers(waiting, conditions, overdue=overdue)
                 else:
                     waiting.checked_position = self.room.position
-                if waiting.starving(self.now):
-                    self._reserve_room(conditions)
+                    waiting.lacked_room = True
+                if self._entitled(waiting):
+                    self._reserve_room(conditions, kept)
                 break
+            pending.popleft()
             counts[worker.worker] += 1
             worker.reserve(step)
+            if step.long_running:
+                self.headroom.note_long_running(
+                    waiting.job.queue.service, step.committed
+                )
             record = records.get(task)
             run = ids.Attempt(record.run + 1 if record else 1)
             chosen.append(Choice(task, worker, run))
@@ -193,9 +207,9 @@
             waiting.blocked_until = self.now + BLOCKED_PAUSE
             waiting.checked_position = self.room.position
         if worker is None:
-            if waiting.starving(self.now):
+            if self._entitled(waiting):
                 # Reservations last for one round.
-                self._reserve_room(conditions)
+                self._reserve_room(conditions, frozenset())
             return []
         run = ids.Attempt(waiting.job.progress.tasks[task].run + 1)
         return [Choice(task, worker, run)]
@@ -231,6 +245,7 @@
             conditions=self._conditions(waiting, waiting.tasks_by_worker()),
             workers=self.workers,
             reserved=self._reserved_from(waiting),
+            kept=self._kept_from(waiting),
             interference=self.interference,
             overdue=waiting.overdue(self.now),
         )
@@ -285,7 +300,26 @@
         """Return the workers that are reserved for tasks of other steps."""
         # Reservations do not bind starving tasks: the capacity that one of
         # them waits for may be enough for another one.
-        return () if waiting.starving(self.now) else self.reserved
+        return () if self._entitled(waiting) else self.reserved
+
+    def _entitled(self, waiting: waiting_step.WaitingStep) -> bool:
+        """Return whether a worker may be reserved for a step.
+
+        Where room for short tasks is scarce, first runs of long-running tasks
+        get no reservation, however long they have waited.
+        """
+        return waiting.starving(self.now) and (
+            waiting.restarts
+            or not self.headroom.scarce(waiting.job.queue.service)
+        )
+
+    def _kept_from(
+        self, waiting: waiting_step.WaitingStep
+    ) -> frozenset[ids.WorkerId]:
+        """Return the workers that are kept free of first runs of a step."""
+        if waiting.needs.long_running and not waiting.restarts:
+            return self.headroom.kept
+        return frozenset()
 
     def _rank(
         self,
@@ -299,6 +333,7 @@
     ) -> placement.Ranking:
         reserved = self._reserved_from(waiting)
         needs = waiting.needs
+        packing = self.headroom.packing(waiting.job.queue.service)
         if needs.filler:
             fitting = self.room.filler_candidates(
                 needs, waiting.job.queue.service, overdue=overdue
@@ -317,11 +352,12 @@
             conditions=conditions,
             workers=[
                 c.worker
-                for c in candidates.best(fitting, needs, count)
+                for c in candidates.best(fitting, needs, count, packing)
                 # A worker suspected to be faulty gets one task at a time.
                 if not (c.worker.suspected and c.worker in chosen)
             ],
             reserved=reserved,
+            packing=packing,
             interference=self.interference,
             overdue=overdue,
         )
@@ -353,7 +389,7 @@
         if len(waiting.tasks) < count:
             # Some tasks of the gang's previous run have not ended yet.
             return []
-        if waiting.checked_position >= 0 and not waiting.starving(self.now):
+        if waiting.checked_position >= 0 and not self._entitled(waiting):
             if not self.room.candidates_for(
                 waiting.needs,
                 waiting.job.queue.service,
@@ -409,7 +445,11 @@
             self.room.refresh(choice.worker)
         return chosen
 
-    def _reserve_room(self, conditions: obstacles.Conditions) -> None:
+    def _reserve_room(
+        self,
+        conditions: obstacles.Conditions,
+        kept: frozenset[ids.WorkerId],
+    ) -> None:
         """Reserve the worker with the most free capacity for a starving task.
 
         Without a reservation, short tasks would take each part of the
@@ -420,7 +460,7 @@
         worker = placement.most_free_worker(
             conditions=conditions,
             workers=self.workers,
-            reserved=self.reserved,
+            reserved=self.reserved | kept,
         )
         if worker is not None:
             self.reserved.add(worker.worker)
--- a/src/turmerichook/_internal/dispatch/room.py
+++ b/src/turmerichook/_internal/dispatch/room.py
@@ -93,6 +93,13 @@
         if len(self.by_worker) > len(workers):
             self._remove({worker.worker for worker in workers})
 
+    def reopen(self, workers: collections.abc.Iterable[ids.WorkerId]) -> None:
+        """Log workers as changed that more tasks may use than before."""
+        self.changes += [
+            self.by_worker[w] for w in workers if w in self.by_worker
+        ]
+        self.max_free = None
+
     def refresh(self, worker: fleet.Worker) -> None:
         """Read a worker again that was assigned a task in this round."""
         self._read(self.by_worker[worker.worker])
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -10,6 +10,7 @@
 import itertools
 
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import headroom
 from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import placement_round
@@ -66,6 +67,7 @@
         self.long_running_over_share = False
         self.room = rooms.Room()
         self.refusals = refusals.Refusals()
+        self.headroom = headroom.Headroom()
         self.explain_at = fleet.ZERO
 
     def __len__(self) -> int:
@@ -163,6 +165,9 @@
         :returns: the number of tasks assigned.
         """
         self.room.update(workers, closed, now)
+        self.room.reopen(
+            self.headroom.update(workers, self.steps.values(), closed, now)
+        )
         self.refusals.remove_expired(now)
         round_ = placement_round.Round(
             workers=workers,
@@ -174,6 +179,7 @@
             room=self.room,
             refusals=self.refusals,
             reserved=self.room.reserved,
+            headroom=self.headroom,
         )
         placed = 0
         for waiting in self.by_urgency(workers=workers, now=now, wall=wall):
--- a/tests/dispatch/full_ranking.py
+++ b/tests/dispatch/full_ranking.py
@@ -35,6 +35,10 @@
         :param tasks: the ``waiting.WaitingTasks``.
         """
         placed = 0
+        self.headroom = tasks.headroom
+        self.headroom.update(
+            self.workers, tasks.steps.values(), self.closed, self.now
+        )
         long_running_over_share = any(
             step.starving(self.now) for step in tasks.steps.values()
         ) and waiting._long_running_over_share(self.workers)
@@ -71,15 +75,18 @@
         )
         records = pending_step.job.progress.tasks
         overdue = (
-            self.now - pending_step.since > waiting_step.STARVATION_TIME
+            step.filler
+            and self.now - pending_step.since > waiting_step.STARVATION_TIME
             and not any(record.worker for record in records.values())
         )
-        starving = pending_step.starving(self.now)
+        service = pending_step.job.queue.service
+        first_run = step.long_running and not pending_step.restarts
+        kept = self.headroom.kept if first_run else frozenset()
         chosen = []
         ranking = None
-        for task, last in pending_step.tasks.items():
-            if len(chosen) == limit:
-                break
+        pending = list(pending_step.tasks.items())
+        while pending and len(chosen) < limit:
+            task, last = pending[0]
             if ranking is None:
                 ranking = placement.Ranking(
                     conditions=conditions,
@@ -91,29 +98,43 @@
                             and any(c.worker is worker for c in chosen)
                         )
                     ],
-                    reserved=() if starving else self.reserved,
+                    reserved=(
+                        () if self.entitled(pending_step) else self.reserved
+                    ),
+                    kept=kept,
+                    packing=self.headroom.packing(service),
                     interference=self.interference,
                     overdue=overdue,
                 )
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
-                self.obstacles[pending_step.key] = collections.Counter(
-                    ranking.obstacles
+                if kept and not self.headroom.scarce(service):
+                    kept, ranking = frozenset(), None
+                    continue
+                pending_step.lacked_room = not step.filler
+                found_obstacles = collections.Counter(ranking.obstacles)
+                # Once it has been chosen, a suspected worker pauses.
+                found_obstacles[obstacles.Obstacle.SUSPECTED] += sum(
+                    choice.worker.suspected for choice in chosen
                 )
+                self.obstacles[pending_step.key] = +found_obstacles
                 if (
-                    starving
+                    self.entitled(pending_step)
                     and len(self.reserved) < placement_round.RESERVED_MAX
                 ):
                     found = placement.most_free_worker(
                         conditions=conditions,
                         workers=self.workers,
-                        reserved=self.reserved,
+                        reserved=self.reserved | kept,
                     )
                     if found is not None:
                         self.reserved.add(found.worker)
                 break
+            pending.pop(0)
             counts[worker.worker] += 1
             worker.reserve(step)
+            if step.long_running:
+                self.headroom.note_long_running(service, step.committed)
             record = records.get(task)
             run = ids.Attempt(record.run + 1 if record else 1)
             chosen.append(placement_round.Choice(task, worker, run))
@@ -125,6 +146,13 @@
             choice.worker.release(step)
         return chosen
 
+    def entitled(self, pending_step):
+        """Return whether a worker may be reserved for a step."""
+        return pending_step.starving(self.now) and (
+            pending_step.restarts
+            or not self.headroom.scarce(pending_step.job.queue.service)
+        )
+
     def choose_gang(self, pending_step):
         """Choose workers for all tasks of a gang, or for none of them.
 
