Move fillers that are held back, and tell a pace again that may be lost

Cause: a filler is slowed down, to a standstill if need be, for the services beside it, and stays there as long as they need it. No task was ever moved. Besides, a new leader took the fillers of its predecessor for running at full speed, and an order on pace that was lost was not repeated, so that such a filler could stand still for good. The class of fault: one part of a whole waits without end while the rest goes on.

A pace that is not certain to be known is told again with the next report.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -63,7 +63,9 @@
         )
         self.saves = saves.JobSnapshots(run_tracker=self.run_tracker)
         self.watchdog = watchdog.Watchdog(
-            run_tracker=self.run_tracker, timing=timing
+            run_tracker=self.run_tracker,
+            timing=timing,
+            interference=self.interference,
         )
         self.jobs = self.run_tracker.jobs
         self.final = self.run_tracker.final
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -86,6 +86,10 @@
         filler tasks on the same worker.
     :param pace: share of its full speed that a filler task works at, in
         percent.
+    :param pace_known: whether the worker certainly has been told ``pace``, or
+        has not been told any.
+    :param held_back_since: our time since which a filler task has been at a
+        low pace; None if it is not.
     :param incarnation: incarnation of the worker that the task was assigned
         to; 0 if unknown.
     :param placed_at: our time at which the task was assigned; None if a
@@ -113,6 +117,8 @@
     measurement: int | None = None
     load: interference.Estimate | None = None
     pace: int = 100
+    pace_known: bool = True
+    held_back_since: datetime.timedelta | None = None
     stop_sent: datetime.timedelta | None = None
     stop_accepted: bool = False
     incarnation: int = 0
--- a/src/turmerichook/_internal/dispatch/pacing.py
+++ b/src/turmerichook/_internal/dispatch/pacing.py
@@ -14,6 +14,7 @@
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import held_back
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
@@ -61,6 +62,8 @@
     )
     for run, pace in paces.items():
         run.pace = pace
+        run.pace_known = True
+        held_back.note_pace(run, now)
     return [
         decisions.PaceOrder(worker=worker.worker, run=run, percent=pace)
         for run, pace in paces.items()
@@ -114,7 +117,10 @@
     model: interference.Interference,
     now: datetime.timedelta,
 ) -> Paces:
-    """Return the fillers whose pace changes, with the new pace in percent."""
+    """Return the fillers to be told a pace, with the pace in percent.
+
+    These are the ones whose pace changes, or is not known for certain.
+    """
     fillers = [
         run for run in worker.fillers() if run.phase is fleet.RunPhase.RUNNING
     ]
@@ -146,6 +152,9 @@
         }
     else:
         paces = _balanced(fillers, excess, model)
+    for run in fillers:
+        if not run.pace_known:
+            paces.setdefault(run, run.pace)
     if paces:
         worker.paced_at = now
     return paces
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -284,6 +284,8 @@
             fenced=True,
             incarnation=incarnation,
             progress_changed_at=now,
+            # A former leader may have slowed the run down.
+            pace_known=not step.filler,
         )
         if age is not None and age > crashes.BEGUN_AGE:
             run.first_listed_at = now - age
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -270,7 +270,7 @@
     async def throttle(self, order: decisions.PaceOrder) -> None:
         """Send a filler task's pace.
 
-        A lost order is not repeated; the next change of the pace replaces it.
+        An order that may be lost is sent again with the next report.
         """
         outcome = await self.workers.throttle(
             self.worker.entry,
@@ -281,6 +281,8 @@
                 token=self.term.token,
             ),
         )
+        if not isinstance(outcome, orders.Accepted):
+            order.run.pace_known = False
         self._handle_outcome(outcome)
 
     def _handle_outcome(self, outcome: orders.Outcome) -> None:
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -1,4 +1,4 @@
-"""Time-driven work: repeated stops, stalled runs, expired leases."""
+"""Time-driven work: repeated stops, stalled or slowed runs, ended leases."""
 
 import datetime
 import typing
@@ -7,6 +7,8 @@
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import held_back
+from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import run_tracker as run_trackers
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
@@ -33,13 +35,20 @@
         *,
         run_tracker: run_trackers.RunTracker,
         timing: deployment.Timing,
+        interference: interferences.Interference | None = None,
     ):
         self.run_tracker = run_tracker
         self.timing = timing
+        self.interference = interference or interferences.Interference()
+        self.held_back = held_back.HeldBackFillers()
         self.next_tick = fleet.ZERO
 
     def tick(self, now: datetime.timedelta) -> None:
-        """Repeat stops, stop stalled runs, drop runs with expired leases."""
+        """Repeat and send stops, and drop runs with expired leases.
+
+        Runs are stopped that stall, that are held back while another worker
+        has room for them, or whose worker leaves.
+        """
         if now < self.next_tick:
             return
         self.next_tick = now + TICK_INTERVAL
@@ -53,6 +62,7 @@
                 if now > leases_until + self.timing.stop_timeout:
                     self._expire(worker, now)
             self._tick_runs(worker, now)
+        self._move_held_back(now)
 
     def _tick_runs(
         self, worker: fleet.Worker, now: datetime.timedelta
@@ -76,6 +86,17 @@
                 elif self._stalled(worker, run):
                     self.run_tracker.stop(worker, run, now, "stalled")
 
+    def _move_held_back(self, now: datetime.timedelta) -> None:
+        tracker = self.run_tracker
+        for worker, run in self.held_back.choose(
+            workers=tracker.workers.values(),
+            targets=tracker.waiting.room.by_worker.values(),
+            all_jobs=tracker.jobs,
+            interference=self.interference,
+            now=now,
+        ):
+            tracker.stop(worker, run, now, "held-back")
+
     def _must_stop_before_shutdown(
         self, worker: fleet.Worker, run: fleet.Run, now: datetime.timedelta
     ) -> bool:
