Never move held-back fillers that are long-running

A long-running task may have a limit for how many of its step are away, which a stop does not look at.

--- a/src/turmerichook/_internal/dispatch/held_back.py
+++ b/src/turmerichook/_internal/dispatch/held_back.py
@@ -121,10 +121,14 @@
 
 def _held_back(run: fleet.Run, now: datetime.timedelta) -> bool:
     """Return whether a filler has been held back for too long."""
-    if run.held_back_since is None or run.step.gang or not run.should_run:
+    if run.held_back_since is None or not run.should_run:
         return False
     if run.phase is not fleet.RunPhase.RUNNING:
         return False
+    if run.step.gang or run.step.long_running:
+        # The stop would end the other members of the gang, or make a task
+        # unavailable that is to run all the time.
+        return False
     limit = (
         HELD_BACK_TIME if run.step.checkpointing else HELD_BACK_TIME_UNSAVED
     )
--- a/tests/dispatch/test_held_back.py
+++ b/tests/dispatch/test_held_back.py
@@ -139,6 +139,14 @@
         site.pass_time(6 * SECOND, tail=OVER_TARGET)
         assert not site.stopped()
 
+    @pytest.mark.parametrize("kind", ({"gang": True}, {"long_running": True}))
+    def test_it_stays_if_others_depend_on_it(self, kind):
+        """Guards against a gang or a service that is interrupted."""
+        site = Site(idle_worker())
+        site.add_job("1", filler_step(**kind))
+        site.pass_time(6 * SECOND, tail=OVER_TARGET)
+        assert not site.stopped()
+
     def test_short_slowdown_moves_nothing(self):
         """Guards against moves for what pacing settles by itself."""
         site = Site(idle_worker())
