Keep no workers in vain for accelerators, and none that do not answer

Found in review of: where the target for one resource could not be met, as few workers have accelerators, further workers without any were kept up to a quarter of the service's capacity. A tenth of the accelerators was kept for good where short tasks use none. And a kept worker that had crashed counted as room until it left the registry.

Now only workers are kept that offer some of what is lacking, accelerators only while short tasks have needed some within 60 s, and only workers that answer.

Evidence: three tests in test_headroom.py.

--- a/src/turmerichook/_internal/dispatch/candidates.py
+++ b/src/turmerichook/_internal/dispatch/candidates.py
@@ -44,7 +44,7 @@
         self.recheck = NEVER
         self.set_unavailable()
         self.score = 0.0
-        # Score for tasks that are no fillers.
+        # Score for tasks that are packed.
         self.fit_score = 0.0
         # Processors that further fillers would get, in millicores.
         self.idle = 0.0
--- a/src/turmerichook/_internal/dispatch/headroom.py
+++ b/src/turmerichook/_internal/dispatch/headroom.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import datetime
 import itertools
 
@@ -26,8 +27,9 @@
 DEMAND_FACTOR = 1.3
 # Time for which the highest demand of short tasks counts.
 DEMAND_WINDOW = datetime.timedelta(seconds=10)
-# Time without any short task after which no room is kept. A new leader does
-# not know of earlier ones, and keeps room for as long.
+# Time without any short task after which no room is kept, and without any that
+# needs accelerators after which none of these are kept. A new leader does not
+# know of earlier tasks, and keeps room for as long.
 IDLE_TIME = datetime.timedelta(seconds=60)
 # Interval at which the demand is measured and the workers are chosen.
 UPDATE_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -57,7 +59,9 @@
         self.demands: collections.deque[tuple[datetime.timedelta, Demands]] = (
             collections.deque()
         )
+        # When short tasks, and those that need accelerators, were last seen.
         self.short_seen_at: dict[ids.ServiceId, datetime.timedelta] = {}
+        self.accelerators_seen_at: dict[ids.ServiceId, datetime.timedelta] = {}
         self.started_at: datetime.timedelta | None = None
         # Room that long-running tasks leave, and the room to keep.
         self.left: Demands = {}
@@ -113,7 +117,7 @@
             capacity = _sum(worker.entry.capacity for worker in members)
             used = _sum(worker.long_running_use for worker in members)
             target = self._target(service, capacity, now)
-            if target == resources.NOTHING:
+            if _nothing(target):
                 continue
             self.targets[service] = target
             self.left[service] = capacity.minus(used)
@@ -143,8 +147,10 @@
                 _times(step.step.committed, len(step.tasks))
             )
         for service, demand in demands.items():
-            if demand != resources.NOTHING:
+            if not _nothing(demand):
                 self.short_seen_at[service] = now
+            if demand.accelerators:
+                self.accelerators_seen_at[service] = now
         self.demands.append((now, demands))
         while self.demands[0][0] < now - DEMAND_WINDOW:
             self.demands.popleft()
@@ -162,9 +168,13 @@
         peak = resources.NOTHING
         for _, demands in self.demands:
             peak = peak.greater(demands.get(service, resources.NOTHING))
+        least = _times(capacity, SHARE_MIN)
+        seen_at = self.accelerators_seen_at.get(service, self.started_at)
+        if now - seen_at > IDLE_TIME:
+            least = dataclasses.replace(least, accelerators=0)
         return (
             _times(peak, DEMAND_FACTOR)
-            .greater(_times(capacity, SHARE_MIN))
+            .greater(least)
             .lesser(_times(capacity, SHARE_MAX))
         )
 
@@ -191,9 +201,11 @@
             if target.fits(room):
                 break
             group = _group(worker)
-            with_worker = room.plus(
-                worker.entry.capacity.minus(worker.long_running_use)
-            )
+            offered = worker.entry.capacity.minus(worker.long_running_use)
+            lacking = target.minus(room)
+            if _nothing(offered.lesser(lacking).at_least_nothing()):
+                continue
+            with_worker = room.plus(offered)
             if not allowed[group] or not with_worker.fits(most):
                 continue
             allowed[group] -= 1
@@ -231,6 +243,8 @@
         and worker.listed
         and entry.state is deployment.WorkerState.READY
         and entry.zone not in closed
+        and worker.reachable
+        and worker.report_received
     )
 
 
@@ -254,6 +268,10 @@
     )
 
 
+def _nothing(amount: resources.Resources) -> bool:
+    return amount == resources.NOTHING
+
+
 def _times(amount: resources.Resources, factor: float) -> resources.Resources:
     return resources.Resources(
         millicores=round(amount.millicores * factor),
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -69,6 +69,7 @@
     refusals: refusals.Refusals
     # Workers whose free capacity is reserved for starving tasks.
     reserved: set[ids.WorkerId]
+    # Workers that are kept free of first runs of long-running tasks.
     headroom: headrooms.Headroom
 
     def _blocked(self, waiting: waiting_step.WaitingStep) -> bool:
--- a/tests/dispatch/fleet_day.py
+++ b/tests/dispatch/fleet_day.py
@@ -24,10 +24,8 @@
 MS = datetime.timedelta(milliseconds=1)
 SECOND = datetime.timedelta(seconds=1)
 ROUND = 40 * MS
-# Rounds between two commits.
 TASKS_PER_ROUND_MAX = 200
 START = 1000 * SECOND
-IMAGES = 16
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -66,13 +64,12 @@
         )
         self.outcomes: dict[ids.JobId, Outcome] = {}
         self.numbers = itertools.count(1)
-        self.end_numbers = dict.fromkeys(range(0), 0)
+        self.end_numbers: dict[ids.WorkerId, int] = {}
         # Times at which runs end, with what breaks ties.
         self.ends: list[
             tuple[datetime.timedelta, int, ids.WorkerId, fleet.Run]
         ]
         self.ends = []
-        self.speed = 1.0
         self.entries = {}
         for number in range(workers):
             self.add_worker(f"w{number:04}", self.draw_capacity())
@@ -199,7 +196,7 @@
         )
         step = start.run.step
         if not step.long_running:
-            span = step.estimate * self.random.uniform(0.7, 1.3) / self.speed
+            span = step.estimate * self.random.uniform(0.7, 1.3)
             heapq.heappush(
                 self.ends,
                 (self.now + span, next(self.numbers), start.worker, start.run),
--- a/tests/dispatch/test_headroom.py
+++ b/tests/dispatch/test_headroom.py
@@ -1,6 +1,7 @@
 """Tests of the workers that are kept free of long-running tasks."""
 
 import dataclasses
+import datetime
 
 from tests.dispatch import fakes
 from tests.dispatch import test_dispatcher
@@ -195,6 +196,60 @@
         assert len(site.kept) == 2
 
 
+class TestAccelerators:
+    """Few workers have accelerators."""
+
+    def site(self):
+        site = Site()
+        for name in ("w00", "w01", "w02", "w03"):
+            worker = site.dispatcher.workers[ids.WorkerId(name)]
+            capacity = dataclasses.replace(
+                worker.entry.capacity, accelerators=4
+            )
+            entry = dataclasses.replace(worker.entry, capacity=capacity)
+            site.dispatcher.set_entry(entry, site.now)
+        return site
+
+    def test_services_get_all_that_short_tasks_do_not_use(self):
+        """Guards against accelerators that are kept for nothing."""
+        site = self.site()
+        amount = resources.Resources(
+            millicores=1000, memory_mib=1000, accelerators=1
+        )
+        job = site.submit_step(
+            fakes.step(16, long_running=True, demand=amount)
+        )
+        minutes = datetime.timedelta(minutes=10)
+        site.submit_step(fakes.step(estimate=minutes))
+        site.pass_time(headroom.IDLE_TIME + 2 * SECOND)
+        assert len(site.running(job)) == 16
+
+    def test_other_workers_are_not_kept_in_their_place(self):
+        """Guards against a quarter of a site that is kept in vain."""
+        site = self.site()
+        amount = resources.Resources(
+            millicores=1000, memory_mib=1000, accelerators=4
+        )
+        site.submit_step(fakes.step(8, demand=amount))
+        site.pass_time(SECOND)
+        without = site.kept - {"w00", "w01", "w02", "w03"}
+        assert len(without) <= 2
+
+
+class TestLostWorker:
+    """A kept worker does not answer."""
+
+    def test_another_one_is_kept(self):
+        """Guards against room that is kept on a worker that has crashed."""
+        site = Site()
+        site.submit_step(fakes.step())
+        lost = min(site.kept)
+        site.workers[lost].cut_off = True
+        site.pass_time(SECOND)
+        assert lost not in site.kept
+        assert len(site.kept) == 2
+
+
 class TestZones:
     """A zone may be lost or closed."""
 
