--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -148,10 +148,16 @@
         overdue = waiting.overdue(self.now)
         chosen: list[Choice] = []
         ranking: placement.Ranking | None = None
+        service = waiting.job.queue.service
         kept = self._kept_from(waiting)
+        # Whether the tasks may use kept workers, as they fit nowhere else.
+        opened = False
         pending = collections.deque(waiting.tasks.items())
         while pending and len(chosen) < limit:
             task, last = pending[0]
+            if opened and self.headroom.scarce(service):
+                kept, opened = self._kept_from(waiting), False
+                ranking = None
             if ranking is None:
                 ranking = self._rank(
                     waiting,
@@ -163,10 +169,9 @@
                 )
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
-                if kept and not self.headroom.scarce(
-                    waiting.job.queue.service
-                ):
-                    kept, ranking = frozenset(), None
+                if kept and not self.headroom.scarce(service):
+                    kept, opened = frozenset(), True
+                    ranking = None
                     continue
                 if waiting.needs.filler:
                     self._block_fillers(waiting, conditions, overdue=overdue)
@@ -180,9 +185,7 @@
             counts[worker.worker] += 1
             worker.reserve(step)
             if step.long_running:
-                self.headroom.note_long_running(
-                    waiting.job.queue.service, step.committed
-                )
+                self.headroom.note_long_running(service, step.committed)
             record = records.get(task)
             run = ids.Attempt(record.run + 1 if record else 1)
             chosen.append(Choice(task, worker, run))
--- a/tests/dispatch/full_ranking.py
+++ b/tests/dispatch/full_ranking.py
@@ -82,11 +82,14 @@
         service = pending_step.job.queue.service
         first_run = step.long_running and not pending_step.restarts
         kept = self.headroom.kept if first_run else frozenset()
+        opened = False
         chosen = []
         ranking = None
         pending = list(pending_step.tasks.items())
         while pending and len(chosen) < limit:
             task, last = pending[0]
+            if opened and self.headroom.scarce(service):
+                kept, opened, ranking = self.headroom.kept, False, None
             if ranking is None:
                 ranking = placement.Ranking(
                     conditions=conditions,
@@ -109,7 +112,7 @@
             worker = ranking.take(last)
             if isinstance(worker, outcomes.Absent):
                 if kept and not self.headroom.scarce(service):
-                    kept, ranking = frozenset(), None
+                    kept, opened, ranking = frozenset(), True, None
                     continue
                 pending_step.lacked_room = not step.filler
                 found_obstacles = collections.Counter(ranking.obstacles)
--- a/tests/dispatch/test_headroom.py
+++ b/tests/dispatch/test_headroom.py
@@ -101,6 +101,19 @@
         job = site.submit_step(service(19, 9000))
         assert len(site.running(job)) == 19
 
+    def test_wide_service_does_not_take_all_of_it(self):
+        """Guards against room that one service takes as a whole.
+
+        It may use kept workers only until room is scarce.
+        """
+        site = Site()
+        site.submit_step(service(18, 14_000))
+        job = site.submit_step(service(30, 2500))
+        assert len(site.kept) == 2
+        # With 14 of 16 cores taken on 18 workers, 68 cores are left. Room is
+        # scarce below 64, twice what is to be kept.
+        assert len(site.running(job)) == 2
+
     def test_only_worker_with_a_label(self):
         """Guards against a service that no other worker may ever run."""
         site = Site(labels={"w07": ("b",)})
@@ -199,9 +212,10 @@
 class TestAccelerators:
     """Few workers have accelerators."""
 
-    def site(self):
+    def site(self, count):
+        """Return a site of which ``count`` workers have four accelerators."""
         site = Site()
-        for name in ("w00", "w01", "w02", "w03"):
+        for name in list(site.workers)[:count]:
             worker = site.dispatcher.workers[ids.WorkerId(name)]
             capacity = dataclasses.replace(
                 worker.entry.capacity, accelerators=4
@@ -212,28 +226,27 @@
 
     def test_services_get_all_that_short_tasks_do_not_use(self):
         """Guards against accelerators that are kept for nothing."""
-        site = self.site()
+        site = self.site(10)
         amount = resources.Resources(
             millicores=1000, memory_mib=1000, accelerators=1
         )
         job = site.submit_step(
-            fakes.step(16, long_running=True, demand=amount)
+            fakes.step(40, long_running=True, demand=amount)
         )
         minutes = datetime.timedelta(minutes=10)
         site.submit_step(fakes.step(estimate=minutes))
         site.pass_time(headroom.IDLE_TIME + 2 * SECOND)
-        assert len(site.running(job)) == 16
+        assert len(site.running(job)) == 40
 
     def test_other_workers_are_not_kept_in_their_place(self):
         """Guards against a quarter of a site that is kept in vain."""
-        site = self.site()
+        site = self.site(1)
         amount = resources.Resources(
             millicores=1000, memory_mib=1000, accelerators=4
         )
         site.submit_step(fakes.step(8, demand=amount))
         site.pass_time(SECOND)
-        without = site.kept - {"w00", "w01", "w02", "w03"}
-        assert len(without) <= 2
+        assert len(site.kept) == 2
 
 
 class TestLostWorker:
