--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -4,11 +4,15 @@
 import dataclasses
 import datetime
 
+import pytest
+
 from tests.dispatch import fakes
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
@@ -406,3 +410,34 @@
 
         before, after = asyncio.run(scenario())
         assert before == after
+
+
+class TestPaceWithoutAnswer:
+    """The order that slows a filler down, or speeds it up, may be lost."""
+
+    @pytest.mark.parametrize(
+        ("outcome", "known"),
+        [
+            (orders.Accepted(), True),
+            (orders.Unknown(detail="lost"), False),
+        ],
+    )
+    def test_pace_is_told_again(self, outcome, known, monkeypatch):
+        """Guards against a filler at a pace that the leader has changed."""
+        fixture = SessionFixture()
+        run = fleet.Run(
+            task=TASK,
+            run=ids.Attempt(1),
+            step=fakes.step(filler=True),
+            phase=fleet.RunPhase.RUNNING,
+        )
+
+        async def throttle(*_):
+            return outcome
+
+        monkeypatch.setattr(fixture.workers, "throttle", throttle)
+        order = decisions.PaceOrder(
+            worker=ids.WorkerId("w1"), run=run, percent=50
+        )
+        asyncio.run(fixture.session.throttle(order))
+        assert run.pace_known is known
