--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -65,11 +65,12 @@
     run(context, context.platform.start())
 
 
-@behave.when("callers submit {count:d} jobs at all entry processes")
-def step_submit(context, count):
+def submit_jobs(context, numbers):
+    """Submit jobs, each at the next entry process, and note their ids."""
+
     async def submit():
         entries = context.platform.entries
-        for number in range(count):
+        for number in numbers:
             job = f"{number:016x}"
             entry = entries[number % len(entries)]
             answer = await context.platform.submit(entry, job)
@@ -79,6 +80,16 @@
     run(context, submit())
 
 
+@behave.when("callers submit {count:d} jobs at all entry processes")
+def step_submit(context, count):
+    submit_jobs(context, range(count))
+
+
+@behave.when("callers submit {count:d} more jobs at all entry processes")
+def step_submit_more(context, count):
+    submit_jobs(context, range(100, 100 + count))
+
+
 def odd_entries(good: bytes) -> dict[str, bytes]:
     """Return odd entries by the name of the worker that they are under."""
     document = json.loads(good)
@@ -121,20 +132,6 @@
     run(context, restore())
 
 
-@behave.when("callers submit {count:d} more jobs at all entry processes")
-def step_submit_more(context, count):
-    async def submit():
-        for number in range(count):
-            job = f"{100 + number:016x}"
-            entries = context.platform.entries
-            entry = entries[number % len(entries)]
-            answer = await context.platform.submit(entry, job)
-            assert answer.status == 200, answer
-            context.jobs.append(job)
-
-    run(context, submit())
-
-
 @behave.then("no entry process has ended")
 def step_none_ended(context):
     ended = [e for e in context.platform.entries if e.process.poll()]
--- a/src/turmerichook/_internal/dispatch/fleet_room.py
+++ b/src/turmerichook/_internal/dispatch/fleet_room.py
@@ -55,7 +55,7 @@
 
     :param closed: zones in which no task may be placed.
     """
-    count = capacity = long_running = used = fillers = 0
+    count = capacity = long_running = short = fillers = free = 0
     largest_free = resources.NOTHING
     for worker in workers:
         if obstacles.worker_obstacle(worker, closed, now) is not None:
@@ -63,10 +63,11 @@
         count += 1
         capacity += worker.entry.capacity.millicores
         long_running += worker.long_running_use.millicores
-        used += worker.used.millicores
+        short += worker.short_use.millicores
         fillers += worker.filler_millicores
-        free = worker.entry.capacity.minus(worker.used)
-        largest_free = largest_free.greater(free)
+        free_on_worker = worker.entry.capacity.minus(worker.used)
+        free += free_on_worker.millicores
+        largest_free = largest_free.greater(free_on_worker)
     waiting_short = blocked_steps = blocked = waiting_long_running = 0
     for step in steps:
         committed = step.step.committed
@@ -82,9 +83,9 @@
         workers=count,
         capacity=capacity,
         long_running=long_running,
-        short=used - long_running,
+        short=short,
         fillers=fillers,
-        free=capacity - used,
+        free=free,
         largest_free=largest_free,
         waiting_short=waiting_short,
         blocked_steps=blocked_steps,
--- a/src/turmerichook/_internal/dispatch/headroom.py
+++ b/src/turmerichook/_internal/dispatch/headroom.py
@@ -73,7 +73,7 @@
         if target is None:
             return False
         left = self.left[service]
-        return not _times(target, SCARCITY_FACTOR).fits(left)
+        return not target.times(SCARCITY_FACTOR).fits(left)
 
     def packing(self, service: ids.ServiceId) -> placement.Packing | None:
         """Return how to pack a service's tasks; None to spread them."""
@@ -114,14 +114,18 @@
         self.targets, self.left = {}, {}
         kept: set[ids.WorkerId] = set()
         for service, members in by_service.items():
-            capacity = _sum(worker.entry.capacity for worker in members)
-            used = _sum(worker.long_running_use for worker in members)
+            capacity = resources.total(
+                worker.entry.capacity for worker in members
+            )
+            used = resources.total(
+                worker.long_running_use for worker in members
+            )
             target = self._target(service, capacity, now)
-            if _nothing(target):
+            if target == resources.NOTHING:
                 continue
             self.targets[service] = target
             self.left[service] = capacity.minus(used)
-            kept |= self._choose(members, target, _times(capacity, SHARE_MAX))
+            kept |= self._choose(members, target, capacity.times(SHARE_MAX))
         opened = self.kept - kept
         for service in scarce_before:
             if not self.scarce(service):
@@ -136,7 +140,7 @@
         now: datetime.timedelta,
     ) -> None:
         demands = {
-            service: _sum(worker.short_use for worker in members)
+            service: resources.total(worker.short_use for worker in members)
             for service, members in by_service.items()
         }
         for step in steps:
@@ -144,10 +148,10 @@
                 continue
             service = step.job.queue.service
             demands[service] = demands.get(service, resources.NOTHING).plus(
-                _times(step.step.committed, len(step.tasks))
+                step.step.committed.times(len(step.tasks))
             )
         for service, demand in demands.items():
-            if not _nothing(demand):
+            if demand != resources.NOTHING:
                 self.short_seen_at[service] = now
             if demand.accelerators:
                 self.accelerators_seen_at[service] = now
@@ -168,14 +172,14 @@
         peak = resources.NOTHING
         for _, demands in self.demands:
             peak = peak.greater(demands.get(service, resources.NOTHING))
-        least = _times(capacity, SHARE_MIN)
+        least = capacity.times(SHARE_MIN)
         seen_at = self.accelerators_seen_at.get(service, self.started_at)
         if now - seen_at > IDLE_TIME:
             least = dataclasses.replace(least, accelerators=0)
         return (
-            _times(peak, DEMAND_FACTOR)
+            peak.times(DEMAND_FACTOR)
             .greater(least)
-            .lesser(_times(capacity, SHARE_MAX))
+            .lesser(capacity.times(SHARE_MAX))
         )
 
     def _choose(
@@ -203,7 +207,8 @@
             group = _group(worker)
             offered = worker.entry.capacity.minus(worker.long_running_use)
             lacking = target.minus(room)
-            if _nothing(offered.lesser(lacking).at_least_nothing()):
+            useful = offered.lesser(lacking).at_least_nothing()
+            if useful == resources.NOTHING:
                 continue
             with_worker = room.plus(offered)
             if not allowed[group] or not with_worker.fits(most):
@@ -251,30 +256,3 @@
 def _group(worker: fleet.Worker) -> collections.abc.Hashable:
     entry = worker.entry
     return entry.labels, bool(entry.capacity.accelerators)
-
-
-def _sum(
-    amounts: collections.abc.Iterable[resources.Resources],
-) -> resources.Resources:
-    millicores = memory_mib = accelerators = 0
-    for amount in amounts:
-        millicores += amount.millicores
-        memory_mib += amount.memory_mib
-        accelerators += amount.accelerators
-    return resources.Resources(
-        millicores=millicores,
-        memory_mib=memory_mib,
-        accelerators=accelerators,
-    )
-
-
-def _nothing(amount: resources.Resources) -> bool:
-    return amount == resources.NOTHING
-
-
-def _times(amount: resources.Resources, factor: float) -> resources.Resources:
-    return resources.Resources(
-        millicores=round(amount.millicores * factor),
-        memory_mib=round(amount.memory_mib * factor),
-        accelerators=round(amount.accelerators * factor),
-    )
--- a/src/turmerichook/_internal/dispatch/held_back.py
+++ b/src/turmerichook/_internal/dispatch/held_back.py
@@ -150,11 +150,9 @@
 def _fits(target: candidates.Candidate, job: jobs.Job, move: Move) -> bool:
     """Return whether a worker may run a filler, apart from its processors."""
     step: model.Step = move.run.step
-    entry = target.worker.entry
     return (
         target.worker is not move.worker
-        and entry.service == job.queue.service
-        and (not step.label or step.label in entry.labels)
+        and target.worker.entry.is_of_kind(job.queue.service, step.label)
         and step.committed.memory_mib <= target.memory_mib
         and step.committed.accelerators <= target.accelerators
     )
--- a/src/turmerichook/_internal/dispatch/obstacles.py
+++ b/src/turmerichook/_internal/dispatch/obstacles.py
@@ -103,9 +103,7 @@
             return Obstacle.NOT_APPROVED
         if entry is None or not worker.listed:
             return Obstacle.NOT_LISTED
-        if entry.service != self.service or (
-            step.label and step.label not in entry.labels
-        ):
+        if not entry.is_of_kind(self.service, step.label):
             return Obstacle.OTHER_KIND
         general_obstacle = worker_obstacle(worker, self.closed, self.now)
         if general_obstacle is not None:
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -180,10 +180,7 @@
 
 def _same_kind(worker: fleet.Worker, job: jobs.Job, run: fleet.Run) -> bool:
     """Return whether a worker still is of the kind that a task requires."""
-    entry, label = worker.entry, run.step.label
-    return entry.service == job.queue.service and (
-        not label or label in entry.labels
-    )
+    return worker.entry.is_of_kind(job.queue.service, run.step.label)
 
 
 def _fits(worker: fleet.Worker, run: fleet.Run) -> bool:
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -35,11 +35,11 @@
         *,
         run_tracker: run_trackers.RunTracker,
         timing: deployment.Timing,
-        interference: interferences.Interference | None = None,
+        interference: interferences.Interference,
     ):
         self.run_tracker = run_tracker
         self.timing = timing
-        self.interference = interference or interferences.Interference()
+        self.interference = interference
         self.held_back = held_back.HeldBackFillers()
         self.next_tick = fleet.ZERO
 
--- a/src/turmerichook/_internal/models/deployment.py
+++ b/src/turmerichook/_internal/models/deployment.py
@@ -188,3 +188,10 @@
     rack: ids.RackId
     cold: datetime.timedelta
     remaining: datetime.timedelta | None
+
+    def is_of_kind(self, service: ids.ServiceId, label: str) -> bool:
+        """Return whether the worker is of a service and has a label.
+
+        :param label: empty if any labels will do.
+        """
+        return self.service == service and (not label or label in self.labels)
--- a/src/turmerichook/_internal/models/resources.py
+++ b/src/turmerichook/_internal/models/resources.py
@@ -1,5 +1,6 @@
 """Amounts of processor time, memory and accelerators."""
 
+import collections.abc
 import dataclasses
 
 
@@ -32,6 +33,14 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def times(self, factor: float) -> "Resources":
+        """Return a multiple of each resource, in whole units."""
+        return Resources(
+            millicores=round(self.millicores * factor),
+            memory_mib=round(self.memory_mib * factor),
+            accelerators=round(self.accelerators * factor),
+        )
+
     def lesser(self, other: "Resources") -> "Resources":
         """Return the smaller of the two amounts of each resource."""
         return Resources(
@@ -77,3 +86,17 @@
 
 
 NOTHING = Resources()
+
+
+def total(amounts: collections.abc.Iterable[Resources]) -> Resources:
+    """Return the sum of amounts for each resource."""
+    millicores = memory_mib = accelerators = 0
+    for amount in amounts:
+        millicores += amount.millicores
+        memory_mib += amount.memory_mib
+        accelerators += amount.accelerators
+    return Resources(
+        millicores=millicores,
+        memory_mib=memory_mib,
+        accelerators=accelerators,
+    )
--- a/src/turmerichook/_internal/platform/store_calls.py
+++ b/src/turmerichook/_internal/platform/store_calls.py
@@ -255,26 +255,19 @@
         try:
             yield _decode_change(row)
         except exceptions.MessageError as error:
-            row_key = row.get("key") if isinstance(row, dict) else None
+            members = row if isinstance(row, dict) else {}
             logs.emit(
                 storage_events.StorageEvent.ROW_UNREADABLE,
-                key=ascii(row_key)[:100],
+                key=ascii(members.get("key"))[:100],
                 error=error.message,
             )
-            if _is_text(row_key):
-                yield interface.Item(
-                    key=row_key, value=b"", revision=ids.Revision(0)
-                )
-
-
-def _is_text(value: typing.Any) -> bool:
-    if not isinstance(value, str):
-        return False
-    try:
-        value.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
+            try:
+                readable_key = fields.string(members, "key")
+            except exceptions.MessageError:
+                continue
+            yield interface.Item(
+                key=readable_key, value=b"", revision=ids.Revision(0)
+            )
 
 
 def _decode_item(row: dict[str, typing.Any]) -> interface.Item:
--- a/tests/dispatch/fleet_day.py
+++ b/tests/dispatch/fleet_day.py
@@ -15,6 +15,7 @@
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.dispatch import waiting_step
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
@@ -38,11 +39,12 @@
     objective: datetime.timedelta
     ended: datetime.timedelta | None = None
 
-    def served(self, factor: float = 1.0) -> bool:
-        """Return whether the job ended within a multiple of its objective."""
+    def served(self) -> bool:
+        """Return whether the job ended while its result had some value."""
+        useful_time = waiting_step.USEFUL_TIME_FACTOR * self.objective
         return (
             self.ended is not None
-            and self.ended - self.accepted <= factor * self.objective
+            and self.ended - self.accepted <= useful_time
         )
 
 
@@ -52,10 +54,9 @@
     :ivar outcomes: one for each short job, by its id.
     """
 
-    def __init__(self, *, seed: int, workers: int, queues):
+    def __init__(self, *, seed: int, queues):
         self.random = random.Random(seed)
         self.now = START
-        self.queues = {queue.queue: queue for queue in queues}
         self.dispatcher = dispatchers.Dispatcher(
             timing=fakes.TIMING,
             configuration=dataclasses.replace(
@@ -68,11 +69,8 @@
         # Times at which runs end, with what breaks ties.
         self.ends: list[
             tuple[datetime.timedelta, int, ids.WorkerId, fleet.Run]
-        ]
-        self.ends = []
+        ] = []
         self.entries = {}
-        for number in range(workers):
-            self.add_worker(f"w{number:04}", self.draw_capacity())
 
     # Workers
 
@@ -148,25 +146,14 @@
             )
         return name
 
-    def cancel(self, job):
-        """Cancel a job; its runs end at once."""
-        self.dispatcher.cancel(job, self.now)
-        for worker in self.dispatcher.workers.values():
-            tasks = [task for task in worker.runs if task.job == job]
-            for task in tasks:
-                worker.remove(task)
-        self.dispatcher.pop_orders()
-
     def draw(self, mean, spread, most, least=1.0):
         """Return a positive number from a skewed distribution."""
-        if not spread:
-            return mean
         drawn = self.random.lognormvariate(-spread * spread / 2, spread) * mean
         return max(least, min(most, drawn))
 
     # Time
 
-    def run_round(self, commit=True):
+    def run_round(self):
         """Advance by one round."""
         self.now += ROUND
         due = {}
@@ -175,8 +162,6 @@
             due.setdefault(worker_id, []).append(run)
         for worker_id, runs in due.items():
             self.end_runs(self.dispatcher.workers[worker_id], runs)
-        if not commit:
-            return
         self.dispatcher.place(
             self.now, self.now, TASKS_PER_ROUND_MAX, committer.PLACED_JOBS_MAX
         )
@@ -223,20 +208,10 @@
 
     # Measures
 
-    def usage(self):
-        """Return the shares of the processors by kind of task."""
-        workers = self.dispatcher.workers.values()
-        capacity = sum(w.entry.capacity.millicores for w in workers)
-        lasting = sum(w.long_running_use.millicores for w in workers)
-        used = sum(w.used.millicores for w in workers)
-        return lasting / capacity, (used - lasting) / capacity
-
-    def largest_free(self):
-        """Return the most free millicores on one worker."""
-        return max(
-            w.entry.capacity.millicores - w.used.millicores
-            for w in self.dispatcher.workers.values()
-        )
+    def long_running_share(self):
+        """Return the share of the processors that services use."""
+        room = self.dispatcher.fleet_room(self.now)
+        return room.long_running / room.capacity
 
 
 def queue(name, *, priority=0, slack=1.5, objective=300 * MS):
@@ -254,12 +229,14 @@
     )
 
 
-def shares(outcomes, factor=3.0):
-    """Return the share of jobs served: all, largest tenth, next fifth."""
+def shares(outcomes):
+    """Return the share of jobs served: all, largest tenth, next fifth.
+
+    A job counts as served while its result has some value.
+    """
     ordered = sorted(outcomes, key=lambda outcome: -outcome.work)
     tenth = max(1, len(ordered) // 10)
     parts = (ordered, ordered[:tenth], ordered[tenth : 3 * tenth])
     return tuple(
-        sum(outcome.served(factor) for outcome in part) / len(part)
-        for part in parts
+        sum(outcome.served() for outcome in part) / len(part) for part in parts
     )
--- a/tests/dispatch/test_held_back.py
+++ b/tests/dispatch/test_held_back.py
@@ -10,6 +10,7 @@
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import held_back
+from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import pacing
 from turmerichook._internal.dispatch import run_tracker as run_trackers
@@ -41,7 +42,9 @@
         self.now = datetime.timedelta(seconds=100)
         self.tracker = run_trackers.RunTracker()
         self.watchdog = watchdog.Watchdog(
-            run_tracker=self.tracker, timing=fakes.TIMING
+            run_tracker=self.tracker,
+            timing=fakes.TIMING,
+            interference=interference.Interference(),
         )
         self.busy = test_placement.worker("a", test_placement.serving("x"))
         for worker in (self.busy, *others):
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -11,6 +11,7 @@
 
 from tests.dispatch import fakes
 from tests.dispatch import fleet_day
+from turmerichook._internal.dispatch import placement
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 
@@ -85,7 +86,7 @@
     def __init__(self, shape, seed, *, workers=WORKERS):
         self.shape = shape
         self.day = fleet_day.FleetDay(
-            seed=seed, workers=0, queues=(SHORT_QUEUE, SERVICE_QUEUE)
+            seed=seed, queues=(SHORT_QUEUE, SERVICE_QUEUE)
         )
         self.random = self.day.random
         for number in range(workers):
@@ -98,18 +99,17 @@
                 labels=frozenset(("a", labels)),
                 zone=zone,
             )
-        self.services = []
         self.request_services(SERVICES_SHARE)
         for _ in range(60):
             self.day.run_round()
 
     def request_services(self, share):
         """Submit services until they request a share of the capacity."""
-        capacity = resources.NOTHING
-        for entry in self.day.entries.values():
-            capacity = capacity.plus(entry.capacity)
+        capacity = resources.total(
+            entry.capacity for entry in self.day.entries.values()
+        )
         requested = resources.NOTHING
-        while _largest_share(requested, capacity) < share:
+        while placement.share_used(requested, capacity) < share:
             requested = requested.plus(self.submit_service())
 
     def submit_service(self):
@@ -117,23 +117,18 @@
         draw = self.day.draw
         needs = _draw(draw, self.shape.service, 0.25, 1.6)
         count = round(draw(24, 0.4, 48))
-        self.services.append(
-            self.day.submit(
-                SERVICE_QUEUE,
-                fakes.step(
-                    count,
-                    long_running=True,
-                    image=ids.ImageId(f"i{self.random.randrange(16)}"),
-                    latency_target=50 * MS,
-                    demand=needs,
-                ),
-                count_outcome=False,
-            )
+        self.day.submit(
+            SERVICE_QUEUE,
+            fakes.step(
+                count,
+                long_running=True,
+                image=ids.ImageId(f"i{self.random.randrange(16)}"),
+                latency_target=50 * MS,
+                demand=needs,
+            ),
+            count_outcome=False,
         )
-        total = resources.NOTHING
-        for _ in range(count):
-            total = total.plus(needs)
-        return total
+        return needs.times(count)
 
     def submit_short(self):
         """Submit a job of short tasks, of one to three steps."""
@@ -193,16 +188,6 @@
     )
 
 
-def _largest_share(used, capacity):
-    return max(
-        used.millicores / capacity.millicores,
-        used.memory_mib / capacity.memory_mib,
-        used.accelerators / capacity.accelerators
-        if capacity.accelerators
-        else 0.0,
-    )
-
-
 def check_large_jobs(fleet):
     """Check that jobs are served, and large ones not much less than all."""
     every, tenth, fifth = fleet.shares()
@@ -272,8 +257,7 @@
         """
         fleet = CrowdedFleet(PROCESSORS, 6)
         fleet.run()
-        services, _ = fleet.day.usage()
-        assert services >= 0.75
+        assert fleet.day.long_running_share() >= 0.75
 
 
 class TestFleetWithoutShortTasks:
@@ -285,5 +269,4 @@
         fleet.request_services(0.5)
         for _ in range(25 * 65):
             fleet.day.run_round()
-        services, _ = fleet.day.usage()
-        assert services > 0.93
+        assert fleet.day.long_running_share() > 0.93
--- a/tests/dispatch/test_watchdog.py
+++ b/tests/dispatch/test_watchdog.py
@@ -4,6 +4,7 @@
 
 from tests.dispatch import fakes
 from turmerichook._internal.dispatch import fleet
+from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import run_tracker as run_trackers
 from turmerichook._internal.dispatch import watchdog
 from turmerichook._internal.models import ids
@@ -40,7 +41,9 @@
     run_tracker.stop(worker, run, NOW, "stalled")
     run_tracker.orders.clear()
     return watchdog.Watchdog(
-        run_tracker=run_tracker, timing=fakes.TIMING
+        run_tracker=run_tracker,
+        timing=fakes.TIMING,
+        interference=interference.Interference(),
     ), worker
 
 
@@ -96,7 +99,9 @@
         )
         worker.clock_read_at = reported_at
         checker = watchdog.Watchdog(
-            run_tracker=run_tracker, timing=fakes.TIMING
+            run_tracker=run_tracker,
+            timing=fakes.TIMING,
+            interference=interference.Interference(),
         )
         checker.tick(NOW + 5 * fakes.SECOND)
         return bool(run_tracker.orders)
@@ -141,9 +146,12 @@
             "emit",
             lambda event, **fields: logged.append(fields),
         )
-        watchdog.Watchdog(run_tracker=run_tracker, timing=fakes.TIMING).tick(
-            NOW + fakes.SECOND
+        checker = watchdog.Watchdog(
+            run_tracker=run_tracker,
+            timing=fakes.TIMING,
+            interference=interference.Interference(),
         )
+        checker.tick(NOW + fakes.SECOND)
         return next((f for f in logged if "inherited" in f), None)
 
     def test_former_leaders_leases_ended_last(self, monkeypatch):
--- a/tools/job_account.py
+++ b/tools/job_account.py
@@ -19,11 +19,10 @@
 import sys
 import typing
 
+from turmerichook._internal.dispatch import waiting_step
+
 # Shares of a queue's jobs, the largest first, that get a row of their own.
 SIZES = (("largest tenth", 0.1), ("next fifth", 0.3), ("others", 1.0))
-# Multiple of its objective up to which a job counts as late, and after which
-# its result has no value.
-LATE_FACTOR = 3.0
 
 
 class Verdict(enum.Enum):
@@ -81,7 +80,7 @@
         age = self.ended - self.accepted
         if age <= self.objective:
             return Verdict.IN_TIME
-        if age <= LATE_FACTOR * self.objective:
+        if age <= waiting_step.USEFUL_TIME_FACTOR * self.objective:
             return Verdict.LATE
         return Verdict.TOO_LATE
 
