--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,7 @@
 PREFIX = "/lohu930/"
 ZONES = ("krakow", "tarnow", "nowy-sacz")
 RESTART_S = 1.0
+PORT_RANGE = (12000, 32000)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 SETTINGS = """\
@@ -84,13 +86,17 @@
 
 
 def free_ports(count):
-    """Return free loopback ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return free loopback ports, below those of outgoing channels."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
