--- a/review/1/case.py
+++ b/review/1/case.py
@@ -46,6 +46,7 @@
         f"tasks {TASKS}, started from {first} to {last}",
         f"runs that ended done: {sum(r['how'] == 'done' for r in site.of('end'))}",
         f"starts after a noted end: {len(again)}",
+        f"most ends open at a time: {sites.most_open_ends(site)}",
         f"state of the job: {state}",
     ]
     return findings, lines
--- a/review/standin/http.py
+++ b/review/standin/http.py
@@ -20,14 +20,6 @@
         return json.loads(self.body) if self.body else {}
 
 
-class NoAnswer(Exception):
-    """Raised by a handler to leave the call without an answer.
-
-    The channel returns nothing further and stays open until the peer closes
-    it.
-    """
-
-
 class Broken(Exception):
     """Raised by a handler to break the channel off."""
 
@@ -80,11 +72,7 @@
                 size = int(headers.get("content-length", 0))
                 body = await reader.readexactly(size) if size else b""
                 request = Request(method, target, headers, body)
-                try:
-                    status, document = await self.handler(request)
-                except NoAnswer:
-                    await reader.read()
-                    return
+                status, document = await self.handler(request)
                 data = json.dumps(document).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\ncontent-type: application/json\r\n"
--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -2,9 +2,7 @@
 
 The text of a task's specification is JSON that only this stand-in reads:
 ``ms`` is the time that the first task of a step works, and ``more-ms`` what
-each further one works longer; without ``ms`` the task lasts. ``fail`` lists the
-run numbers that end ``failed`` after ``fail-ms``, ``saves`` tells whether a run
-makes checkpoints, and ``gang`` is the number of members of a gang.
+each further one works longer. ``gang`` is the number of members of a gang.
 """
 
 import asyncio
@@ -19,40 +17,27 @@
 HOLD_MAX_MS = 10_000
 STOP_S = 0.1
 TICK_S = 0.01
-CHECKPOINT_MS = 2000
 GANG_TIMEOUT_S = 3.0
 
 
 class Run:
     """One run of a task."""
 
-    def __init__(self, owner, task, number, spec, checkpoint, now):
+    def __init__(self, owner, task, number, spec, now):
         self.owner = owner
         self.task = task
         self.number = number
         self.spec = json.loads(spec)
         self.text = spec
-        self.first = self.checkpoint = checkpoint
-        self.worked_ms = _worked(checkpoint)
+        self.worked_ms = 0.0
         index = int(task.rpartition(".")[2])
-        self.ms = None
-        if "ms" in self.spec:
-            self.ms = self.spec["ms"] + index * self.spec.get("more-ms", 0)
+        self.ms = self.spec["ms"] + index * self.spec.get("more-ms", 0)
         self.at = now
         self.began = now
         self.together = False
         self.stopping_at = None
 
 
-def _worked(checkpoint):
-    return int(checkpoint[:8], 16) if checkpoint else 0
-
-
-def make_checkpoint(task, worked_ms):
-    """Return a checkpoint that names the work done, like those on the wire."""
-    return f"{int(worked_ms):08x}{task[4:12]}"
-
-
 class Runner:
     """One machine with a runner, through all of its lives.
 
@@ -66,20 +51,18 @@
         self.labels = labels
         self.zone = zone
         self.cpu = cpu
-        self.state = "ready"
         self.server = http.Server(self._handle)
         self.port = 0
         self.up = False
         self.sequence = 0
         self.tasks = []
         self.removal = None
-        self.born_offset_ms = 0
         self.peers = {}
         self._reset()
 
     def _reset(self):
         self.started_at = time.monotonic()
-        self.born = int(time.time() * 1000) + self.born_offset_ms
+        self.born = int(time.time() * 1000)
         self.token = 0
         self.lease_until = 0
         self.running = {}
@@ -145,7 +128,7 @@
             "zone": self.zone,
             "version": "v1",
             "capacity": 8,
-            "state": self.state,
+            "state": "ready",
             "cold-remaining-ms": 0,
             "free-capacity": {"cpu": self.cpu, "mem-mb": 64000, "gpu": 0},
             "labels": self.labels,
@@ -153,31 +136,8 @@
             "born": self.born,
             "sequence": self.sequence,
         }
-        if self.state == "draining":
-            entry["remaining-ms"] = self.remaining_ms()
         self.store.put(f"servers/{self.name}", json.dumps(entry).encode())
 
-    def remaining_ms(self):
-        """Return the least time until a draining runner leaves."""
-        return max(0, int((self.leaves_at - time.monotonic()) * 1000))
-
-    def drain(self, seconds):
-        """Begin a planned end."""
-        self.leaves_at = time.monotonic() + seconds
-        self.state = "draining"
-        self.record("runner-draining", runner=self.name, seconds=seconds)
-        self.publish()
-
-    def leave(self):
-        """Complete a planned end."""
-        self.record(
-            "runner-left",
-            runner=self.name,
-            runs=[(r.task, r.number) for r in self.running.values()],
-        )
-        self.close()
-        self.store.remove(f"servers/{self.name}")
-
     async def _heartbeat(self):
         while True:
             self.publish()
@@ -197,8 +157,6 @@
     def _work(self, run, now):
         if run.stopping_at is not None:
             if now >= run.stopping_at:
-                if run.spec.get("saves"):
-                    run.checkpoint = make_checkpoint(run.task, run.worked_ms)
                 self._end(run, "stopped")
             return
         gang = run.spec.get("gang")
@@ -209,14 +167,7 @@
             return
         run.worked_ms += (now - run.at) * 1000
         run.at = now
-        if run.spec.get("saves"):
-            whole = int(run.worked_ms // CHECKPOINT_MS) * CHECKPOINT_MS
-            if whole > _worked(run.checkpoint):
-                run.checkpoint = make_checkpoint(run.task, whole)
-        fails = run.spec.get("fail", [])
-        if run.number in fails and run.worked_ms >= run.spec["fail-ms"]:
-            self._end(run, "failed")
-        elif run.ms is not None and run.worked_ms >= run.ms:
+        if run.worked_ms >= run.ms:
             self._end(run, "done")
             if gang:
                 for other in self._gang_members(run):
@@ -240,9 +191,6 @@
         members = self._gang_members(run)
         if len(members) + 1 < gang:
             return False
-        if any(other.first != run.first for other in members):
-            # Members that begin at different checkpoints can't work together.
-            return False
         for member in [run, *members]:
             member.together = True
         self.record("gang-together", task=run.task, run=run.number)
@@ -256,14 +204,14 @@
             self.closed.get(run.task, 0), run.number
         )
         self.last_end += 1
-        row = [self.last_end, run.task, run.number, how, run.checkpoint]
+        row = [self.last_end, run.task, run.number, how, ""]
         self.ends.append(row)
         self.record(
             "end", runner=self.name, born=self.born, n=self.last_end,
-            task=run.task, run=run.number, how=how, saved=run.checkpoint,
+            task=run.task, run=run.number, how=how,
         )
         self.ended.set()
-        if how in ("failed", "stopped", "lapsed"):
+        if how in ("stopped", "lapsed"):
             self._break_gang(run)
 
     def _break_gang(self, run):
@@ -311,13 +259,12 @@
         if document["deadline-ms"] <= self.clock_ms():
             return 409, self._answer(reason="late")
         self._extend(document["deadline-ms"])
-        checkpoint = document.get("checkpoint", "")
         now = time.monotonic()
-        run = Run(self, task, number, document["spec"], checkpoint, now)
+        run = Run(self, task, number, document["spec"], now)
         self.running[task] = run
         self.record(
             "start", runner=self.name, born=self.born, task=task, run=number,
-            checkpoint=checkpoint, token=self.token,
+            token=self.token,
         )
         return 200, self._answer()
 
@@ -360,7 +307,5 @@
         )
 
     def _row(self, run):
-        percent = 100
-        if run.ms is not None:
-            percent = min(99, int(run.worked_ms * 100 / run.ms))
-        return [run.task, run.number, run.checkpoint, percent, 10]
+        percent = min(99, int(run.worked_ms * 100 / run.ms))
+        return [run.task, run.number, "", percent, 10]
--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -182,29 +182,22 @@
         self.tasks.add(task)
         return task
 
-    def configure(self, routes=None):
-        """Write the next configuration.
-
-        :param routes: fields of each route that differ from the usual ones.
-        """
+    def configure(self):
+        """Write the configuration."""
         self.version += 1
-        usual = {
+        route = {
             "name": "r-tolls", "host": HOST, "prefix": PREFIX,
             "type": "non_idempotent", "timeout-ms": 3000, "slo-ms": 300,
             "priority": 0, "service": "tolls", "max-attempts": 3,
             "slack-factor": 1.5,
         }
-        routes = [{}] if routes is None else routes
         document = {
             "version": self.version,
-            "routes": [{**usual, **route} for route in routes],
+            "routes": [route],
             "services": [{"name": "tolls", "enforce-limits": True}],
             "limits": {"max-body-bytes": 262144},
         }
-        self.record(
-            "configuration", version=self.version,
-            routes=[row["name"] for row in document["routes"]],
-        )
+        self.record("configuration", version=self.version)
         self.store.put("op/config", json.dumps(document).encode())
 
     async def start(self, *, entries=3, runner_labels):
@@ -259,12 +252,12 @@
                 raise CannotRun(f"no {what} within {seconds} s")
             await asyncio.sleep(0.1)
 
-    async def send(self, method, job, document=None, entry=None, prefix=PREFIX):
+    async def send(self, method, job, document=None, entry=None):
         """Make a client's call; return status and document."""
         entry = entry or self.entries[-1]
         self.record("send", method=method, job=job, entry=entry.name)
         status, answer = await http.call(
-            entry.http, method, prefix + job, document, host=HOST
+            entry.http, method, PREFIX + job, document, host=HOST
         )
         self.record(
             "answer", method=method, job=job, entry=entry.name,
@@ -339,6 +332,18 @@
                 print(json.dumps(row), file=out)
 
 
+def most_open_ends(site):
+    """Return the largest number of ends that were listed and not noted."""
+    now = most = 0
+    for row in site.rows:
+        if row["what"] == "end":
+            now += 1
+            most = max(most, now)
+        elif row["what"] == "ack":
+            now -= row["ends"]
+    return most
+
+
 def done_twice(site):
     """Return what breaks TWICE: starts after a noted end `done`, by task.
 
@@ -378,10 +383,14 @@
 
     async def run():
         site = Site(folder)
+        # A script that is told to end leaves no process behind.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(110):
                 findings, lines = await case(site)
-        except Exception as error:  # noqa: BLE001
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
             traceback.print_exc()
             site.write(f"not run: {error!r}", [])
             return 2
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -17,8 +17,6 @@
     """Keys with revisions, leases and watches.
 
     :ivar last_renewal: the caller that last renewed a lease.
-    :ivar late: takes a caller and a request that writes; returns after how many
-        seconds the call is executed, unanswered, or None to answer it.
     """
 
     def __init__(self):
@@ -31,7 +29,6 @@
         self.servers = []
         self.last_renewal = None
         self.expiry = None
-        self.late = lambda caller, request: None
 
     async def start(self):
         """Begin to end leases."""
@@ -101,17 +98,6 @@
             self.remove(key)
 
     async def _handle(self, caller, request):
-        if request.path == "/v1/kv-txn":
-            delay = self.late(caller, request)
-            if delay is not None:
-                loop = asyncio.get_running_loop()
-                loop.call_later(
-                    delay, self._transaction, request.json()
-                )
-                raise http.NoAnswer
-        return await self._execute(caller, request)
-
-    async def _execute(self, caller, request):
         query = request.query
         match request.path:
             case "/v1/kv-key":
