Refuse registry entries whose address has a scope

One registry entry with the address "::1%br-<64 characters>:8080" was enough.

Cause: ipaddress accepts any text behind "%" as a scope. The resolver encodes the host with IDNA, which raises UnicodeError, a ValueError, for a label that is empty or too long. ClientConnection.open turned OSError and TimeoutError only into ConnectError, so that the error went up through the session of the worker and ended the leader's term.

Change: an entry whose address has a scope is unreadable, as a scope names an interface of the host that wrote it. Any host that cannot be encoded is a ConnectError, also for the addresses in settings and of endpoints.

Tests: TestEntries.test_address_with_a_scope_is_refused (6 failed before), TestHostThatCannotBeResolved (2 of 4 failed before with UnicodeError).

--- a/src/turmerichook/_internal/http/client.py
+++ b/src/turmerichook/_internal/http/client.py
@@ -67,7 +67,8 @@
         try:
             async with asyncio.timeout(timeout):
                 _, wire = await loop.create_connection(wires.Wire, host, port)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
+            # ValueError: the host's name cannot be encoded for a look-up.
             reason = str(error) or f"timed out after {timeout:g} s"
             raise exceptions.ConnectError(
                 message=f"cannot connect: {reason}",
--- a/src/turmerichook/_internal/platform/documents.py
+++ b/src/turmerichook/_internal/platform/documents.py
@@ -100,7 +100,7 @@
 def _address(document: dict[str, typing.Any]) -> str:
     address = fields.string(document, "address")
     try:
-        _, port = addresses.split(address)
+        host, port = addresses.split(address)
     except exceptions.SettingsError as error:
         raise exceptions.MessageError(
             message=f"field 'address': {error.message}", context="address"
@@ -109,6 +109,11 @@
         raise exceptions.MessageError(
             message="field 'address' has port 0", context="address"
         )
+    if "%" in host:
+        # A scope names an interface of the host that wrote the entry.
+        raise exceptions.MessageError(
+            message="field 'address' has a scope", context="address"
+        )
     return address
 
 
--- a/tests/http/test_call_pool.py
+++ b/tests/http/test_call_pool.py
@@ -228,3 +228,16 @@
             return pool.idle, pool.permits.locked()
 
         assert with_pool(test, handler=never_respond) == ([], False)
+
+
+class TestHostThatCannotBeResolved:
+    """The address passes as an IP address and cannot be connected to."""
+
+    @pytest.mark.parametrize(
+        "scope", ("br-" + "5c0e7a21" * 8, "a..b", "a\0b", "no-such-0")
+    )
+    def test_is_a_connection_error(self, scope):
+        """Guards against an error type that no caller of the pool expects."""
+        pool = calls.CallPool(host=f"::1%{scope}", port=9, connections=1)
+        with pytest.raises(exceptions.ConnectError):
+            asyncio.run(call(pool))
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -88,6 +88,23 @@
                 "servers/i-1", test_decoding.encode(entry)
             )
 
+    @pytest.mark.parametrize("scope", ("eth0", "br-" + "5c0e" * 16, "a..b"))
+    @pytest.mark.parametrize("form", ("fe80::1%{}", "[fe80::1%{}]"))
+    def test_address_with_a_scope_is_refused(self, form, scope):
+        """Guards against an address that ends the leader's term.
+
+        A scope names an interface of the host that wrote the entry. One that
+        is too long for a host name cannot be resolved at all.
+        """
+        entry = {
+            **test_decoding.ENTRY,
+            "address": f"{form.format(scope)}:8080",
+        }
+        with pytest.raises(exceptions.MessageError):
+            documents.decode_worker_entry(
+                "servers/i-1", test_decoding.encode(entry)
+            )
+
     def test_key_without_a_name_is_refused(self):
         """Guards against a worker whose id means that there is none."""
         with pytest.raises(exceptions.MessageError):
