Limit an unexpected error to its unit of work

Cause: an exception in a task of the leader ended its term, whatever it was about, and one in the leader itself ended the process. The next host read the same item and failed in the same way, 0.1 s later.

Change: - A session goes on after an unexpected error, with pauses up to 10 s. Its worker counts as one that does not answer; an order counts as unanswered. - Items and changes of the store are applied one by one (follower.apply_each). - A job that cannot be read or added is set aside: its runs go on, its ends are not acknowledged, and its progress is not taken for that of a final job. Before, the job was stopped and later removed in that case. A later leader takes it up. - An end whose handling fails is not acknowledged. - An error in the leader ends its term and not the process. After such a term the process waits 1 s, then twice as long each time, up to 15 s.

--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -190,6 +190,13 @@
         summary="the registry has been read again",
         limit=50,
     )
+    WORKER_CALL_FAILED = events.Event(
+        number=7048,
+        level=events.Level.ERROR,
+        summary="a call to a worker failed unexpectedly; it counts as not"
+        " answered",
+        limit=50,
+    )
     COMMIT_RETRIED = events.Event(
         number=7040,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/dispatch/feeds.py
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -122,8 +122,9 @@
     def _recover_final(self) -> None:
         now = self.clock.uptime()
         jobs, final = self.dispatcher.jobs, self.dispatcher.final
+        set_aside = self.dispatcher.run_tracker.set_aside
         for job_id, value in self.progress.items():
-            if job_id in jobs or job_id in final:
+            if job_id in jobs or job_id in final or job_id in set_aside:
                 continue
             try:
                 remainder = stored.decode_unfinished_runs(job_id, value)
@@ -133,12 +134,12 @@
             self.dispatcher.add_final(job_id, remainder, now)
 
     def _replace_inbox(self, items: list[interface.Item]) -> None:
-        for item in items:
-            if item.key.startswith(keys.JOB_PREFIX):
-                self._add_job(item)
-        for item in items:
-            if item.key.startswith(keys.CANCEL_PREFIX):
-                self._add_cancel(item)
+        # Jobs first: a cancellation needs its job.
+        for prefix in (keys.JOB_PREFIX, keys.CANCEL_PREFIX):
+            follower.apply_each(
+                [item for item in items if item.key.startswith(prefix)],
+                self._apply_inbox,
+            )
 
     def _apply_inbox(self, change: interface.Item | interface.Removed) -> None:
         if isinstance(change, interface.Removed):
@@ -151,8 +152,15 @@
 
     def _add_job(self, item: interface.Item) -> None:
         job_id = keys.job_id(item.key)
-        if job_id in self.dispatcher.jobs or job_id in self.dispatcher.final:
+        set_aside = self.dispatcher.run_tracker.set_aside
+        if (
+            job_id in self.dispatcher.jobs
+            or job_id in self.dispatcher.final
+            or job_id in set_aside
+        ):
             return
+        # Stays in the set if an error ends this method.
+        set_aside.add(job_id)
         try:
             spec = stored.decode_spec(job_id, item.value)
             value = self.progress.get(job_id)
@@ -166,9 +174,12 @@
         self.dispatcher.add_job(
             progress, now=self.clock.uptime(), wall=self.wall()
         )
+        set_aside.discard(job_id)
 
     def _add_cancel(self, item: interface.Item) -> None:
         job_id = keys.job_id(item.key)
+        if job_id in self.dispatcher.run_tracker.set_aside:
+            return
         if job_id not in self.dispatcher.jobs:
             self.orphaned_cancels.add(item.key)
             return
@@ -186,8 +197,7 @@
         for worker in list(self.dispatcher.workers):
             if worker not in listed:
                 self.dispatcher.remove_entry(worker)
-        for item in items:
-            self._apply_entry(item)
+        follower.apply_each(items, self._apply_entry)
 
     def _apply_entry(self, change: interface.Item | interface.Removed) -> None:
         worker_id = self.format.worker(change.key)
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -313,4 +313,4 @@
         logs.emit(
             events.DispatchEvent.LEADER_FAILED, error=repr(task.exception())
         )
-        self.term.end("failed")
+        self.term.end(leadership.FAILED)
--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -36,6 +36,13 @@
 # same moments.
 RETRY_PAUSE = datetime.timedelta(milliseconds=400)
 RETRY_PAUSE_MAX = datetime.timedelta(milliseconds=1600)
+# Pause of a process after its term as leader, so that one whose terms end at
+# once does not claim the leadership in a tight loop.
+TERM_PAUSE = datetime.timedelta(milliseconds=300)
+# Pause after a first term that ended with an unexpected error, doubled after
+# each further one up to the maximum.
+FAILURE_PAUSE = datetime.timedelta(seconds=1)
+FAILURE_PAUSE_MAX = datetime.timedelta(seconds=15)
 # A candidate claims after a random delay of up to this, so that few claims
 # collide.
 CLAIM_DELAY_MAX_S = 0.08
@@ -45,6 +52,31 @@
 HALF_PROCESSOR_DELAY_S = 0.5
 # Lower bound of the processors in the claim delay, which limits the delay.
 PROCESSORS_MIN = 0.1
+# Reason of the end of a term that an unexpected error has ended.
+FAILED = "failed"
+
+
+class FailurePauses:
+    """Pauses between the terms of one process.
+
+    After terms that ended with an unexpected error they grow, as the next
+    term probably ends in the same way.
+    """
+
+    def __init__(self):
+        self.failures = 0
+
+    def after(self, *, failed: bool) -> datetime.timedelta:
+        """Return the pause after a term.
+
+        :param failed: whether an unexpected error ended the term.
+        """
+        if not failed:
+            self.failures = 0
+            return TERM_PAUSE
+        pause = min(FAILURE_PAUSE * 2**self.failures, FAILURE_PAUSE_MAX)
+        self.failures += 1
+        return pause
 
 
 class Term:
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -30,6 +30,8 @@
 
     :ivar final: final jobs, and our time at which each final state became
         durable.
+    :ivar set_aside: accepted jobs that cannot be read or caused an unexpected
+        error. Their runs go on, and their ends are left to a later leader.
     :ivar unsaved_jobs: jobs with progress that is to be written to the store,
         in the order of their first unsaved change, and our time of that
         change.
@@ -52,6 +54,7 @@
         self.withheld: frozenset[ids.WorkerId] = frozenset()
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         self.final: dict[ids.JobId, datetime.timedelta] = {}
+        self.set_aside: set[ids.JobId] = set()
         self.workers: dict[ids.WorkerId, fleet.Worker] = {}
         self.waiting = waiting.WaitingTasks()
         self.advice = advices.AdviceCache()
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -1,14 +1,17 @@
 """The leader's session with one worker: renewals, reports and orders."""
 
 import asyncio
+import collections.abc
 import datetime
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
 from turmerichook import exceptions
 
@@ -27,6 +30,9 @@
 RETRY_PAUSE = datetime.timedelta(milliseconds=250)
 # A session checks at least this often whether its worker needs renewals.
 IDLE_CHECK_INTERVAL = datetime.timedelta(seconds=1)
+# Longest pause after a renewal that failed unexpectedly; the first pause is
+# ``RETRY_PAUSE``, and each further one twice as long.
+DEFECT_PAUSE_MAX = datetime.timedelta(seconds=10)
 # Successive renewals without an answer after which a worker is unreachable.
 UNREACHABLE_AFTER_FAILURES = 2
 # Length of the leases granted to a listed worker that does not answer. A
@@ -82,9 +88,27 @@
         # received.
         self.failures = 0
         self.answered_at = clock.uptime()
+        # Successive renewals that ended with an unexpected error.
+        self.defects = 0
 
     async def run(self) -> None:
-        """Renew leases until cancelled."""
+        """Renew leases until cancelled.
+
+        After an unexpected error the worker counts as one that has not
+        answered; the leader and the other sessions go on.
+        """
+        while True:
+            try:
+                await self._renew_while_needed()
+            except Exception as error:
+                self._log_defect("renew", error)
+                self._note_failure()
+                await self.clock.sleep(
+                    min(RETRY_PAUSE * 2**self.defects, DEFECT_PAUSE_MAX)
+                )
+                self.defects += 1
+
+    async def _renew_while_needed(self) -> None:
         while True:
             if not self._needs_renewal():
                 await self._pause(IDLE_CHECK_INTERVAL)
@@ -93,6 +117,24 @@
                 # A report would only list the unsaved ends again.
                 await self._pause_while_unsaved()
             await self._renew()
+            self.defects = 0
+
+    def _log_defect(self, call: str, error: Exception) -> None:
+        logs.emit(
+            events.DispatchEvent.WORKER_CALL_FAILED,
+            worker=self.worker.worker,
+            call=call,
+            error=repr(error),
+        )
+
+    def _note_failure(self) -> None:
+        """Count a renewal without an answer."""
+        self.failures += 1
+        if self.failures >= UNREACHABLE_AFTER_FAILURES:
+            self.dispatcher.settlement.mark_unreachable(
+                self.worker, self.clock.uptime()
+            )
+        self.changed.set()
 
     def _needs_renewal(self) -> bool:
         worker = self.worker
@@ -137,12 +179,7 @@
         try:
             report = await self.workers.renew(worker.entry, order)
         except exceptions.WorkerUnreachableError:
-            self.failures += 1
-            if self.failures >= UNREACHABLE_AFTER_FAILURES:
-                self.dispatcher.settlement.mark_unreachable(
-                    worker, self.clock.uptime()
-                )
-            self.changed.set()
+            self._note_failure()
             await self.clock.sleep(RETRY_PAUSE)
             return
         except exceptions.IncarnationEndedError:
@@ -235,17 +272,17 @@
                 reason=orders.RefusalReason.EXPIRED
             )
         else:
-            outcome = await self.workers.start(
-                worker.entry,
-                orders.Start(
-                    task=run.task,
-                    run=run.run,
-                    payload=order.payload,
-                    token=self.term.token,
-                    valid_until=worker.grant_lease(now, self._lease_length()),
-                    checkpoint=order.checkpoint,
-                    ticket=order.ticket,
-                ),
+            start = orders.Start(
+                task=run.task,
+                run=run.run,
+                payload=order.payload,
+                token=self.term.token,
+                valid_until=worker.grant_lease(now, self._lease_length()),
+                checkpoint=order.checkpoint,
+                ticket=order.ticket,
+            )
+            outcome = await self._outcome(
+                "start", self.workers.start(worker.entry, start)
             )
         self.dispatcher.settlement.apply_start_outcome(
             worker, run, outcome, self.clock.uptime()
@@ -254,13 +291,11 @@
 
     async def stop(self, order: decisions.StopOrder) -> None:
         """Send a stop."""
-        outcome = await self.workers.stop(
-            self.worker.entry,
-            orders.Stop(
-                task=order.run.task,
-                run=order.run.run,
-                token=self.term.token,
-            ),
+        stop = orders.Stop(
+            task=order.run.task, run=order.run.run, token=self.term.token
+        )
+        outcome = await self._outcome(
+            "stop", self.workers.stop(self.worker.entry, stop)
         )
         self.dispatcher.settlement.apply_stop_outcome(
             self.worker, order.run, outcome
@@ -272,19 +307,31 @@
 
         An order that may be lost is sent again with the next report.
         """
-        outcome = await self.workers.throttle(
-            self.worker.entry,
-            orders.Throttle(
-                task=order.run.task,
-                run=order.run.run,
-                percent=order.percent,
-                token=self.term.token,
-            ),
+        throttle = orders.Throttle(
+            task=order.run.task,
+            run=order.run.run,
+            percent=order.percent,
+            token=self.term.token,
+        )
+        outcome = await self._outcome(
+            "throttle", self.workers.throttle(self.worker.entry, throttle)
         )
         if not isinstance(outcome, orders.Accepted):
             order.run.pace_known = False
         self._handle_outcome(outcome)
 
+    async def _outcome(
+        self,
+        call: str,
+        answer: collections.abc.Awaitable[orders.Outcome],
+    ) -> orders.Outcome:
+        """Return an order's outcome, which an unexpected error leaves open."""
+        try:
+            return await answer
+        except Exception as error:
+            self._log_defect(call, error)
+            return orders.Unknown(detail=repr(error))
+
     def _handle_outcome(self, outcome: orders.Outcome) -> None:
         if outcome == orders.Refused(reason=orders.RefusalReason.STALE_TOKEN):
             self.term.end("stale-token")
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -77,7 +77,11 @@
         for end in report.ends:
             if end.number > worker.last_end_number:
                 worker.last_end_number = end.number
-                self._handle_end(worker, end, now)
+                # Remains there, and is not acknowledged, if an unexpected
+                # error ends its handling.
+                worker.unsaved.add(end.number)
+                if not self._handle_end(worker, end, now):
+                    worker.unsaved.discard(end.number)
         reported = {(row.task, row.run): row for row in report.running}
         for row in report.running:
             self._handle_running(worker, row, now)
@@ -134,6 +138,7 @@
     ) -> None:
         """Stop a run that is not assigned to its worker.
 
+        A run of a job that was set aside goes on.
         The run takes its demand of the worker's capacity until it has ended.
         """
         step = run_trackers.STRAY_STEP
@@ -150,6 +155,9 @@
             demand_known=known,
         )
         worker.add(stray)
+        if row.task.job in self.run_tracker.set_aside:
+            stray.phase = fleet.RunPhase.RUNNING
+            return
         self.run_tracker.stop(worker, stray, now, "not-assigned")
 
     def _clear_suspicion(
@@ -188,8 +196,12 @@
                 pass
 
     def _handle_end(
-        self, worker: fleet.Worker, end: orders.EndRow, now
-    ) -> None:
+        self,
+        worker: fleet.Worker,
+        end: orders.EndRow,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Apply an end; return whether a commit must come before its ack."""
         run = worker.runs.get(end.task)
         job = self.run_tracker.jobs.get(end.task.job)
         matched = run is not None and run.run == end.run
@@ -202,8 +214,11 @@
             known=matched,
             **_durations(run if matched else None, now),
         )
+        if end.task.job in self.run_tracker.set_aside:
+            worker.remove(end.task)
+            return True
         if not matched:
-            return
+            return False
         worker.remove(end.task)
         if worker.update_health(end.kind, run, now):
             logs.emit(
@@ -212,13 +227,12 @@
                 jobs=len(worker.failed_jobs),
             )
         if job is None:
-            return
+            return False
         finished = _finishes(job, end)
         if not finished and not run_trackers.is_current(job, worker, end):
-            return
+            return False
         if end.kind in crashes.OWN_ENDS:
             self._clear_suspicion(job, end.task, now)
-        worker.unsaved.add(end.number)
         job.unsaved_ends.append(
             jobs.End(worker.worker, worker.incarnation, end.number)
         )
@@ -232,11 +246,12 @@
                 self.run_tracker.enqueue_next(
                     job, job.progress.finish(end.task), now
                 )
-            return
+            return True
         failed = end.kind is model.EndKind.FAILED and not step.long_running
         self.run_tracker.return_task(
             job, end.task, worker.worker, end.checkpoint, failed, now
         )
+        return True
 
     def _finish_gang(
         self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -42,9 +42,6 @@
 IDLE_GRACE_S = 0.3
 # Part of the grace period that is kept free before the process gets killed.
 STOP_MARGIN = datetime.timedelta(milliseconds=700)
-# Pause after a term as leader, so that a process whose terms end at once does
-# not claim the leadership in a tight loop.
-TERM_PAUSE = datetime.timedelta(milliseconds=300)
 IDLE_TIMEOUT = datetime.timedelta(seconds=120)
 
 
@@ -136,8 +133,9 @@
     async def run(self) -> None:
         """Run until a planned stop is complete.
 
-        An exception in the watch of operators' orders, in the leadership or
-        in the upkeep of its record ends the daemon with that exception.
+        An exception in the watch of operators' orders, in the claims of the
+        leadership or in the upkeep of its record ends the daemon with that
+        exception. One in the leader only ends its term.
         """
         for listener, address in (
             (self.health_server, self.settings.health_listen),
@@ -220,6 +218,7 @@
 
     async def _run_leadership(self) -> None:
         candidate = self.candidate
+        pauses = leadership.FailurePauses()
         while not self.stopping.is_set():
             await self.operators.configured.wait()
             term = await candidate.acquire()
@@ -235,11 +234,20 @@
             self.leader = self._new_leader(term)
             try:
                 await self.leader.run()
+            except Exception as error:
+                # This process serves callers on, and may lead again later.
+                logs.emit(
+                    dispatch_events.DispatchEvent.LEADER_FAILED,
+                    error=repr(error),
+                )
+                term.end(leadership.FAILED)
             finally:
                 self.leader = None
                 renewal.cancel()
             await candidate.hand_over(term)
-            await self.clock.sleep(TERM_PAUSE)
+            await self.clock.sleep(
+                pauses.after(failed=term.end_reason == leadership.FAILED)
+            )
         # A planned stop cancels this task once the last requests of callers
         # have been served.
         await asyncio.Event().wait()
--- a/src/turmerichook/_internal/intake/operators.py
+++ b/src/turmerichook/_internal/intake/operators.py
@@ -9,6 +9,7 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.storage import follower
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
 
@@ -76,8 +77,7 @@
             key for key in self.closed_zone_by_key if key not in listed_keys
         ]:
             self._open_zone(key)
-        for item in items:
-            self.apply(item)
+        follower.apply_each(items, self.apply)
 
     def apply(self, change: interface.Item | interface.Removed) -> None:
         """Apply one change of an order.
--- a/src/turmerichook/_internal/storage/events.py
+++ b/src/turmerichook/_internal/storage/events.py
@@ -31,6 +31,13 @@
         level=events.Level.INFO,
         summary="a call to the store has succeeded again",
     )
+    ITEM_FAILED = events.Event(
+        number=2106,
+        level=events.Level.ERROR,
+        summary="an item or a change caused an unexpected error; the others"
+        " are applied",
+        limit=50,
+    )
     ROW_UNREADABLE = events.Event(
         number=2105,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/storage/follower.py
+++ b/src/turmerichook/_internal/storage/follower.py
@@ -90,8 +90,7 @@
         changes = await self.storage.watch(
             self.prefix, after=self.revision, wait=self.watch_timeout
         )
-        for change in changes.changes:
-            self.apply(change)
+        apply_each(changes.changes, self.apply)
         self.revision = changes.revision
         self.confirm(sent_at)
 
@@ -113,3 +112,20 @@
                 prefix=self.prefix,
                 revision=self.revision,
             )
+
+
+def apply_each(
+    changes: collections.abc.Iterable[interface.Item | interface.Removed],
+    apply: ApplyCallback,
+) -> None:
+    """Apply changes; one that causes an unexpected error is left out."""
+    for change in changes:
+        try:
+            apply(change)
+        except Exception as error:
+            logs.emit(
+                events.StorageEvent.ITEM_FAILED,
+                key=change.key,
+                revision=change.revision,
+                error=repr(error),
+            )
