Call only workers of services that a queue or a job uses

Cause: the leader requested a first report from each listed worker.

Change: a worker of another service is called only while it has runs or ends to be acknowledged.

Test: TestUnneededService, which failed before (w1 was called).

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -185,6 +185,12 @@
             self.run_tracker.stop_job_runs(job, now)
             self.run_tracker.note_change(job_id, now)
 
+    def uses(self, service: ids.ServiceId) -> bool:
+        """Return whether a queue or a job runs on workers of a service."""
+        return any(
+            queue.service == service for queue in self.configuration.queues
+        ) or any(job.queue.service == service for job in self.jobs.values())
+
     # Registry
 
     def set_entry(
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -142,9 +142,10 @@
             return False
         if worker.runs or self.acknowledged < worker.acknowledged:
             return True
-        return worker.listed and not (
-            worker.report_received and worker.reachable
-        )
+        if worker.report_received and worker.reachable:
+            return False
+        # An entry of any other service may come from another writer.
+        return worker.listed and self.dispatcher.uses(worker.entry.service)
 
     async def _pause(self, limit: datetime.timedelta) -> None:
         await self.clock.wait_event(self.wake, limit)
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -1,6 +1,7 @@
 """Fake workers in memory that follow the platform's rules, and test data."""
 
 import asyncio
+import dataclasses
 import datetime
 
 from standins import batch_worker
@@ -73,6 +74,13 @@
     )
 
 
+def with_service(
+    listed: deployment.WorkerEntry, service: ids.ServiceId
+) -> deployment.WorkerEntry:
+    """Return a registry entry as one of another service."""
+    return dataclasses.replace(listed, service=service)
+
+
 def step(count: int = 1, **fields) -> model.Step:
     """Return a step whose tasks demand one core by default."""
     fields.setdefault(
--- a/tests/dispatch/test_failure_boundaries.py
+++ b/tests/dispatch/test_failure_boundaries.py
@@ -177,6 +177,37 @@
         assert seen == ["x/good"]
 
 
+class TestUnneededService:
+    """The registry lists a worker of a service that no queue uses."""
+
+    def test_is_not_called(self, monkeypatch):
+        """Guards against calls to whatever another writer names."""
+
+        def decode(self, key, value):
+            entry = fakes.entry(self.worker(key))
+            if key.endswith("w1"):
+                entry = fakes.with_service(entry, ids.ServiceId("other"))
+            return entry
+
+        monkeypatch.setattr(test_leader.Registry, "decode", decode)
+        called = set()
+
+        async def scenario():
+            site = test_leader.Site("w1", "w2")
+            answer = site.workers.renew
+
+            async def renew(entry, order):
+                called.add(entry.worker)
+                return await answer(entry, order)
+
+            site.workers.renew = renew
+            site.submit(fakes.job(OTHER))
+            await _complete_beside(site, OTHER)
+
+        asyncio.run(scenario())
+        assert called == {"w2"}
+
+
 class FailingLeader:
     """A leader whose term ends at once with an error."""
 
