Conclude nothing from runs that an incomplete list leaves out

The leader was killed while 640 tasks of one worker ended; 134 to 140 of them were started again.

Cause: a worker lists at most 500 unacknowledged ends. A run that a report lists neither as running nor as ended was taken for one that never started (after a takeover) or has ended (not-listed), although its end was among those left out.

Change: a report says whether its ends are complete; runs that are not listed are only settled by a complete one. The ends that it does list are committed and acknowledged as before, so that the next report lists the others. On the same grounds: a report without one of its two lists is unreadable, and so is a page of the store without "has-more"; a page that says that others follow but has no readable key is refused instead of ending the term.

The stand-in of a worker lists 500 ends at most, as the platform does.

--- a/src/turmerichook/_internal/dispatch/orders.py
+++ b/src/turmerichook/_internal/dispatch/orders.py
@@ -145,13 +145,17 @@
     :param incarnation: Unix time in milliseconds at which the worker started;
         0 if not reported.
     :param running: the runs that exist on the worker.
-    :param ends: the ends that the leader has not acknowledged.
+    :param ends: ends that the leader has not acknowledged, lowest numbers
+        first.
+    :param ends_complete: whether there are certainly no others. If not, a run
+        that is not listed may have ended.
     """
 
     clock: datetime.timedelta
     incarnation: int
     running: tuple[RunningRow, ...]
     ends: tuple[EndRow, ...]
+    ends_complete: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -82,12 +82,15 @@
                 worker.unsaved.add(end.number)
                 if not self._handle_end(worker, end, now):
                     worker.unsaved.discard(end.number)
-        reported = {(row.task, row.run): row for row in report.running}
         for row in report.running:
             self._handle_running(worker, row, now)
-        for run in list(worker.runs.values()):
-            if (run.task, run.run) not in reported:
-                self._handle_unreported_run(worker, run, requested_at, now)
+        if report.ends_complete:
+            # Otherwise the end of a run that is not listed may follow once
+            # the ends listed here have been acknowledged.
+            listed = {(row.task, row.run) for row in report.running}
+            for run in list(worker.runs.values()):
+                if (run.task, run.run) not in listed:
+                    self._handle_unreported_run(worker, run, requested_at, now)
         self.run_tracker.orders += pacing.adjust_paces(
             worker, self.interference, now
         )
--- a/src/turmerichook/_internal/platform/store_calls.py
+++ b/src/turmerichook/_internal/platform/store_calls.py
@@ -225,10 +225,20 @@
                 if isinstance(item, interface.Item)
             ),
             revision=_revision(document, "current-rev"),
-            more=fields.boolean(document, "has-more"),
+            more=_has_more(document),
         )
 
 
+def _has_more(document: dict[str, typing.Any]) -> bool:
+    """Return whether more pages follow.
+
+    :raises MessageError: if the page does not say so; it may not be the last.
+    """
+    if "has-more" not in document:
+        raise exceptions.MessageError(message="field 'has-more' is missing")
+    return fields.boolean(document, "has-more")
+
+
 def _decode_changes(answer: calls.Answer) -> interface.Changes:
     document = _decode_read_answer(answer)
     with _unreadable_as_unavailable():
--- a/src/turmerichook/_internal/platform/worker_calls.py
+++ b/src/turmerichook/_internal/platform/worker_calls.py
@@ -25,6 +25,8 @@
 ORDER_TIMEOUT_S = 0.8
 # Added to the wait of a renewal to give the time-out of its HTTP call.
 RENEWAL_TIMEOUT_MARGIN_S = 0.8
+# Largest number of ends in one report.
+REPORTED_ENDS_MAX = 500
 # Longest wait that a worker accepts in a renewal.
 RENEWAL_WAIT_MAX = datetime.timedelta(milliseconds=2000)
 
@@ -254,17 +256,16 @@
         )
     try:
         document = fields.parse(answer.body)
+        ends = fields.array(document, "finished")
         return orders.Report(
             clock=fields.milliseconds(document, "clock-ms"),
             incarnation=fields.integer(document, "born", 0),
             running=tuple(
                 _decode_running(row)
-                for row in fields.array(document, "running", [])
-            ),
-            ends=tuple(
-                _decode_end(row)
-                for row in fields.array(document, "finished", [])
+                for row in fields.array(document, "running")
             ),
+            ends=tuple(_decode_end(row) for row in ends),
+            ends_complete=len(ends) < REPORTED_ENDS_MAX,
         )
     except (exceptions.MessageError, ValueError, TypeError) as error:
         raise exceptions.WorkerUnreachableError(
--- a/src/turmerichook/_internal/storage/interface.py
+++ b/src/turmerichook/_internal/storage/interface.py
@@ -5,6 +5,7 @@
 import typing
 
 from turmerichook._internal.models import ids
+from turmerichook import exceptions
 
 ABSENT = ids.Revision(0)
 # Largest number of conditions, writes and removals in one commit.
@@ -158,11 +159,18 @@
     The pages are not read from one snapshot. The returned revision is that of
     the first page, so a watch after it misses no change, but repeats those
     that the later pages already included.
+
+    :raises StoreError: if a page cannot be read.
     """
     page = await storage.page(prefix)
     revision = page.revision
     items = list(page.items)
     while page.more:
+        if not page.items:
+            raise exceptions.StoreUnavailableError(
+                message="a page of the store has no key to go on from",
+                context=prefix,
+            )
         page = await storage.page(prefix, after=items[-1].key)
         items += page.items
     return items, revision
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -14,6 +14,8 @@
 from turmerichook import exceptions
 
 SECOND = datetime.timedelta(seconds=1)
+# Largest number of ends in one report; the lowest numbers come first.
+ENDS_LISTED_MAX = 500
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -121,7 +123,8 @@
                 )
                 for task, run in self.running.items()
             ),
-            ends=tuple(self.ends),
+            ends=tuple(self.ends[:ENDS_LISTED_MAX]),
+            ends_complete=len(self.ends) < ENDS_LISTED_MAX,
         )
 
     def restart(self) -> None:
--- a/tests/dispatch/fleet_day.py
+++ b/tests/dispatch/fleet_day.py
@@ -120,6 +120,7 @@
                 incarnation=worker.incarnation,
                 running=running,
                 ends=tuple(ends),
+                ends_complete=True,
             ),
             requested_at=settlement.next_sequence_number(),
             now=self.now,
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -267,7 +267,13 @@
         harness.submit(fakes.job())
         harness.step()
         worker = harness.dispatcher.workers["a"]
-        late = orders.Report(clock=SECOND, incarnation=1, running=(), ends=())
+        late = orders.Report(
+            clock=SECOND,
+            incarnation=1,
+            running=(),
+            ends=(),
+            ends_complete=True,
+        )
         harness.dispatcher.set_entry(
             fakes.entry("a", incarnation=2), harness.now
         )
@@ -614,7 +620,11 @@
         """
         worker = fleet.Worker(worker=ids.WorkerId("a"), entry=fakes.entry("a"))
         report = orders.Report(
-            clock=50 * SECOND, incarnation=1, running=(), ends=()
+            clock=50 * SECOND,
+            incarnation=1,
+            running=(),
+            ends=(),
+            ends_complete=True,
         )
         worker.record_clock(report, 100 * SECOND)
         until = worker.grant_lease(100 * SECOND, 10 * SECOND)
--- a/tests/dispatch/test_failure_boundaries.py
+++ b/tests/dispatch/test_failure_boundaries.py
@@ -9,7 +9,6 @@
 from tests.dispatch import test_leader
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import dispatcher as dispatchers
-from turmerichook._internal.dispatch import feeds
 from turmerichook._internal.dispatch import leader as leaders
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.intake import daemon as daemons
--- a/tests/dispatch/test_shrinking_capacity.py
+++ b/tests/dispatch/test_shrinking_capacity.py
@@ -158,6 +158,7 @@
                     for task, run in rows
                 ),
                 ends=ends,
+                ends_complete=True,
             ),
             requested_at=settlement.next_sequence_number(),
             now=harness.now,
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -1,5 +1,6 @@
 """Tests of one odd entry among those that other writers put in the store."""
 
+import asyncio
 import datetime
 import json
 
@@ -61,6 +62,25 @@
             assert keys[-1] == "servers/i-3"
         assert changes.revision == page.revision == 9
 
+    def test_page_that_may_not_be_the_last(self):
+        """Guards against workers taken for removed as a page was cut short."""
+        with pytest.raises(exceptions.StoreUnavailableError):
+            store_calls._decode_page(
+                answer({"items": [GOOD], "current-rev": 9})
+            )
+
+    def test_page_without_a_readable_key(self):
+        """Guards against a list that ends, or repeats, at an odd page."""
+
+        class Storage:
+            async def page(self, prefix, *, after=""):
+                return interface.Page(
+                    items=(), revision=ids.Revision(9), more=True
+                )
+
+        with pytest.raises(exceptions.StoreUnavailableError):
+            asyncio.run(interface.read_all(Storage(), "servers/"))
+
     def test_unreadable_value_is_not_taken_for_a_missing_key(self):
         """Guards against a job that starts anew as its progress is odd."""
         row = {"key": "progress/a", "value": "e30", "revision": 8}
