Count a crash as certain only after the run had begun on the worker

Cause: a task was given up after two crashes, one of which could be that of a worker on which the task had never run: the start had no answer, or a new leader found the worker gone or restarted, also after a planned stop that the former leader had seen.

Evidence: test_start_that_never_arrived (one and two starts that did not reach the worker, one crash after a start) and test_planned_stops_that_new_leaders_did_not_see failed before.

Change: a crash is certain if the worker had listed the run or accepted its start, and has surely ended without being asked to. Two certain crashes, the last with a single suspect, or three certain ones give a task up as before. Other crashes delay it, and count only towards the four of any kind after which no task is started again, so that a task that crashes each worker before the answer is still limited. The stored count keeps both numbers in one field; earlier versions read doubtful crashes as many.

TestBlame: its runs were RUNNING without ever having been listed, which no worker's run is; the fixture now says that they were listed.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -15,6 +15,7 @@
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 
 # A task is suspected if its worker crashed within this time of the start, and
 # is cleared once reports have listed it for this time.
@@ -29,14 +30,16 @@
 # Time for which losses are kept to be compared with later ones, which takes
 # until all leases of a worker have ended.
 LOSSES_KEPT = datetime.timedelta(seconds=30)
-# Crashes from which on a task is given up, by how the last one counts. The
-# platform allows two starts after the third crash; at least one is left for a
-# crash that was not noticed or a start that a former leader sent.
-CRASHES_MAX = {
+# Crashes after the beginning of a run from which on its task is given up, by
+# how the last one counts.
+CERTAIN_CRASHES_MAX = {
     fleet.Crash.ISOLATED: 2,
     fleet.Crash.SHARED: 3,
-    fleet.Crash.DOUBTFUL: 4,
 }
+# Crashes of any kind from which on a task is given up. The platform allows two
+# starts after the third crash; at least one is left for a crash that was not
+# noticed or a start that a former leader sent.
+CRASHES_MAX = 4
 # A run that was assigned this long before a change of the leader has begun, as
 # the former leader would have noticed a crash at its start.
 BEGUN_AGE = datetime.timedelta(seconds=15)
@@ -112,7 +115,7 @@
                 # The task did not crash its worker at the start, so that the
                 # other cause is more likely.
                 continue
-            if many or not certain:
+            if many or not certain or not run.known_by_worker:
                 run.crash = fleet.Crash.DOUBTFUL
             elif run.isolated and len(suspects) == 1:
                 run.crash = fleet.Crash.ISOLATED
@@ -160,13 +163,15 @@
     return recent
 
 
-def must_give_up(count: int, crash: fleet.Crash) -> bool:
+def must_give_up(record: progresses.TaskRecord, crash: fleet.Crash) -> bool:
     """Return whether a task must not be started again.
 
-    :param count: number of crashes of workers under the task.
-    :param crash: how the last one counts.
+    :param crash: how the last crash of a worker under the task counts.
     """
-    return count >= CRASHES_MAX[crash]
+    if record.crashes >= CRASHES_MAX:
+        return True
+    limit = CERTAIN_CRASHES_MAX.get(crash)
+    return limit is not None and record.certain_crashes >= limit
 
 
 def all_begun(worker: fleet.Worker) -> bool:
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -44,7 +44,7 @@
     # Other tasks may have crashed the worker as well.
     SHARED = "shared"
     # Many workers were lost at the same time, probably for another reason, or
-    # the worker may not have crashed at all.
+    # the worker may not have crashed at all, or not after the run had begun.
     DOUBTFUL = "doubtful"
 
 
@@ -133,6 +133,11 @@
         """Whether the run has certainly begun."""
         return self.first_listed_at is not None
 
+    @property
+    def known_by_worker(self) -> bool:
+        """Whether the worker has listed the run or accepted its start."""
+        return self.last_listed_at > ZERO
+
     @property
     def full_use(self) -> float:
         """Millicores that a filler task uses at full speed.
--- a/src/turmerichook/_internal/dispatch/jobs.py
+++ b/src/turmerichook/_internal/dispatch/jobs.py
@@ -77,7 +77,7 @@
         """Forget earlier crashes of workers under a task."""
         record = self.progress.tasks.get(task)
         if record is not None:
-            record.crashes = 0
+            record.forget_crashes()
 
     def deadline(
         self, occurrence: int, factor: float = 1.0
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -190,15 +190,20 @@
         The job fails instead if the task must not be started again.
         """
         record = job.progress.return_to_queue(
-            run.task, checkpoint="", failed=False, crashed=True
+            run.task,
+            checkpoint="",
+            failed=False,
+            crashed=True,
+            crash_certain=crash is not fleet.Crash.DOUBTFUL,
         )
         self.note_change(job.spec.job, now)
-        given_up = crashes.must_give_up(record.crashes, crash)
+        given_up = crashes.must_give_up(record, crash)
         log_run(
             events.DispatchEvent.TASK_CRASHED_WORKER,
             worker,
             run,
             crashes=record.crashes,
+            certain=record.certain_crashes,
             isolated=run.isolated,
             doubtful=crash is fleet.Crash.DOUBTFUL,
             given_up=given_up,
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -45,8 +45,10 @@
     :param incarnation: incarnation of the worker at the assignment; 0 if
         unknown.
     :param assigned_at: Unix time of the assignment; zero if unknown.
-    :param crashes: number of workers that crashed under the task since it
-        last proved to run on.
+    :param crashes: number of workers that crashed, possibly because of the
+        task, since it last proved to run on.
+    :param certain_crashes: number of those on which the task had certainly
+        begun.
     """
 
     phase: Phase = Phase.WAITING
@@ -57,6 +59,11 @@
     incarnation: int = 0
     assigned_at: datetime.timedelta = datetime.timedelta()
     crashes: int = 0
+    certain_crashes: int = 0
+
+    def forget_crashes(self) -> None:
+        """Count crashes of workers anew."""
+        self.crashes = self.certain_crashes = 0
 
 
 class Progress:
@@ -162,7 +169,8 @@
             return []
         record.phase = Phase.DONE
         record.worker = ids.WorkerId("")
-        record.incarnation = record.crashes = 0
+        record.incarnation = 0
+        record.forget_crashes()
         step_key = (task.occurrence, task.step)
         self.unfinished_tasks[step_key] -= 1
         if self.unfinished_tasks[step_key]:
@@ -177,6 +185,7 @@
         checkpoint: str,
         failed: bool,
         crashed: bool = False,
+        crash_certain: bool = False,
     ) -> TaskRecord:
         """Return a task whose run has ended to the waiting phase.
 
@@ -186,6 +195,7 @@
             run.
         :param crashed: whether the worker crashed, possibly because of the
             task.
+        :param crash_certain: whether it crashed after the task had begun.
         """
         record = self.tasks[task]
         record.phase = Phase.WAITING
@@ -197,6 +207,7 @@
             record.failures += 1
         if crashed:
             record.crashes += 1
+            record.certain_crashes += crash_certain
         return record
 
     def assigned(self) -> list[model.TaskKey]:
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -30,6 +30,9 @@
     progresses.Phase.ASSIGNED,
     progresses.Phase.DONE,
 )
+# Crashes are stored as the number of certain ones plus this multiple of the
+# number of others. Earlier versions stored all as certain.
+DOUBTFUL_CRASH = 16
 # The reason of a job's failure is stored as its index in this tuple. Earlier
 # versions stored false for no failure, and true for exhausted attempts.
 FAILURE_BY_CODE = (
@@ -116,7 +119,8 @@
     if record.incarnation or record.crashes:
         row += [
             record.incarnation,
-            record.crashes,
+            record.certain_crashes
+            + DOUBTFUL_CRASH * (record.crashes - record.certain_crashes),
             _milliseconds(record.assigned_at),
         ]
     return row
@@ -162,6 +166,7 @@
             # Earlier versions stored none of the later fields.
             run, worker, failures, checkpoint, *later = fields
             incarnation, crashes, assigned_at = later or (0, 0, 0)
+            doubtful, certain = divmod(crashes, DOUBTFUL_CRASH)
             key = model.TaskKey(spec.job, occurrence, step, index)
             tasks[key] = progresses.TaskRecord(
                 phase=PHASE_BY_CODE[phase],
@@ -170,7 +175,8 @@
                 failures=failures,
                 checkpoint=checkpoint,
                 incarnation=incarnation,
-                crashes=crashes,
+                crashes=certain + doubtful,
+                certain_crashes=certain,
                 assigned_at=assigned_at * clocks.MILLISECOND,
             )
         return progresses.restore(
--- a/tests/dispatch/test_crashes_and_leaders.py
+++ b/tests/dispatch/test_crashes_and_leaders.py
@@ -202,6 +202,7 @@
                 phase=fleet.RunPhase.RUNNING,
                 incarnation=1,
                 sent_at=site.now,
+                last_listed_at=site.now,
             )
             for name in ("00000000000000aa", "00000000000000bb")
         ]
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -468,3 +468,77 @@
         assert (record.run, record.failures) == (4, 2)
         expected = progresses.FailureReason.ATTEMPTS_EXHAUSTED
         assert progress.failed is (expected if failed else None)
+
+
+class UndeliveredStarts(CrashHarness):
+    """Workers that crash while a start is under way to them.
+
+    :ivar undelivered: number of starts to which this is still to happen.
+    """
+
+    def __init__(self, *names, undelivered):
+        self.undelivered = undelivered
+        super().__init__(*names)
+        self.crashing = set()
+
+    def send(self, start, lose=False):
+        if not self.undelivered:
+            super().send(start, lose=lose)
+            return
+        self.undelivered -= 1
+        self.crash(start.worker)
+        # The worker is cut off, so that the start has no answer.
+        super().send(start)
+
+
+class TestCrashesThatMayNotBeItsOwn:
+    """Workers crash, and it is not known whether the task ran there."""
+
+    @pytest.mark.parametrize("undelivered", (1, 2))
+    def test_start_that_never_arrived(self, undelivered):
+        """Guards against a job that is failed for a crash before its start.
+
+        Only one worker crashes that has surely begun the task.
+        """
+        harness = UndeliveredStarts(*workers(6), undelivered=undelivered)
+        harness.submit(fakes.job(JOB, step()))
+        harness.play(20, until=lambda: bool(harness.running()))
+        harness.play(0.3)
+        (name,) = [n for n, w in harness.workers.items() if w.running]
+        harness.crash(name)
+        harness.play(30)
+        assert not harness.failed()
+        assert len(harness.running()) == 1
+
+    def test_planned_stops_that_new_leaders_did_not_see(self):
+        """Guards against a job that is failed as its workers were stopped.
+
+        Each time the leader changes, so that the next one only knows that
+        the worker has restarted.
+        """
+        harness = CrashHarness(*workers(6))
+        harness.crashing = set()
+        harness.submit(fakes.job(JOB, step()))
+        for _ in range(3):
+            harness.play(10, until=lambda: bool(harness.running()))
+            harness.play(0.3)
+            (name,) = [n for n, w in harness.workers.items() if w.running]
+            harness.crash(name)
+            harness.take_over()
+            harness.play(20, until=lambda: bool(harness.running()))
+        harness.play(30)
+        assert not harness.failed()
+        assert len(harness.running()) == 1
+
+    def test_is_stored(self):
+        """Guards against a doubt that is lost with the leader."""
+        for crashes, certain in ((0, 0), (1, 0), (2, 1), (3, 3)):
+            progress = progresses.Progress(spec=fakes.job(JOB))
+            progress.open_occurrence()
+            record = progress.assign(
+                CRASHING, ids.WorkerId("w"), ids.Attempt(1), incarnation=5
+            )
+            record.crashes, record.certain_crashes = crashes, certain
+            value = stored.encode_progress(progress)
+            restored = stored.decode_progress(progress.spec, value)
+            assert restored.tasks == progress.tasks
