Tell the next leader which workers shut down, and do not restart waits

If the leader is killed before it has stored these ends, its successor finds a worker that is gone and not in the list, and waits for all leases that there may be. - A service task that waits to run again goes first after 2 s. Its wait began anew with each leader.

Both tests failed before.

Change: workers that drain are in the list, too, and get leases up to the stated end only. A waiting task that has run before counts as waiting for 2 s when a leader takes it over.

Tests: test_worker_that_leaves_as_planned, TestServiceThatWaitsAtAChange.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -12,7 +12,6 @@
 import datetime
 
 from turmerichook._internal.dispatch import fleet
-from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
@@ -97,10 +96,7 @@
         *,
         certain: bool,
     ) -> None:
-        entry = worker.entry
-        if entry is not None and (
-            entry.state is deployment.WorkerState.DRAINING
-        ):
+        if worker.draining:
             return
         # A leader that has not heard of the worker yet only knows that the
         # worker is lost by now.
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -126,7 +126,13 @@
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
         else:
-            self.run_tracker.enqueue(job, progress.waiting(), now)
+            self.run_tracker.enqueue(
+                job,
+                progress.waiting(),
+                now,
+                # When their last runs ended is not stored.
+                ended_at=now - waiting_step.STARVATION_TIME,
+            )
             self.open_due(job, wall, now)
 
     def _queue(self, spec: model.JobSpec) -> deployment.Queue:
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -262,6 +262,13 @@
             return True
         return 0 != self.entry.incarnation != self.incarnation
 
+    @property
+    def draining(self) -> bool:
+        """Whether the worker has announced its shutdown."""
+        return self.entry is not None and (
+            self.entry.state is deployment.WorkerState.DRAINING
+        )
+
     @property
     def suspected(self) -> bool:
         """Whether tasks of several jobs failed and none succeeded since."""
--- a/src/turmerichook/_internal/dispatch/inherited_leases.py
+++ b/src/turmerichook/_internal/dispatch/inherited_leases.py
@@ -16,7 +16,6 @@
 from turmerichook._internal.dispatch import silent_workers
 from turmerichook._internal.dispatch import term_record
 from turmerichook._internal.logs import setup as logs
-from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
@@ -66,11 +65,11 @@
     while. Once no record of an earlier term is left, no former leader grants
     leases any more.
 
-    Commits name the workers with runs that do not answer this leader, with
-    the time at which all leases on them have ended. Leases that end later are
-    granted after a further commit only. So a successor need not reckon with
-    more, although the registry may no longer list such a worker and nobody
-    may ever hear of it again.
+    Commits name the workers with runs that do not answer this leader, or that
+    are about to shut down, with the time at which all leases on them have
+    ended. Leases that end later are granted after a further commit only. So a
+    successor need not reckon with more, although the registry may no longer
+    list such a worker and nobody may ever hear of it again.
 
     :ivar earlier_terms_recorded: see ``sequence_value.LeaseNotes``.
     :ivar named: our time at which the leases have ended, for each worker in
@@ -211,12 +210,11 @@
     ) -> tuple[interface.Write, ...]:
         silent = {}
         for worker_id, until in named.items():
-            entry = self.run_tracker.workers[worker_id].entry
+            worker = self.run_tracker.workers[worker_id]
             silent[worker_id] = silent_workers.SilentWorker(
                 remaining=max(until - now, fleet.ZERO),
-                address=entry.address if entry else "",
-                draining=entry is not None
-                and entry.state is deployment.WorkerState.DRAINING,
+                address=worker.entry.address if worker.entry else "",
+                draining=worker.draining,
             )
         return (
             interface.Write(
@@ -245,7 +243,7 @@
             worker
             for worker in self.run_tracker.workers.values()
             if worker.runs
-            and (self._not_reached(worker, now) or _lost(worker))
+            and (self._not_reached(worker, now) or _may_be_lost(worker))
         )
         return {
             worker.worker: self._ended_at(worker, now)
@@ -334,9 +332,11 @@
     return duration / (1 - fleet.CLOCK_RATE_ERROR_MAX)
 
 
-def _lost(worker: fleet.Worker) -> bool:
-    """Return whether a worker has answered this leader, but does no more."""
-    return worker.clock_read_at > fleet.ZERO and not worker.reachable
+def _may_be_lost(worker: fleet.Worker) -> bool:
+    """Return whether a worker that has answered may not do so any more."""
+    if worker.clock_read_at == fleet.ZERO:
+        return False
+    return not worker.reachable or worker.draining
 
 
 def _stricter(
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -88,12 +88,18 @@
         job: jobs.Job,
         tasks: collections.abc.Iterable[model.TaskKey],
         now: datetime.timedelta,
+        *,
+        ended_at: datetime.timedelta | None = None,
     ) -> None:
-        """Add tasks to those that wait for a worker."""
+        """Add tasks to those that wait for a worker.
+
+        :param ended_at: our time since which their last runs may have been
+            over; None if they have just ended, or if there were none.
+        """
         for task in tasks:
             record = job.progress.tasks.get(task)
             last_worker = record.worker if record else ids.WorkerId("")
-            self.waiting.add(job, task, last_worker, now)
+            self.waiting.add(job, task, last_worker, now, ended_at)
 
     def enqueue_next(
         self,
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -67,9 +67,6 @@
     def _tick_runs(
         self, worker: fleet.Worker, now: datetime.timedelta
     ) -> None:
-        draining = worker.entry is not None and (
-            worker.entry.state is deployment.WorkerState.DRAINING
-        )
         for run in list(worker.runs.values()):
             if run.phase is fleet.RunPhase.STOPPING:
                 if not run.stop_accepted and worker.reachable:
@@ -79,7 +76,7 @@
                             decisions.StopOrder(worker=worker.worker, run=run)
                         )
             elif run.phase is fleet.RunPhase.RUNNING and run.should_run:
-                if draining and self._must_stop_before_shutdown(
+                if worker.draining and self._must_stop_before_shutdown(
                     worker, run, now
                 ):
                     self.run_tracker.stop(worker, run, now, "worker-leaves")
--- a/tests/dispatch/test_inherited_leases.py
+++ b/tests/dispatch/test_inherited_leases.py
@@ -17,6 +17,7 @@
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leader as leaders
 from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import run_tracker as run_trackers
 from turmerichook._internal.dispatch import sequence_value
 from turmerichook._internal.dispatch import session as sessions
@@ -556,25 +557,47 @@
 
         assert asyncio.run(scenario()) > SHORT_BOUND
 
-    def test_planned_shutdown_is_known_to_the_next_leader(self):
-        """Guards against a crash that is counted for a planned shutdown."""
+    def test_worker_that_leaves_as_planned(self):
+        """Guards against a service that does not run for 10 s.
+
+        The worker announces its shutdown, stops the task and leaves; its last
+        report does not arrive, as the leader is killed. The next leader took
+        it for one that may have crashed.
+        """
 
         async def scenario():
             async with new_site() as site:
-                first, lost = await self._lose_worker(site)
-                lost.entry = dataclasses.replace(
-                    lost.entry, state=deployment.WorkerState.DRAINING
+                first = site.start("a")
+                await first.lead()
+                await site.run_task(first)
+                (name,) = [
+                    n for n, w in site.workers.workers.items() if w.running
+                ]
+                site.workers.workers[name].cut_off = False
+                leaving = first.leader.dispatcher.workers[name]
+                leaving.entry = dataclasses.replace(
+                    leaving.entry, state=deployment.WorkerState.DRAINING
                 )
-                first.leader.inherited_leases.named = {}
-                await site.until(lambda: first.leader.inherited_leases.named)
-                second = await self._take_over(site, first)
-                await site.until(
-                    lambda: second.leader.dispatcher.workers[lost.worker].entry
+                # The stop of the task is not carried out.
+                site.workers.stop = lambda *_: asyncio.sleep(
+                    9, orders.Unknown(detail="lost")
                 )
-                return second.leader.dispatcher.workers[lost.worker].entry
+                inherited = first.leader.inherited_leases
+                await site.until(lambda: inherited.named)
+                await asyncio.sleep(REACTION_S)
+                assert leaving.reachable
+                assert leaving.lapsed_at <= inherited.named[name] + MS
+                site.workers.workers[name].cut_off = True
+                site.storage.remove(f"workers/{name}")
+                second = await self._take_over(site, first)
+                tracker = second.leader.dispatcher.run_tracker
+                worker = tracker.workers[name]
+                late = tracker.leases_until(worker) - leaving.lapsed_at
+                return late, worker.entry.state
 
-        entry = asyncio.run(scenario())
-        assert entry.state is deployment.WorkerState.DRAINING
+        late, state = asyncio.run(scenario())
+        assert late <= inherited_leases.SILENT_EXTENSION + REACTION_S * SECOND
+        assert state is deployment.WorkerState.DRAINING
 
     def test_slow_worker_keeps_its_runs(self):
         """Guards against work given up because a worker is slow to report.
--- a/tests/dispatch/test_lasting_priorities.py
+++ b/tests/dispatch/test_lasting_priorities.py
@@ -130,6 +130,35 @@
             site.commit_once()
 
 
+class TestServiceThatWaitsAtAChange:
+    """The leader changes while an ended service waits to run again."""
+
+    def test_wait_does_not_begin_anew(self):
+        """Guards against 2 s more behind urgent jobs with each new leader."""
+        site = Site()
+        service = site.add_job(fakes.step(long_running=True), 1)
+        for _ in range(3):
+            site.commit_once()
+            site.advance(COMMIT_INTERVAL)
+        worker, task = site.find_task(service)
+        worker.end(task, model.EndKind.STOPPED)
+        for name in site.workers:
+            site.renew_leases(name)
+        site.store(site.dispatcher.next_saves(10))
+        site.take_over()
+        job = site.dispatcher.jobs[service]
+        job.queue = dataclasses.replace(job.queue, priority=1)
+        for name in site.workers:
+            site.renew_leases(name)
+        waiting_since = site.now
+        while site.find_task(service) is None:
+            assert site.now - waiting_since < 4 * COMMIT_INTERVAL
+            for _ in range(committer.PLACED_JOBS_MAX + 1):
+                site.add_job(fakes.step(demand=SMALL_DEMAND), 0)
+            site.advance(COMMIT_INTERVAL)
+            site.commit_once()
+
+
 class TestRoomOfEndedService:
     """Services and short tasks wait for room on a full worker."""
 
