Store with a job how often its tasks may fail

Cause: a leader that takes over a job whose route is no longer configured made up a queue with one attempt. What the former leader knew of the route was lost with it.

Change: the limit of the queue at the acceptance is stored with each step, where earlier versions ignore it. A leader that does not know the queue uses it. Jobs that an earlier version has accepted have one attempt then, as before.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -140,14 +140,15 @@
         if queue is not None:
             return queue
         # The queue has been removed from the configuration. Its jobs still run
-        # on workers of the service that they were accepted for.
+        # on workers of the service that they were accepted for, with as many
+        # attempts.
         return deployment.Queue(
             queue=spec.queue,
             host="",
             prefix="",
             service=spec.service,
             priority=0,
-            max_attempts=1,
+            max_attempts=max(1, spec.steps[0].max_attempts),
             slack_factor=1.0,
             latency_objective=fleet.ZERO,
             timeout=fleet.ZERO,
--- a/src/turmerichook/_internal/platform/caller_calls.py
+++ b/src/turmerichook/_internal/platform/caller_calls.py
@@ -77,7 +77,9 @@
             context="spec",
         )
     rows = fields.objects(document, "steps")
-    steps = tuple(_decode_step(row, number) for number, row in enumerate(rows))
+    steps = tuple(
+        _decode_step(row, number, queue) for number, row in enumerate(rows)
+    )
     occurrences = fields.integer(document, "repeat-count", 0)
     tasks = sum(step.count for step in steps) * max(1, occurrences)
     if not steps or not 0 < tasks <= TASKS_MAX:
@@ -126,7 +128,9 @@
     )
 
 
-def _decode_step(row: dict[str, typing.Any], number: int) -> model.Step:
+def _decode_step(
+    row: dict[str, typing.Any], number: int, queue: deployment.Queue
+) -> model.Step:
     after = tuple(fields.array(row, "after", []))
     if not all(type(n) is int and 0 <= n < number for n in after):
         raise exceptions.MessageError(
@@ -150,4 +154,5 @@
         latency_target=fields.milliseconds(row, "target-ms", 0),
         filler=fields.boolean(row, "fills"),
         max_unavailable=fields.integer(row, "max-missing", 0),
+        max_attempts=queue.max_attempts,
     )
--- a/src/turmerichook/_internal/workflow/model.py
+++ b/src/turmerichook/_internal/workflow/model.py
@@ -102,6 +102,8 @@
         other tasks on the worker leave unused.
     :param max_unavailable: largest number of long-running tasks that voluntary
         disruption may make unavailable at the same time, 0 for no limit.
+    :param max_attempts: ``max_attempts`` of the job's queue when the job was
+        accepted, for a leader that does not know the queue; 0 if unknown.
     """
 
     count: int
@@ -120,6 +122,7 @@
     latency_target: datetime.timedelta = datetime.timedelta()
     filler: bool = False
     max_unavailable: int = 0
+    max_attempts: int = 0
 
     @property
     def committed(self) -> resources.Resources:
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -232,6 +232,7 @@
         step.image,
         _milliseconds(step.latency_target),
         step.max_unavailable,
+        step.max_attempts,
     ]
 
 
@@ -256,6 +257,8 @@
         image=row[10],
         latency_target=row[11] * clocks.MILLISECOND,
         max_unavailable=row[12],
+        # Earlier versions did not store the attempts.
+        max_attempts=row[13] if len(row) > 13 else 0,
     )
 
 
