Start a gang with more suspects than workers for them

Cause: each member that had been on the crashed worker was to be placed on a worker of its own, which no other task may share. With as many suspects as workers that can take the gang there was never a placement, and unlike single suspects a gang had no way out after some time.

Change: after the time for which a suspect waits to be isolated, the gang is placed like any other.

Test: TestGangOfSuspects, 1 of 2 failed before (12 members, none ran).

--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -404,9 +404,13 @@
                 waiting.checked_position = self.room.position
                 return []
         suspects = [t for t in waiting.tasks if waiting.job.suspected(t)]
+        chosen: list[Choice] = []
         if suspects:
             chosen = self._choose_gang_of_suspects(waiting, suspects)
-        else:
+        if not suspects or (
+            # There may never be a worker for each suspect alone.
+            len(chosen) < count and self.now - waiting.since >= ISOLATION_WAIT
+        ):
             chosen = self._choose(waiting, count)
         if len(chosen) < count:
             return []
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -337,6 +337,25 @@
         assert harness.starts() == 2
 
 
+class TestGangOfSuspects:
+    """Several members of a gang ran on a worker that crashed."""
+
+    @pytest.mark.parametrize("count", (6, 12))
+    def test_starts_again_with_fewer_workers_than_suspects(self, count):
+        """Guards against a gang that one crash of a worker stops for good.
+
+        Each suspect was to have a worker of its own.
+        """
+        harness = CrashHarness(*workers(3))
+        harness.crashing = set()
+        harness.submit(fakes.job(JOB, step(count=count, gang=True)))
+        harness.play(1)
+        assert len(harness.running()) == count
+        harness.crash("w0")
+        harness.play(10)
+        assert len(harness.running()) == count
+
+
 class TestManyAtOnce:
     """Losses of many workers at once, and planned ones, blame no task."""
 
