Start all members of a gang with the same checkpoint

Cause: each member was sent the checkpoint of its own record, though "all must carry the same value".

Change: all members are sent the value that most of them have. It may be older than that of a member whose end has brought a newer one.

--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -12,6 +12,7 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import stored
 
 
@@ -94,6 +95,7 @@
         """
         starts: list[decisions.StartOrder] = []
         unsent: list[tuple[fleet.Worker, fleet.Run]] = []
+        checkpoints = _gang_checkpoints(save)
         for worker_id, run in save.runs:
             worker = self.run_tracker.workers.get(worker_id)
             if worker is None or worker.runs.get(run.task) is not run:
@@ -114,12 +116,13 @@
             run.phase = fleet.RunPhase.STARTING
             run.sent_at = now
             record = save.job.progress.tasks[run.task]
+            checkpoint = checkpoints.get(run.task.step_key, record.checkpoint)
             starts.append(
                 decisions.StartOrder(
                     worker=worker_id,
                     run=run,
                     payload=save.job.spec.payload,
-                    checkpoint=record.checkpoint,
+                    checkpoint=checkpoint,
                     ticket=ticket,
                 )
             )
@@ -163,6 +166,21 @@
         )
 
 
+def _gang_checkpoints(
+    save: jobs.JobSnapshot,
+) -> dict[model.StepKey, ids.CheckpointId]:
+    """Return the checkpoint of each gang that a snapshot starts.
+
+    That of any member is valid, and all members must get the same one. It is
+    the one that most members have, as reports of the others may be older.
+    """
+    progress = save.job.progress
+    return {
+        key: progress.common_checkpoint(key)
+        for key in {run.task.step_key for _, run in save.runs if run.step.gang}
+    }
+
+
 def _may_start(
     worker: fleet.Worker, closed: collections.abc.Container[ids.ZoneId]
 ) -> bool:
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -5,6 +5,7 @@
 progress after each change, and starts no task before the change is durable.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import datetime
@@ -210,6 +211,20 @@
             record.certain_crashes += crash_certain
         return record
 
+    def common_checkpoint(self, key: model.StepKey) -> ids.CheckpointId:
+        """Return the checkpoint that most tasks of a step have.
+
+        It is empty if no task has any.
+        """
+        counts: collections.Counter[ids.CheckpointId] = collections.Counter()
+        for task in self._step_tasks(key.occurrence, key.step):
+            record = self.tasks.get(task)
+            if record is not None and record.checkpoint:
+                counts[record.checkpoint] += 1
+        for checkpoint, _ in counts.most_common(1):
+            return checkpoint
+        return ids.CheckpointId("")
+
     def assigned(self) -> list[model.TaskKey]:
         """Return the tasks that are assigned to a worker."""
         return [
