Search for silent workers ten times a second at most

Cause: each commit looked at all workers, up to 28 times a second: 2.1 ms a commit with 890 workers beside other work, about 6% of a core.

Change: one search in 100 ms; between them the stored list stays as it is, with the same limits for leases. Workers that answer are told apart first.

--- a/src/turmerichook/_internal/dispatch/inherited_leases.py
+++ b/src/turmerichook/_internal/dispatch/inherited_leases.py
@@ -30,6 +30,8 @@
 SILENT_AFTER = datetime.timedelta(seconds=2)
 # Time between two readings of the records of former terms.
 CHECK_INTERVAL = datetime.timedelta(seconds=1)
+# Shortest time between two searches for silent workers among all.
+SEARCH_INTERVAL = datetime.timedelta(milliseconds=100)
 # How long a lease granted to a silent worker may be extended without a further
 # commit.
 SILENT_EXTENSION = datetime.timedelta(milliseconds=1500)
@@ -99,6 +101,7 @@
         self.named: dict[ids.WorkerId, datetime.timedelta] = {}
         # Id of the commit that wrote the stored list.
         self.silent_commit = ""
+        self.next_search = fleet.ZERO
         # Limits of leases while no commit is under way.
         self.limits: dict[ids.WorkerId, datetime.timedelta] = {}
         self.open_terms: int | None = None
@@ -183,7 +186,10 @@
         both the stored list and the one that it writes.
         """
         now = self.clock.uptime()
-        named = self._silent_workers(now)
+        named = self.named
+        if now >= self.next_search:
+            self.next_search = now + SEARCH_INTERVAL
+            named = self._silent_workers(now)
         if named == self.named:
             return Notes(
                 lease_notes=self._lease_notes(self.silent_commit), named=named
@@ -243,7 +249,11 @@
             worker
             for worker in self.run_tracker.workers.values()
             if worker.runs
-            and (self._not_reached(worker, now) or _may_be_lost(worker))
+            and (
+                _may_be_lost(worker)
+                if worker.clock_read_at
+                else self._not_reached(worker, now)
+            )
         )
         return {
             worker.worker: self._ended_at(worker, now)
@@ -253,10 +263,9 @@
     def _not_reached(
         self, worker: fleet.Worker, now: datetime.timedelta
     ) -> bool:
-        """Return whether a worker with inherited runs has not answered."""
+        """Return whether a worker that has not answered is to be named."""
         return (
             worker.may_hold_inherited_leases
-            and worker.clock_read_at == fleet.ZERO
             and now <= self.run_tracker.inherited_leases_until
             and (
                 now - self.began_at >= SILENT_AFTER
@@ -334,8 +343,6 @@
 
 def _may_be_lost(worker: fleet.Worker) -> bool:
     """Return whether a worker that has answered may not do so any more."""
-    if worker.clock_read_at == fleet.ZERO:
-        return False
     return not worker.reachable or worker.draining
 
 
