--- a/tests/dispatch/test_lasting_priorities.py
+++ b/tests/dispatch/test_lasting_priorities.py
@@ -58,6 +58,16 @@
                     return worker, task
         return None
 
+    def await_beside_urgent_jobs(self, service):
+        """Commit until a service runs, which takes few commits."""
+        waiting_since = self.now
+        while self.find_task(service) is None:
+            assert self.now - waiting_since < 4 * COMMIT_INTERVAL
+            for _ in range(committer.PLACED_JOBS_MAX + 1):
+                self.add_job(fakes.step(demand=SMALL_DEMAND), 0)
+            self.advance(COMMIT_INTERVAL)
+            self.commit_once()
+
 
 class TestServiceOfLowPriority:
     """The entries of commits are scarce, and not the room on workers."""
@@ -121,13 +131,7 @@
             site.renew_leases(name)
             site.dispatcher.watchdog.tick(site.now)
         del site.workers[name]
-        waiting_since = site.now
-        while site.find_task(service) is None:
-            assert site.now - waiting_since < 4 * COMMIT_INTERVAL
-            for _ in range(committer.PLACED_JOBS_MAX + 1):
-                site.add_job(fakes.step(demand=SMALL_DEMAND), 0)
-            site.advance(COMMIT_INTERVAL)
-            site.commit_once()
+        site.await_beside_urgent_jobs(service)
 
 
 class TestServiceThatWaitsAtAChange:
@@ -150,13 +154,7 @@
         job.queue = dataclasses.replace(job.queue, priority=1)
         for name in site.workers:
             site.renew_leases(name)
-        waiting_since = site.now
-        while site.find_task(service) is None:
-            assert site.now - waiting_since < 4 * COMMIT_INTERVAL
-            for _ in range(committer.PLACED_JOBS_MAX + 1):
-                site.add_job(fakes.step(demand=SMALL_DEMAND), 0)
-            site.advance(COMMIT_INTERVAL)
-            site.commit_once()
+        site.await_beside_urgent_jobs(service)
 
 
 class TestRoomOfEndedService:
