Limit the doublings of pauses, not only their product

Callers saw: nothing reported. A process would end after 48 claims of the leadership in a row that fail, about a minute without the store, on all hosts.

Cause: a pause was doubled for each failure and limited afterwards; after some 45 doublings a timedelta overflows. The OverflowError ended the task that claims, and so the process.

Change: clock.doubled_pause serves the three places and scheduling/retries.py, which had the limit by itself. Pauses up to then are as before.

Test: TestManyFailures, 3 failed before with OverflowError.

--- a/src/turmerichook/_internal/clock.py
+++ b/src/turmerichook/_internal/clock.py
@@ -10,6 +10,22 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+# Doublings after which a pause no longer grows; more would overflow.
+DOUBLINGS_MAX = 20
+
+
+def doubled_pause(
+    first: datetime.timedelta,
+    failures: int,
+    longest: datetime.timedelta,
+) -> datetime.timedelta:
+    """Return a pause that doubles with each earlier failure, up to a limit.
+
+    :param failures: number of failures before the last one.
+    """
+    return min(first * 2 ** min(failures, DOUBLINGS_MAX), longest)
+
+
 class Clock(typing.Protocol):
     """Source of time, passed to all code that reads the time or waits."""
 
--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -77,7 +77,9 @@
         if not failed:
             self.failures = 0
             return TERM_PAUSE
-        pause = min(FAILURE_PAUSE * 2**self.failures, FAILURE_PAUSE_MAX)
+        pause = clocks.doubled_pause(
+            FAILURE_PAUSE, self.failures, FAILURE_PAUSE_MAX
+        )
         self.failures += 1
         return pause
 
@@ -202,7 +204,7 @@
 
     def _retry_pause(self, failures: int) -> datetime.timedelta:
         """Return the pause after a failure that follows other failures."""
-        longest = min(RETRY_PAUSE * 2**failures, RETRY_PAUSE_MAX)
+        longest = clocks.doubled_pause(RETRY_PAUSE, failures, RETRY_PAUSE_MAX)
         return longest * (0.5 + 0.5 * self.random_source.random())
 
     def _claim_delay(self) -> float:
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -115,7 +115,9 @@
                 self._log_defect("renew", error)
                 self._note_failure()
                 await self.clock.sleep(
-                    min(RETRY_PAUSE * 2**self.defects, DEFECT_PAUSE_MAX)
+                    clocks.doubled_pause(
+                        RETRY_PAUSE, self.defects, DEFECT_PAUSE_MAX
+                    )
                 )
                 self.defects += 1
 
--- a/src/turmerichook/_internal/scheduling/retries.py
+++ b/src/turmerichook/_internal/scheduling/retries.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 
+from turmerichook._internal import clock as clocks
 from turmerichook._internal.models import ids
 from turmerichook._internal import outcomes
 
@@ -32,8 +33,7 @@
 
 def delay(failures: int) -> datetime.timedelta:
     """Return the delay before the next attempt, which doubles each time."""
-    doublings = min(failures - 1, 20)
-    return min(FIRST_DELAY * 2**doublings, LONGEST_DELAY)
+    return clocks.doubled_pause(FIRST_DELAY, failures - 1, LONGEST_DELAY)
 
 
 def final_failure(
--- a/tests/dispatch/test_failure_boundaries.py
+++ b/tests/dispatch/test_failure_boundaries.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import pathlib
+import random
 
 import pytest
 
 from tests.dispatch import fakes
 from tests.dispatch import test_leader
+from tests.dispatch import test_session
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import dispatcher as dispatchers
 from turmerichook._internal.dispatch import leader as leaders
 from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.intake import daemon as daemons
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
@@ -207,6 +210,57 @@
         assert called == {"w2"}
 
 
+class TestManyFailures:
+    """Something fails again and again, for longer than pauses grow."""
+
+    FAILURES = 1000
+
+    def test_pauses_between_terms(self):
+        """Guards against a process that ends after 45 failed terms."""
+        pauses = leadership.FailurePauses()
+        for _ in range(self.FAILURES):
+            pause = pauses.after(failed=True)
+        assert pause == leadership.FAILURE_PAUSE_MAX
+
+    def test_pauses_between_claims(self):
+        """Guards against processes that end while the store is away.
+
+        The pause overflowed after 48 claims, about a minute.
+        """
+        candidate = leadership.Candidate(
+            node=ids.NodeId("a"),
+            storage=None,
+            clock=clocks.SystemClock(),
+            random_source=random.Random(1),
+        )
+        longest = leadership.RETRY_PAUSE_MAX
+        pause = candidate._retry_pause(self.FAILURES)
+        assert longest / 2 <= pause <= longest
+
+    def test_pauses_between_renewals(self):
+        """Guards against a term that ends after 45 failures of a session."""
+        pauses = []
+
+        class Clock(clocks.SystemClock):
+            async def sleep(self, delay):
+                pauses.append(delay)
+                if len(pauses) == TestManyFailures.FAILURES:
+                    raise asyncio.CancelledError
+
+        async def fail(entry, order):
+            raise DefectError("test")
+
+        async def scenario():
+            fixture = test_session.SessionFixture(Clock())
+            fixture.workers.renew = fail
+            with pytest.raises(asyncio.CancelledError):
+                await fixture.session.run()
+
+        asyncio.run(scenario())
+        assert len(pauses) == self.FAILURES
+        assert pauses[-1] == sessions.DEFECT_PAUSE_MAX
+
+
 class FailingLeader:
     """A leader whose term ends at once with an error."""
 
