Read once a worker whether it drains, not for each of its runs

The check was moved into the loop over runs when it became a property of the worker. And a docstring says what it returns in the usual form.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -240,7 +240,9 @@
     ) -> bool:
         """Add what is left of the entry of a worker that is not registered.
 
-        Nothing is placed on it. Returns whether its runs need it.
+        Nothing is placed on it.
+
+        :returns: whether the worker has runs and had no entry.
         """
         worker = self.workers.get(worker_id)
         if worker is None or worker.entry is not None:
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -67,6 +67,7 @@
     def _tick_runs(
         self, worker: fleet.Worker, now: datetime.timedelta
     ) -> None:
+        draining = worker.draining
         for run in list(worker.runs.values()):
             if run.phase is fleet.RunPhase.STOPPING:
                 if not run.stop_accepted and worker.reachable:
@@ -76,7 +77,7 @@
                             decisions.StopOrder(worker=worker.worker, run=run)
                         )
             elif run.phase is fleet.RunPhase.RUNNING and run.should_run:
-                if worker.draining and self._must_stop_before_shutdown(
+                if draining and self._must_stop_before_shutdown(
                     worker, run, now
                 ):
                     self.run_tracker.stop(worker, run, now, "worker-leaves")
