Log why a job fails, in a line that is never suppressed

Callers saw a failed job, and the record of the incident could not tell why: job-ended has no reason, and task-crashed-worker, which names the task that is given up, is limited to 200 lines in 10 s. The record says lines-left-out at the very time.

The former alone tells exhausted attempts from crashed workers by the job's id.

--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -72,6 +72,11 @@
         level=events.Level.ERROR,
         summary="a stored job cannot be decoded and is left unchanged",
     )
+    JOB_FAILED = events.Event(
+        number=7013,
+        level=events.Level.INFO,
+        summary="the leader fails a job for one of its tasks",
+    )
     TASK_PLACED = events.Event(
         number=7020,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -114,13 +114,30 @@
     def fail_job(
         self,
         job: jobs.Job,
+        task: model.TaskKey,
         now: datetime.timedelta,
         reason: progresses.FailureReason,
     ) -> None:
-        """Mark a job as failed and stop its runs, unless it is final."""
-        if not job.progress.state.final:
-            job.progress.failed = reason
-            self.stop_job_runs(job, now)
+        """Mark a job as failed and stop its runs, unless it is final.
+
+        :param task: task that must not be started again.
+        """
+        if job.progress.state.final:
+            return
+        record = job.progress.tasks[task]
+        logs.emit(
+            events.DispatchEvent.JOB_FAILED,
+            job=task.job,
+            task=task.text(),
+            run=record.run,
+            reason=reason.value,
+            failures=record.failures,
+            attempts=job.queue.max_attempts,
+            crashes=record.crashes,
+            certain=record.certain_crashes,
+        )
+        job.progress.failed = reason
+        self.stop_job_runs(job, now)
 
     def stop_job_runs(self, job: jobs.Job, now: datetime.timedelta) -> None:
         """Stop all runs of a job and start no other."""
@@ -217,7 +234,12 @@
         )
         self.crashes_counted[given_up] += 1
         if given_up:
-            self.fail_job(job, now, progresses.FailureReason.WORKERS_CRASHED)
+            self.fail_job(
+                job,
+                run.task,
+                now,
+                progresses.FailureReason.WORKERS_CRASHED,
+            )
         if not job.progress.state.final:
             self.waiting.add(job, run.task, worker.worker, now, ended_at)
 
@@ -245,7 +267,7 @@
         self.note_change(job.spec.job, now)
         if failed and record.failures >= job.queue.max_attempts:
             self.fail_job(
-                job, now, progresses.FailureReason.ATTEMPTS_EXHAUSTED
+                job, task, now, progresses.FailureReason.ATTEMPTS_EXHAUSTED
             )
         if not job.progress.state.final:
             self.waiting.add(job, task, worker, now, ended_at)
@@ -328,11 +350,10 @@
     **fields: typing.Any,
 ) -> None:
     """Log an event of a run with the run's identification."""
-    task = run.task
     logs.emit(
         event,
-        job=task.job,
-        task=f"{task.occurrence}.{task.step}.{task.index}",
+        job=run.task.job,
+        task=run.task.text(),
         run=run.run,
         worker=worker.worker,
         **fields,
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -158,11 +158,13 @@
         self.run_tracker.unreleased.discard(job.spec.job)
         self.run_tracker.advice.drop(job.spec.job)
         self._mark_ends_saved(job.unsaved_ends)
+        failure = job.progress.failed
         logs.emit(
             events.DispatchEvent.JOB_ENDED,
             job=job.spec.job,
             queue=job.spec.queue,
             state=save.state.value,
+            **({"reason": failure.value} if failure else {}),
         )
 
 
--- a/src/turmerichook/_internal/workflow/model.py
+++ b/src/turmerichook/_internal/workflow/model.py
@@ -75,6 +75,10 @@
         """Identifier of the step that the task belongs to."""
         return StepKey(self.job, self.occurrence, self.step)
 
+    def text(self) -> str:
+        """Return the task's identifier within its job, for log lines."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Step:
