Count a lost worker as crashed only once it is known to have ended

Callers saw a service shown as failed, and a task of it stopped for good, although no run had failed: the workers noted only runs that lapsed.

Cause: a leader cannot tell a worker that is cut off from one that has crashed. When the leases on an unlisted worker had ended, it counted a crash that was not certain for each run that had just begun, or of which it did not know that it had begun, which after a change of the leader are all of the last 15 s. The count was never taken back, and four of any kind fail a job. Class of fault: a doubt counts as a fact, and the fact is final.

Change: such a loss is noted under the incarnation of the worker, in the job's progress, so that it survives the leader. It is withdrawn once the same incarnation answers or is listed again, and counts once another one does. While crashes and unconfirmed losses together reach the limit, the task waits, so that it is not started more often than before. A worker of which nothing is heard for 60 s counts as crashed for a task that waits.

Why this works: each way to give a task up now needs workers that have ended, or of which one leader has heard nothing for 60 s.

The tests on limited starts are unchanged but for the new place of the counter.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -111,7 +111,9 @@
                 # The task did not crash its worker at the start, so that the
                 # other cause is more likely.
                 continue
-            if many or not certain or not run.known_by_worker:
+            if not certain:
+                run.crash = fleet.Crash.UNCONFIRMED
+            elif many or not run.known_by_worker:
                 run.crash = fleet.Crash.DOUBTFUL
             elif run.isolated and len(suspects) == 1:
                 run.crash = fleet.Crash.ISOLATED
@@ -162,14 +164,33 @@
 def must_give_up(record: progresses.TaskRecord, crash: fleet.Crash) -> bool:
     """Return whether a task must not be started again.
 
+    Unconfirmed crashes do not count: a job that was failed for them would stay
+    failed when the workers turn out to be alive.
+
     :param crash: how the last crash of a worker under the task counts.
     """
-    if record.crashes >= CRASHES_MAX:
+    if at_limit(record):
         return True
     limit = CERTAIN_CRASHES_MAX.get(crash)
     return limit is not None and record.certain_crashes >= limit
 
 
+def at_limit(record: progresses.TaskRecord, gone: int = 0) -> bool:
+    """Return whether crashes of any kind are enough to give a task up.
+
+    :param gone: number of unconfirmed crashes to be taken for crashes.
+    """
+    return record.crashes + gone >= CRASHES_MAX
+
+
+def must_wait(record: progresses.TaskRecord) -> bool:
+    """Return whether a task waits until it is known which workers crashed.
+
+    If all of them have, the task must not be started again.
+    """
+    return at_limit(record, gone=len(record.unconfirmed))
+
+
 def all_begun(worker: fleet.Worker) -> bool:
     """Return whether all runs on a worker have begun."""
     return all(run.begun for run in worker.runs.values())
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -96,6 +96,7 @@
             begun=progress.proven_begun,
         )
         self.jobs[job_id] = job
+        self.run_tracker.crash_counts.recover(job, now)
         logs.emit(
             events.DispatchEvent.JOB_TAKEN,
             job=job_id,
@@ -209,9 +210,11 @@
         if worker is None:
             worker = fleet.Worker(worker=entry.worker, entry=entry)
             self.workers[entry.worker] = worker
-        incarnations.accept_incarnation(
+        accepted = incarnations.accept_incarnation(
             worker, entry.incarnation, self.run_tracker.losses, now
         )
+        if accepted and entry.incarnation:
+            self.run_tracker.crash_counts.note_heard(worker, now)
         if not _same_state(worker.entry, entry):
             logs.emit(
                 events.DispatchEvent.WORKER_SEEN,
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -128,6 +128,18 @@
         summary="a worker crashed, possibly because of a task",
         limit=200,
     )
+    TASK_LOST_WORKER = events.Event(
+        number=7053,
+        level=events.Level.WARNING,
+        summary="a worker was lost that may have crashed because of a task",
+        limit=200,
+    )
+    TASK_CRASH_WITHDRAWN = events.Event(
+        number=7054,
+        level=events.Level.INFO,
+        summary="a lost worker is alive; its loss no longer counts for a task",
+        limit=200,
+    )
     WORKER_SEEN = events.Event(
         number=7030,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -44,8 +44,10 @@
     # Other tasks may have crashed the worker as well.
     SHARED = "shared"
     # Many workers were lost at the same time, probably for another reason, or
-    # the worker may not have crashed at all, or not after the run had begun.
+    # the worker may have crashed before the run had begun.
     DOUBTFUL = "doubtful"
+    # The worker may not have crashed at all.
+    UNCONFIRMED = "unconfirmed"
 
 
 class RunPhase(enum.Enum):
--- a/src/turmerichook/_internal/dispatch/jobs.py
+++ b/src/turmerichook/_internal/dispatch/jobs.py
@@ -71,7 +71,7 @@
     def suspected(self, task: model.TaskKey) -> bool:
         """Return whether a task may crash the worker that starts it."""
         record = self.progress.tasks.get(task)
-        return record is not None and record.crashes > 0
+        return record is not None and record.suspected
 
     def clear_suspicion(self, task: model.TaskKey) -> None:
         """Forget earlier crashes of workers under a task."""
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -253,7 +253,7 @@
         self._send_orders()
         self.committer.wake.set()
         self.meter.note_round()
-        self.meter.note_crashes(dispatcher.run_tracker.pop_crashes())
+        self.meter.note_crashes(dispatcher.run_tracker.crash_counts.pop())
         reported = self.meter.report(
             jobs=len(dispatcher.jobs),
             waiting=len(dispatcher.waiting),
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -204,6 +204,8 @@
     ) -> list[Choice]:
         """Choose a worker for a task that may crash it."""
         (task,) = waiting.tasks
+        if crashes.must_wait(waiting.job.progress.tasks[task]):
+            return []
         conditions = self._conditions(waiting, waiting.tasks_by_worker())
         worker = None
         if self.now >= waiting.blocked_until or self._candidates(waiting):
@@ -404,6 +406,9 @@
                 waiting.checked_position = self.room.position
                 return []
         suspects = [t for t in waiting.tasks if waiting.job.suspected(t)]
+        records = waiting.job.progress.tasks
+        if any(crashes.must_wait(records[task]) for task in suspects):
+            return []
         chosen: list[Choice] = []
         if suspects:
             chosen = self._choose_gang_of_suspects(waiting, suspects)
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -7,6 +7,7 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import advice as advices
+from turmerichook._internal.dispatch import crash_counts
 from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
@@ -43,8 +44,6 @@
         has reached lately; the earlier of both times counts.
     :ivar lease_limits: our time beyond which no lease may last on a worker,
         as the next leader may not expect it.
-    :ivar crashes_counted: number of crashes of workers that counted for a
-        task, by whether the task's job was given up.
     """
 
     def __init__(self):
@@ -63,20 +62,16 @@
         self.unreleased: set[ids.JobId] = set()
         self.orders: list[decisions.Order] = []
         self.losses = crashes.Losses(workers=self.workers)
-        self.crashes_counted: collections.Counter[bool] = collections.Counter()
+        self.crash_counts = crash_counts.CrashCounts(
+            all_jobs=self.jobs,
+            note_change=self.note_change,
+            fail_job=self.fail_job,
+        )
 
     def note_change(self, job: ids.JobId, now: datetime.timedelta) -> None:
         """Mark a job's progress as changed, to be written to the store."""
         self.unsaved_jobs.setdefault(job, now)
 
-    def pop_crashes(self) -> collections.Counter[bool]:
-        """Return the crashes counted since the last call."""
-        counted, self.crashes_counted = (
-            self.crashes_counted,
-            collections.Counter(),
-        )
-        return counted
-
     def oldest_unsaved_age(
         self, now: datetime.timedelta
     ) -> datetime.timedelta:
@@ -135,6 +130,7 @@
             attempts=job.queue.max_attempts,
             crashes=record.crashes,
             certain=record.certain_crashes,
+            unconfirmed=len(record.unconfirmed),
         )
         job.progress.failed = reason
         self.stop_job_runs(job, now)
@@ -197,49 +193,9 @@
             self.return_task(
                 job, run.task, worker.worker, "", False, now, ended_at=ended_at
             )
-        else:
-            self._return_crashed(job, worker, run, run.crash, ended_at, now)
-
-    def _return_crashed(
-        self,
-        job: jobs.Job,
-        worker: fleet.Worker,
-        run: fleet.Run,
-        crash: fleet.Crash,
-        ended_at: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        """Return a task to the queue whose run may have crashed its worker.
-
-        The job fails instead if the task must not be started again.
-        """
-        record = job.progress.return_to_queue(
-            run.task,
-            checkpoint="",
-            failed=False,
-            crashed=True,
-            crash_certain=crash is not fleet.Crash.DOUBTFUL,
-        )
-        self.note_change(job.spec.job, now)
-        given_up = crashes.must_give_up(record, crash)
-        log_run(
-            events.DispatchEvent.TASK_CRASHED_WORKER,
-            worker,
-            run,
-            crashes=record.crashes,
-            certain=record.certain_crashes,
-            isolated=run.isolated,
-            doubtful=crash is fleet.Crash.DOUBTFUL,
-            given_up=given_up,
-        )
-        self.crashes_counted[given_up] += 1
-        if given_up:
-            self.fail_job(
-                job,
-                run.task,
-                now,
-                progresses.FailureReason.WORKERS_CRASHED,
-            )
+            return
+        job.progress.return_to_queue(run.task, checkpoint="", failed=False)
+        self.crash_counts.note(job, worker, run, run.crash, now)
         if not job.progress.state.final:
             self.waiting.add(job, run.task, worker.worker, now, ended_at)
 
@@ -256,7 +212,7 @@
     ) -> None:
         """Let a task whose run has ended wait for a worker again.
 
-        The job fails instead if the task has reached the failures allowed.
+        The job fails instead if the task must not be started again.
 
         :param ended_at: our time since which the task may not have run;
             None if its run has just ended.
@@ -269,6 +225,11 @@
             self.fail_job(
                 job, task, now, progresses.FailureReason.ATTEMPTS_EXHAUSTED
             )
+        elif crashes.at_limit(record):
+            # A crash was confirmed while the task ran elsewhere.
+            self.fail_job(
+                job, task, now, progresses.FailureReason.WORKERS_CRASHED
+            )
         if not job.progress.state.final:
             self.waiting.add(job, task, worker, now, ended_at)
 
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -67,6 +67,7 @@
             worker, report.incarnation, self.run_tracker.losses, now
         ):
             return
+        self.run_tracker.crash_counts.note_heard(worker, now)
         worker.record_clock(report, now)
         worker.report_received = True
         if not worker.reachable:
@@ -379,6 +380,7 @@
         Called when another incarnation answers at the worker's address.
         """
         worker.listed = False
+        self.run_tracker.crash_counts.note_ended(worker, now)
         self.run_tracker.losses.mark_lost(worker, now, certain=True)
         for run in list(worker.runs.values()):
             if run.phase is not fleet.RunPhase.ASSIGNED:
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -52,6 +52,7 @@
         if now < self.next_tick:
             return
         self.next_tick = now + TICK_INTERVAL
+        self.run_tracker.crash_counts.give_up_gone(now)
         for worker in list(self.run_tracker.workers.values()):
             if not worker.runs:
                 if not worker.listed and not worker.reachable:
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 import enum
+import typing
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
@@ -34,6 +35,16 @@
     WORKERS_CRASHED = "workers-crashed"
 
 
+class LostWorker(typing.NamedTuple):
+    """Worker of which nothing is heard any more.
+
+    :param incarnation: incarnation of the worker at the loss; 0 if unknown.
+    """
+
+    worker: ids.WorkerId
+    incarnation: int
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class TaskRecord:
     """Stored state of one task.
@@ -50,6 +61,8 @@
         task, since it last proved to run on.
     :param certain_crashes: number of those on which the task had certainly
         begun.
+    :param unconfirmed: workers that were lost in the same way, and of which
+        nothing has been heard since.
     """
 
     phase: Phase = Phase.WAITING
@@ -61,10 +74,38 @@
     assigned_at: datetime.timedelta = datetime.timedelta()
     crashes: int = 0
     certain_crashes: int = 0
+    unconfirmed: tuple[LostWorker, ...] = ()
+
+    @property
+    def suspected(self) -> bool:
+        """Whether the task may crash the worker that starts it."""
+        return self.crashes > 0 or bool(self.unconfirmed)
+
+    def note_crash(self, *, certain: bool) -> None:
+        """Count the crash of a worker.
+
+        :param certain: whether the task had certainly begun there.
+        """
+        self.crashes += 1
+        self.certain_crashes += certain
+
+    def note_unconfirmed(self, lost: LostWorker) -> None:
+        """Note a lost worker that may not have crashed."""
+        if lost not in self.unconfirmed:
+            self.unconfirmed += (lost,)
+
+    def pop_unconfirmed(self, worker: ids.WorkerId) -> tuple[LostWorker, ...]:
+        """Remove and return the lost incarnations of a worker."""
+        found = tuple(c for c in self.unconfirmed if c.worker == worker)
+        self.unconfirmed = tuple(
+            c for c in self.unconfirmed if c.worker != worker
+        )
+        return found
 
     def forget_crashes(self) -> None:
         """Count crashes of workers anew."""
         self.crashes = self.certain_crashes = 0
+        self.unconfirmed = ()
 
 
 class Progress:
@@ -185,8 +226,6 @@
         *,
         checkpoint: str,
         failed: bool,
-        crashed: bool = False,
-        crash_certain: bool = False,
     ) -> TaskRecord:
         """Return a task whose run has ended to the waiting phase.
 
@@ -194,9 +233,6 @@
             the earlier one.
         :param failed: whether a fault of the task or of its worker ended the
             run.
-        :param crashed: whether the worker crashed, possibly because of the
-            task.
-        :param crash_certain: whether it crashed after the task had begun.
         """
         record = self.tasks[task]
         record.phase = Phase.WAITING
@@ -206,9 +242,6 @@
             record.checkpoint = ids.CheckpointId(checkpoint)
         if failed:
             record.failures += 1
-        if crashed:
-            record.crashes += 1
-            record.certain_crashes += crash_certain
         return record
 
     def common_checkpoint(self, key: model.StepKey) -> ids.CheckpointId:
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -116,13 +116,15 @@
         record.failures,
         record.checkpoint,
     ]
-    if record.incarnation or record.crashes:
+    if record.incarnation or record.suspected:
         row += [
             record.incarnation,
             record.certain_crashes
             + DOUBTFUL_CRASH * (record.crashes - record.certain_crashes),
             _milliseconds(record.assigned_at),
         ]
+    if record.unconfirmed:
+        row.append(record.unconfirmed)
     return row
 
 
@@ -165,7 +167,7 @@
         for occurrence, step, index, phase, *fields in rows:
             # Earlier versions stored none of the later fields.
             run, worker, failures, checkpoint, *later = fields
-            incarnation, crashes, assigned_at = later or (0, 0, 0)
+            incarnation, crashes, assigned_at, *rest = later or (0, 0, 0)
             doubtful, certain = divmod(crashes, DOUBTFUL_CRASH)
             key = model.TaskKey(spec.job, occurrence, step, index)
             tasks[key] = progresses.TaskRecord(
@@ -178,6 +180,10 @@
                 crashes=certain + doubtful,
                 certain_crashes=certain,
                 assigned_at=assigned_at * clocks.MILLISECOND,
+                unconfirmed=tuple(
+                    progresses.LostWorker(*lost)
+                    for lost in (rest[0] if rest else ())
+                ),
             )
         return progresses.restore(
             spec,
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -387,7 +387,7 @@
             harness.play(DOWN_TIME / SECOND + 0.5)
         harness.play(30)
         assert len(harness.running(OTHER_JOB)) == 3
-        assert not harness.dispatcher.run_tracker.pop_crashes()
+        assert not harness.dispatcher.run_tracker.crash_counts.pop()
 
     def test_planned_stop_does_not_count(self):
         """Guards against blame for a worker that leaves as planned."""
