--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -39,6 +39,9 @@
 # has no task running for at most 3 s.
 ISOLATION_WAIT = datetime.timedelta(milliseconds=1500)
 
+# Logged as the obstacle of a task that may not start on any worker.
+CRASHES_UNCONFIRMED = "crashes-unconfirmed"
+
 # Returns the workers that the policy of a step's queue allows, or None if the
 # policy allows all workers.
 Approved = collections.abc.Callable[
@@ -124,6 +127,8 @@
         self, waiting: waiting_step.WaitingStep, limit: int
     ) -> list[Choice]:
         """Choose workers for up to ``limit`` tasks of a step."""
+        if waiting.crashes_unconfirmed:
+            return []
         if waiting.suspected:
             return self._choose_for_suspect(waiting)
         if self._blocked(waiting):
@@ -204,8 +209,6 @@
     ) -> list[Choice]:
         """Choose a worker for a task that may crash it."""
         (task,) = waiting.tasks
-        if crashes.must_wait(waiting.job.progress.tasks[task]):
-            return []
         conditions = self._conditions(waiting, waiting.tasks_by_worker())
         worker = None
         if self.now >= waiting.blocked_until or self._candidates(waiting):
@@ -247,6 +250,9 @@
         Nothing is logged if some worker can run one of the tasks, unless
         the step is a gang.
         """
+        if waiting.crashes_unconfirmed:
+            self._log_wait(waiting, CRASHES_UNCONFIRMED)
+            return
         ranking = placement.Ranking(
             conditions=self._conditions(waiting, waiting.tasks_by_worker()),
             workers=self.workers,
@@ -406,9 +412,6 @@
                 waiting.checked_position = self.room.position
                 return []
         suspects = [t for t in waiting.tasks if waiting.job.suspected(t)]
-        records = waiting.job.progress.tasks
-        if any(crashes.must_wait(records[task]) for task in suspects):
-            return []
         chosen: list[Choice] = []
         if suspects:
             chosen = self._choose_gang_of_suspects(waiting, suspects)
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -5,6 +5,7 @@
 import datetime
 import typing
 
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import room as rooms
@@ -101,6 +102,21 @@
         """Specification of the step."""
         return self.job.spec.steps[self.key.step]
 
+    @property
+    def crashes_unconfirmed(self) -> bool:
+        """Whether the tasks wait until it is known which workers crashed.
+
+        A gang waits for all of its members.
+        """
+        if not self.suspected and not self.step.gang:
+            return False
+        records = self.job.progress.tasks
+        return any(
+            crashes.must_wait(records[task])
+            for task in self.tasks
+            if task in records
+        )
+
     def starving(self, now: datetime.timedelta) -> bool:
         """Return whether a long-running task has waited too long."""
         return self.step.long_running and now - self.since > STARVATION_TIME
--- a/tests/dispatch/test_failed_jobs.py
+++ b/tests/dispatch/test_failed_jobs.py
@@ -7,6 +7,8 @@
 
 from tests.dispatch import fakes
 from tests.dispatch import test_crashing_tasks
+from tests.dispatch import test_lapsed_runs
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.logs import limits
 from turmerichook._internal.logs import setup as logs
@@ -80,3 +82,25 @@
         (ended,) = find(log, "job-ended")
         assert "reason" not in ended
         assert not find(log, "job-failed")
+
+
+class TestUnconfirmedCrashes:
+    """The log names what a task waits for that is in doubt."""
+
+    def test_wait_and_withdrawal(self, log):
+        """Guards against a task that waits for a reason that no line gives."""
+        site = test_lapsed_runs.CutHarness(8)
+        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
+        names = test_lapsed_runs.lose_in_turn(site, crashes.CRASHES_MAX)
+        site.play(40)
+        assert [line["worker"] for line in find(log, "task-lost-worker")] == (
+            names
+        )
+        assert "crashes-unconfirmed" in {
+            line["obstacles"] for line in find(log, "task-waits")
+        }
+        site.reconnect(names[0])
+        site.play(2)
+        (withdrawn,) = find(log, "task-crash-withdrawn")
+        assert withdrawn["worker"] == names[0]
+        assert withdrawn["unconfirmed"] == crashes.CRASHES_MAX - 1
