Store which runs have proved not to crash their worker

Operators would see a task that crashes its workers started ten times, where the platform allows five starts.

Cause: a successor of the leader took a run for begun that had been assigned 15 s before, as the former leader would have noticed a crash at the start. That is wrong when no leader lasts until the leases on the dead worker have ended, as with three leaders in 40 s, or when there is none for a while. Such a crash counted for no task. Class of fault: an absence of news counts as news.

Change: the stored progress says of each assigned run whether a report listed it for 2 s. It is written at once for services and tasks of 10 s and more, and along with the next change of the job for others. The field had the time of the assignment, which nothing else used; earlier versions read the new value as a run that begun long ago, or as unknown.

Tests: TestUncountedCrashes failed before. On the way, services are not suspected any more when their worker is lost together with the leader within 15 s of their start.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -39,9 +39,6 @@
 # starts after the third crash; at least one is left for a crash that was not
 # noticed or a start that a former leader sent.
 CRASHES_MAX = 4
-# A run that was assigned this long before a change of the leader has begun, as
-# the former leader would have noticed a crash at its start.
-BEGUN_AGE = datetime.timedelta(seconds=15)
 # Share of the listed workers that may be on probation at the same time. Other
 # suspected tasks start beside any tasks, so that workers remain for the rest.
 PROBATION_SHARE = 0.2
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -54,8 +54,6 @@
         self.registry_confirmed_at: datetime.timedelta | None = None
         self.registry_outdated = False
         self.closed_zones: set[ids.ZoneId] = set()
-        # Unix time less our time, at the last placement.
-        self.wall_offset = fleet.ZERO
         self.interference = interference.Interference()
         self.run_tracker = run_trackers.RunTracker()
         self.run_tracker.inherited_leases_until = inherited_leases_until
@@ -120,9 +118,7 @@
                 step,
                 now,
                 incarnation=record.incarnation,
-                age=(
-                    wall - record.assigned_at if record.assigned_at else None
-                ),
+                proven=record.proven,
             )
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
@@ -340,7 +336,6 @@
         :returns: the number of tasks assigned.
         """
         self.check_registry_age(now)
-        self.wall_offset = wall - now
         unreleased = self.run_tracker.unreleased
         return self.waiting.place(
             workers=self.workers.values(),
@@ -399,7 +394,6 @@
             worker.worker,
             run,
             incarnation=worker.incarnation,
-            at=now + self.wall_offset,
         )
         step = job.spec.steps[task.step]
         new_run = fleet.Run(
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -99,7 +99,7 @@
     :param sent_at: our time at which the start was sent; None if it was not,
         or if a former leader sent it.
     :param first_listed_at: our time of the first report that listed the run;
-        of a recovered run that must have begun, the time of its assignment.
+        for a recovered run that is proven, an earlier time than its recovery.
     :param isolated: whether the task is suspected to crash workers, and had
         no other suspect and no starting task beside it when it was placed.
     :param crash: set when the worker has crashed, possibly due to the run.
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -258,14 +258,14 @@
         now: datetime.timedelta,
         *,
         incarnation: int = 0,
-        age: datetime.timedelta | None = None,
+        proven: bool = False,
     ) -> fleet.Run:
         """Add a run that a former leader may have started.
 
         :param step: step of the task; ``STRAY_STEP`` if it is unknown.
         :param incarnation: incarnation of the worker that the task was
             assigned to; 0 if unknown.
-        :param age: time since the assignment; None if unknown.
+        :param proven: see ``progress.TaskRecord``.
         """
         worker = self.workers.get(worker_id)
         if worker is None:
@@ -285,8 +285,8 @@
             # A former leader may have slowed the run down.
             pace_known=not step.filler,
         )
-        if age is not None and age > crashes.BEGUN_AGE:
-            run.first_listed_at = now - age
+        if proven:
+            run.first_listed_at = now - crashes.SUSPECT_TIME
         worker.add(run)
         return run
 
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -28,6 +28,10 @@
         fleet.RunPhase.RUNNING,
     )
 )
+# Estimated duration from which on it is worth a write to the store that a task
+# has run for some time. Shorter ones have mostly ended when another leader has
+# to judge a loss of their worker.
+LONG_TASK = datetime.timedelta(seconds=10)
 
 
 class Settlement:
@@ -126,6 +130,7 @@
             return
         job.begun = True
         if now - run.first_listed_at >= crashes.SUSPECT_TIME:
+            self._note_proven(worker, run, job, now)
             self._clear_suspicion(job, row.task, now)
             if worker.probation == row.task:
                 worker.probation = None
@@ -164,6 +169,25 @@
             return
         self.run_tracker.stop(worker, stray, now, "not-assigned")
 
+    def _note_proven(
+        self,
+        worker: fleet.Worker,
+        run: fleet.Run,
+        job: jobs.Job,
+        now: datetime.timedelta,
+    ) -> None:
+        """Note for the next leader that a run did not crash its worker.
+
+        For a short task this is only stored along with other changes.
+        """
+        if not run_trackers.is_current(job, worker, run):
+            return
+        record = job.progress.tasks[run.task]
+        if not record.proven:
+            record.proven = True
+            if run.step.long_running or run.step.estimate >= LONG_TASK:
+                self.run_tracker.note_change(job.spec.job, now)
+
     def _clear_suspicion(
         self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
     ) -> None:
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -56,7 +56,8 @@
     :param checkpoint: latest checkpoint that a run reported, or empty.
     :param incarnation: incarnation of the worker at the assignment; 0 if
         unknown.
-    :param assigned_at: Unix time of the assignment; zero if unknown.
+    :param proven: whether the latest run has gone on for long enough not to
+        be suspected if its worker is lost.
     :param crashes: number of workers that crashed, possibly because of the
         task, since it last proved to run on.
     :param certain_crashes: number of those on which the task had certainly
@@ -71,7 +72,7 @@
     failures: int = 0
     checkpoint: ids.CheckpointId = ids.CheckpointId("")
     incarnation: int = 0
-    assigned_at: datetime.timedelta = datetime.timedelta()
+    proven: bool = False
     crashes: int = 0
     certain_crashes: int = 0
     unconfirmed: tuple[LostWorker, ...] = ()
@@ -185,18 +186,16 @@
         run: ids.Attempt,
         *,
         incarnation: int = 0,
-        at: datetime.timedelta = datetime.timedelta(),
     ) -> TaskRecord:
         """Assign a waiting task to a worker and return the task's record.
 
         :param incarnation: the worker's incarnation; 0 if unknown.
-        :param at: Unix time of the assignment; zero if unknown.
         """
         record = self.tasks.setdefault(task, TaskRecord())
         record.phase = Phase.ASSIGNED
         record.worker = worker
         record.incarnation = incarnation
-        record.assigned_at = at
+        record.proven = False
         record.run = run
         return record
 
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -121,7 +121,7 @@
             record.incarnation,
             record.certain_crashes
             + DOUBTFUL_CRASH * (record.crashes - record.certain_crashes),
-            _milliseconds(record.assigned_at),
+            int(record.proven),
         ]
     if record.unconfirmed:
         row.append(record.unconfirmed)
@@ -167,7 +167,7 @@
         for occurrence, step, index, phase, *fields in rows:
             # Earlier versions stored none of the later fields.
             run, worker, failures, checkpoint, *later = fields
-            incarnation, crashes, assigned_at, *rest = later or (0, 0, 0)
+            incarnation, crashes, proven, *rest = later or (0, 0, 0)
             doubtful, certain = divmod(crashes, DOUBTFUL_CRASH)
             key = model.TaskKey(spec.job, occurrence, step, index)
             tasks[key] = progresses.TaskRecord(
@@ -179,7 +179,8 @@
                 incarnation=incarnation,
                 crashes=certain + doubtful,
                 certain_crashes=certain,
-                assigned_at=assigned_at * clocks.MILLISECOND,
+                # Earlier versions stored the time of the assignment there.
+                proven=proven == 1,
                 unconfirmed=tuple(
                     progresses.LostWorker(*lost)
                     for lost in (rest[0] if rest else ())
--- /dev/null
+++ b/tests/dispatch/test_lost_workers.py
@@ -0,0 +1,90 @@
+"""Tests of workers that are lost for good, or without a leader."""
+
+import msgpack
+
+from tests.dispatch import fakes
+from tests.dispatch import test_crashing_tasks
+from tests.dispatch import test_lapsed_runs
+from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import stored
+
+MS = fakes.MS
+SECOND = fakes.SECOND
+JOB = test_crashing_tasks.JOB
+
+
+class TestUncountedCrashes:
+    """Crashes of workers that nobody counts."""
+
+    def test_no_leader_for_a_while_after_each_start(self):
+        """Guards against a run that counts as begun for its age alone.
+
+        Nobody has heard of the run: the leader has ended just after the start,
+        and its successor takes over 20 s later.
+        """
+        site = test_crashing_tasks.CrashHarness(
+            *test_crashing_tasks.workers(10)
+        )
+        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
+        for number in range(1, 9):
+            site.play(60, until=lambda n=number: site.starts() >= n)
+            end = site.now + 20 * SECOND
+            while site.now < end:
+                site.advance(100 * MS)
+            for name in list(site.back_at):
+                del site.back_at[name]
+                site.workers[name].cut_off = False
+            site.take_over()
+        site.play(60)
+        assert site.starts() <= test_crashing_tasks.STARTS_MAX
+
+    def test_two_leaders_after_each_start(self):
+        """Guards against a run that counts as begun as its leaders ended.
+
+        The dead worker is no longer listed. One leader follows another 8 s
+        after the start, and a third one 8 s later; none of them lasts until
+        the leases on the worker have ended.
+        """
+        site = test_crashing_tasks.CrashHarness(
+            *test_crashing_tasks.workers(12)
+        )
+        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
+        for number in range(1, 9):
+            site.play(60, until=lambda n=number: site.starts() >= n)
+            for name in list(site.back_at):
+                del site.back_at[name]
+                site.dispatcher.remove_entry(ids.WorkerId(name))
+                site.entries = tuple(n for n in site.entries if n != name)
+            for _ in range(2):
+                site.play(8)
+                site.take_over()
+        site.play(60)
+        assert site.starts() <= test_crashing_tasks.STARTS_MAX
+
+    def test_services_that_were_proven_are_not_suspected(self):
+        """Guards against blame for what only former leaders had heard of.
+
+        The worker of a service is lost 5 s after its start, together with the
+        leader.
+        """
+        site = test_lapsed_runs.CutHarness(6)
+        step = test_crashing_tasks.step(long_running=True)
+        site.submit(fakes.job(JOB, step))
+        site.play(5)
+        (name,) = site.holders()
+        site.cut(name)
+        site.take_over()
+        site.play(40, until=lambda: site.record().worker != name)
+        assert site.lapsed(name) == 1
+        assert not site.record().suspected
+
+    def test_run_of_an_earlier_version(self):
+        """Guards against a time that passes for a proof.
+
+        Earlier versions stored when the task was assigned.
+        """
+        spec = fakes.job(JOB, test_crashing_tasks.step())
+        row = [0, 0, 0, 1, 1, "w", 0, "", 1, 0, 1_700_000_000_000]
+        value = msgpack.packb([1, "running", 1, False, 0, [row]])
+        progress = stored.decode_progress(spec, value)
+        assert not progress.tasks[test_crashing_tasks.CRASHING].proven
