Start a task only on the incarnation that it was assigned to

Cause: a worker that restarted between the assignment and the start got the start. The stored assignment named the former incarnation, so that the loss of the worker was noted under it, and counted as a crash when the worker, which had run the task all along, was heard of again.

Change: such a start is not sent, as with a worker whose zone or kind has changed meanwhile; the task is placed again at once.

Test: test_loss_is_noted_for_the_incarnation_that_ran_the_task failed before with one crash counted.

--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -108,6 +108,7 @@
                 run.should_run
                 and allowed
                 and _may_start(worker, closed)
+                and _same_incarnation(worker, run)
                 and _same_kind(worker, save.job, run)
                 and _fits(worker, run)
             ):
@@ -198,6 +199,15 @@
     )
 
 
+def _same_incarnation(worker: fleet.Worker, run: fleet.Run) -> bool:
+    """Return whether a worker has not restarted since the assignment.
+
+    The stored assignment names the incarnation, by which a later leader tells
+    whether the run has ended.
+    """
+    return run.incarnation in (0, worker.incarnation)
+
+
 def _same_kind(worker: fleet.Worker, job: jobs.Job, run: fleet.Run) -> bool:
     """Return whether a worker still is of the kind that a task requires."""
     return worker.entry.is_of_kind(job.queue.service, run.step.label)
--- a/tests/dispatch/test_lost_workers.py
+++ b/tests/dispatch/test_lost_workers.py
@@ -127,3 +127,29 @@
         counts.give_up_gone(site.now)
         assert time.process_time() - began < 0.1
         assert not counts.lost_at
+
+
+class TestIncarnations:
+    """A worker restarts, and it is not known which incarnation ran a task."""
+
+    def test_loss_is_noted_for_the_incarnation_that_ran_the_task(self):
+        """Guards against a lost worker that returns and counts as crashed."""
+        site = test_lapsed_runs.CutHarness(2)
+        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
+        saves = site.begin(100, 100)
+        (name,) = [n for n, w in site.dispatcher.workers.items() if w.runs]
+        site.workers[name].restart()
+        site.dispatcher.set_entry(site.entry(name), site.now)
+        site.renew_leases(name)
+        for start in site.commit(saves):
+            site.send(start)
+        site.play(5, until=lambda: bool(site.holders()))
+        (name,) = site.holders()
+        assert site.record().incarnation == site.workers[name].incarnation
+        site.play(0.3)
+        site.cut(name)
+        site.play(40, until=lambda: site.record().worker != name)
+        assert site.lapsed(name) == 1
+        site.reconnect(name)
+        site.step()
+        assert site.record().crashes == 0
