Keep a crash certain that another incarnation has shown

Cause: a worker whose next incarnation was listed and then lost, before it had answered, was noted as a loss that may be no crash, although the crash had been seen. A task at its limit would wait 60 s for it.

Test: test_crash_that_the_next_incarnation_has_shown failed before.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -109,7 +109,8 @@
                 # other cause is more likely.
                 continue
             if not certain:
-                run.crash = fleet.Crash.UNCONFIRMED
+                # Another incarnation may have shown before that it crashed.
+                run.crash = run.crash or fleet.Crash.UNCONFIRMED
             elif many or not run.known_by_worker:
                 run.crash = fleet.Crash.DOUBTFUL
             elif run.isolated and len(suspects) == 1:
--- a/tests/dispatch/test_lost_workers.py
+++ b/tests/dispatch/test_lost_workers.py
@@ -153,3 +153,22 @@
         site.reconnect(name)
         site.step()
         assert site.record().crashes == 0
+
+    def test_crash_that_the_next_incarnation_has_shown(self):
+        """Guards against a sure crash that becomes a doubt.
+
+        The next incarnation is listed, and is lost before it has answered.
+        """
+        site = test_lapsed_runs.CutHarness(3)
+        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
+        site.play(5, until=lambda: bool(site.holders()))
+        (name,) = site.holders()
+        site.play(0.3)
+        site.workers[name].restart()
+        site.workers[name].cut_off = True
+        site.dispatcher.set_entry(site.entry(name), site.now)
+        site.play(1)
+        site.cut(name)
+        site.play(40, until=lambda: site.record().worker != name)
+        record = site.record()
+        assert (record.crashes, record.unconfirmed) == (1, ())
