Take an unknown incarnation for no proof of a crash

Change: such a loss is withdrawn when the worker is heard of.

Test: test_unknown_incarnation failed before.

--- a/src/turmerichook/_internal/dispatch/crash_counts.py
+++ b/src/turmerichook/_internal/dispatch/crash_counts.py
@@ -149,7 +149,8 @@
             if record is None:
                 continue
             for lost in record.pop_unconfirmed(worker.worker):
-                if lost.incarnation == alive:
+                # An unknown incarnation does not prove a crash.
+                if lost.incarnation == alive or 0 in (lost.incarnation, alive):
                     self.note_change(task.job, now)
                     _log(
                         events.DispatchEvent.TASK_CRASH_WITHDRAWN,
--- a/tests/dispatch/test_lost_workers.py
+++ b/tests/dispatch/test_lost_workers.py
@@ -172,3 +172,24 @@
         site.play(40, until=lambda: site.record().worker != name)
         record = site.record()
         assert (record.crashes, record.unconfirmed) == (1, ())
+
+    def test_unknown_incarnation(self):
+        """Guards against an unknown incarnation that passes for another.
+
+        Earlier versions did not store the incarnation of an assignment.
+        """
+        site = test_lapsed_runs.CutHarness(3)
+        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
+        site.play(5, until=lambda: bool(site.holders()))
+        (name,) = site.holders()
+        site.play(0.3)
+        progress = site.dispatcher.jobs[JOB].progress
+        progress.tasks[test_crashing_tasks.CRASHING].incarnation = 0
+        site.saved[JOB] = stored.encode_progress(progress)
+        site.cut(name)
+        site.take_over()
+        site.play(60, until=lambda: site.record().worker != name)
+        assert site.lapsed(name) == 1
+        site.reconnect(name)
+        site.step()
+        assert site.record().crashes == 0
