Count silence as a crash after 3 minutes of a current registry only

Cause: a task that waits for lost workers was given up for good once nothing had been heard of them for 60 s, also after a longer partition, and also while the registry could not be read, so that nothing could be heard.

Change: 3 minutes, which begin anew when the registry is current again. A job that is given up that way counts in jobs_given_up_total, which it did not.

--- a/src/turmerichook/_internal/dispatch/crash_counts.py
+++ b/src/turmerichook/_internal/dispatch/crash_counts.py
@@ -16,7 +16,7 @@
 # A worker that was lost and has neither answered nor been listed for this time
 # counts as crashed. Partitions are over by then as a rule; a job that failed
 # for a worker that is alive could not be brought back.
-GONE_AFTER = datetime.timedelta(seconds=60)
+GONE_AFTER = datetime.timedelta(minutes=3)
 # Time between two searches for tasks whose workers are gone.
 SEARCH_INTERVAL = datetime.timedelta(seconds=2)
 
@@ -57,6 +57,8 @@
         ] = {}
         self.counted: collections.Counter[bool] = collections.Counter()
         self.next_search = fleet.ZERO
+        # Whether the registry is outdated, so that silence proves nothing.
+        self.registry_outdated = False
 
     def pop(self) -> collections.Counter[bool]:
         """Return the crashes counted since the last call."""
@@ -116,7 +118,7 @@
 
     def give_up_gone(self, now: datetime.timedelta) -> None:
         """Give up the tasks that wait for workers that are gone for good."""
-        if now < self.next_search:
+        if now < self.next_search or self.registry_outdated:
             return
         self.next_search = now + SEARCH_INTERVAL
         gone: collections.Counter[model.TaskKey] = collections.Counter()
@@ -135,8 +137,20 @@
                 record.phase is progresses.Phase.WAITING
                 and crashes.at_limit(record, gone=number)
             ):
+                self.counted[True] += 1
                 self._give_up(self.jobs[task.job], task, now)
 
+    def note_registry(
+        self, now: datetime.timedelta, *, outdated: bool
+    ) -> None:
+        """Note that the registry has become outdated or current.
+
+        While it is outdated, workers that are alive may seem to be gone.
+        """
+        self.registry_outdated = outdated
+        for tasks in self.lost_at.values():
+            tasks.update(dict.fromkeys(tasks, now))
+
     def _settle(
         self,
         worker: fleet.Worker,
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -305,6 +305,7 @@
                 else events.DispatchEvent.REGISTRY_CURRENT,
                 age_ms=round((now - confirmed_at) / clocks.MILLISECOND),
             )
+            self.run_tracker.crash_counts.note_registry(now, outdated=outdated)
         self.registry_outdated = outdated
         guarded = {s.service for s in self.configuration.services if s.guarded}
         for worker in self.workers.values():
--- a/tests/dispatch/test_lost_workers.py
+++ b/tests/dispatch/test_lost_workers.py
@@ -8,6 +8,8 @@
 from tests.dispatch import fakes
 from tests.dispatch import test_crashing_tasks
 from tests.dispatch import test_lapsed_runs
+from turmerichook._internal.dispatch import crash_counts
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import stored
@@ -15,6 +17,7 @@
 MS = fakes.MS
 SECOND = fakes.SECOND
 JOB = test_crashing_tasks.JOB
+GONE_S = crash_counts.GONE_AFTER / SECOND
 
 
 class TestUncountedCrashes:
@@ -193,3 +196,49 @@
         site.reconnect(name)
         site.step()
         assert site.record().crashes == 0
+
+
+def waiting_site():
+    """Return a site whose task waits for four lost workers, and these."""
+    site = test_lapsed_runs.CutHarness(8)
+    site.submit(fakes.job(JOB, test_crashing_tasks.step()))
+    names = test_lapsed_runs.lose_in_turn(site, crashes.CRASHES_MAX)
+    site.play(1)
+    return site, names
+
+
+class TestSilentWorkers:
+    """A task waits for workers of which nothing is heard."""
+
+    def test_partition_of_a_minute(self):
+        """Guards against a job that fails although its workers return."""
+        site, names = waiting_site()
+        site.play(65)
+        site.reconnect(*names)
+        site.play(5)
+        assert not site.failed()
+        assert site.running()
+
+    def test_registry_is_outdated(self):
+        """Guards against silence of the registry that counts as a crash.
+
+        Nothing is heard of any worker while the registry is not read.
+        """
+        site, names = waiting_site()
+        site.dispatcher.confirm_registry(site.now)
+        site.play(GONE_S + 10)
+        assert site.dispatcher.registry_outdated
+        site.dispatcher.confirm_registry(site.now)
+        site.step()
+        assert not site.failed()
+        site.reconnect(*names)
+        site.play(2)
+        assert site.running()
+
+    def test_job_that_is_given_up_counts(self):
+        """Guards against a job that is given up and counts nowhere."""
+        site, _ = waiting_site()
+        site.play(GONE_S + 5, until=site.failed)
+        assert site.failed()
+        counted = site.dispatcher.run_tracker.crash_counts.pop()
+        assert counted[True] == 1
