Renew the leases of an unlisted worker after a change of the leader

Callers saw runs end as lapsed on workers that lived, without a cut between them and any leader, while leaders changed and workers left the registry.

Cause: a leader keeps the entry of a worker that the registry drops, and goes on renewing its leases. The next leader reads no entry, so it has no address and opens no session. Only workers that did not answer were stored for it. Each run on an unlisted worker that answered lapsed one lease after the change.

Change: the stored list also names workers with runs that answer and are not listed, with their address and without a time. Their leases are renewed as before, without a further commit, and the next leader expects leases on them for as long as on a worker that is in no list.

A worker whose entry goes while no leader is there, or less than one commit before the change, is still in no list.

--- a/src/turmerichook/_internal/dispatch/inherited_leases.py
+++ b/src/turmerichook/_internal/dispatch/inherited_leases.py
@@ -46,14 +46,13 @@
 class Notes:
     """What the next commit tells the next leader.
 
-    :param named: our time at which the leases have ended, for each worker in
-        the list that is then in force.
+    :param named: the list that is then in force, see ``InheritedLeases``.
     :param writes: writes of a list that replaces the stored one.
     :param changed: whether the commit replaces or removes the stored list.
     """
 
     lease_notes: sequence_value.LeaseNotes
-    named: dict[ids.WorkerId, datetime.timedelta] = dataclasses.field(
+    named: dict[ids.WorkerId, datetime.timedelta | None] = dataclasses.field(
         default_factory=dict
     )
     writes: tuple[interface.Write, ...] = ()
@@ -73,9 +72,13 @@
     successor need not reckon with more, although the registry may no longer
     list such a worker and nobody may ever hear of it again.
 
+    Commits also name the workers with runs that answer although the registry
+    does not list them, as a successor would have no address to renew the
+    leases at. These leases need no further commit.
+
     :ivar earlier_terms_recorded: see ``sequence_value.LeaseNotes``.
     :ivar named: our time at which the leases have ended, for each worker in
-        the stored list.
+        the stored list; None for a worker that answers.
     :ivar inherited: the list that former leaders have stored.
     :ivar open_terms: number of earlier terms with a record; None until the
         records have been read.
@@ -98,7 +101,7 @@
         self.clock = clock
         self.earlier_terms_recorded = False
         self.inherited: dict[ids.WorkerId, silent_workers.SilentWorker] = {}
-        self.named: dict[ids.WorkerId, datetime.timedelta] = {}
+        self.named: dict[ids.WorkerId, datetime.timedelta | None] = {}
         # Id of the commit that wrote the stored list.
         self.silent_commit = ""
         self.next_search = fleet.ZERO
@@ -158,13 +161,18 @@
         if notes.earlier_terms_recorded:
             self._limit(self.began_at + self.unconfirmed + LEASE_MARGIN)
         self.named = {
-            worker: silent_since + silent.remaining
+            worker: (
+                None
+                if silent.remaining is None
+                else silent_since + silent.remaining
+            )
             for worker, silent in self.inherited.items()
         }
-        self.run_tracker.inherited_until_by_worker = dict(self.named)
+        ends = _known_ends(self.named)
+        self.run_tracker.inherited_until_by_worker = ends
         # Another process may have learned of the list sooner, and so reckon
         # with leases that end sooner: none is granted by this list.
-        self._set_limits(dict.fromkeys(self.named, self.began_at))
+        self._set_limits(dict.fromkeys(ends, self.began_at))
 
     def _known_since(self, revision: ids.Revision) -> datetime.timedelta:
         """Return our time by which a change had been made, before the claim.
@@ -189,13 +197,15 @@
         named = self.named
         if now >= self.next_search:
             self.next_search = now + SEARCH_INTERVAL
-            named = self._silent_workers(now)
+            named = self._workers_to_name(now)
         if named == self.named:
             return Notes(
                 lease_notes=self._lease_notes(self.silent_commit), named=named
             )
         commit = self.commit_log.next_id
-        self.run_tracker.lease_limits = _stricter(self.limits, named)
+        self.run_tracker.lease_limits = _stricter(
+            self.limits, _known_ends(named)
+        )
         return Notes(
             lease_notes=self._lease_notes(commit if named else ""),
             named=named,
@@ -211,14 +221,16 @@
     def _list_writes(
         self,
         commit: str,
-        named: dict[ids.WorkerId, datetime.timedelta],
+        named: dict[ids.WorkerId, datetime.timedelta | None],
         now: datetime.timedelta,
     ) -> tuple[interface.Write, ...]:
         silent = {}
         for worker_id, until in named.items():
             worker = self.run_tracker.workers[worker_id]
             silent[worker_id] = silent_workers.SilentWorker(
-                remaining=max(until - now, fleet.ZERO),
+                remaining=(
+                    None if until is None else max(until - now, fleet.ZERO)
+                ),
                 address=worker.entry.address if worker.entry else "",
                 draining=worker.draining,
             )
@@ -237,28 +249,35 @@
         if notes.changed:
             self.named = notes.named
             self.silent_commit = notes.lease_notes.silent
-            self._set_limits(dict(notes.named))
+            self._set_limits(_known_ends(notes.named))
 
-    def _silent_workers(
+    def _workers_to_name(
         self, now: datetime.timedelta
-    ) -> dict[ids.WorkerId, datetime.timedelta]:
-        """Return the workers to name, and when leases on them have ended."""
+    ) -> dict[ids.WorkerId, datetime.timedelta | None]:
+        """Return the list to store, see ``named``."""
         if not self.earlier_terms_recorded:
             return {}
+        busy = [w for w in self.run_tracker.workers.values() if w.runs]
         silent = (
-            worker
-            for worker in self.run_tracker.workers.values()
-            if worker.runs
-            and (
-                _may_be_lost(worker)
-                if worker.clock_read_at
-                else self._not_reached(worker, now)
-            )
+            (worker.worker, self._ended_at(worker, now))
+            for worker in busy
+            if self._silent(worker, now)
         )
-        return {
-            worker.worker: self._ended_at(worker, now)
-            for worker in itertools.islice(silent, NAMED_MAX)
-        }
+        unlisted = (
+            (worker.worker, None)
+            for worker in busy
+            if not worker.listed
+            and worker.entry is not None
+            and not self._silent(worker, now)
+        )
+        return dict(
+            itertools.islice(itertools.chain(silent, unlisted), NAMED_MAX)
+        )
+
+    def _silent(self, worker: fleet.Worker, now: datetime.timedelta) -> bool:
+        if worker.clock_read_at:
+            return _may_be_lost(worker)
+        return self._not_reached(worker, now)
 
     def _not_reached(
         self, worker: fleet.Worker, now: datetime.timedelta
@@ -269,7 +288,7 @@
             and now <= self.run_tracker.inherited_leases_until
             and (
                 now - self.began_at >= SILENT_AFTER
-                or worker.worker in self.named
+                or self.named.get(worker.worker) is not None
             )
         )
 
@@ -346,6 +365,14 @@
     return not worker.reachable or worker.draining
 
 
+def _known_ends(
+    named: dict[ids.WorkerId, datetime.timedelta | None],
+) -> dict[ids.WorkerId, datetime.timedelta]:
+    return {
+        worker: until for worker, until in named.items() if until is not None
+    }
+
+
 def _stricter(
     limits: dict[ids.WorkerId, datetime.timedelta],
     others: dict[ids.WorkerId, datetime.timedelta],
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -164,10 +164,10 @@
         )
 
     def _call_silent_workers(self) -> None:
-        """Open sessions with silent workers that are no longer registered.
+        """Open sessions with workers that are no longer registered.
 
-        If another incarnation answers at its address, a worker's runs have
-        certainly ended.
+        A worker that lives keeps its runs. If another incarnation answers at
+        its address, they have certainly ended.
         """
         for worker_id, silent in self.inherited_leases.inherited.items():
             if silent.address and self.dispatcher.restore_entry(
--- a/src/turmerichook/_internal/dispatch/silent_workers.py
+++ b/src/turmerichook/_internal/dispatch/silent_workers.py
@@ -1,6 +1,6 @@
-"""Stored list of the workers that did not answer the leader.
+"""Stored list of the workers that are silent or no longer registered.
 
-The list tells the next leader how long leases on these workers can last, and
+The list tells the next leader how long leases on silent workers can last, and
 where to call a worker that the registry no longer lists.
 """
 
@@ -15,15 +15,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SilentWorker:
-    """A worker that holds runs and has not answered the leader.
+    """A worker with runs that is silent or that the registry does not list.
 
     :param remaining: time from the commit until all leases on the worker have
-        ended. No leader grants a later one before it replaces the list.
+        ended. No leader grants a later one before it replaces the list. None
+        for a worker that answers, whose leases are renewed without a commit.
     :param address: address of the worker; empty if unknown.
     :param draining: whether the worker had announced its shutdown.
     """
 
-    remaining: datetime.timedelta
+    remaining: datetime.timedelta | None
     address: str = ""
     draining: bool = False
 
@@ -35,7 +36,11 @@
     """
     rows = {
         worker: [
-            -(-silent.remaining // clocks.MILLISECOND),
+            (
+                None
+                if silent.remaining is None
+                else -(-silent.remaining // clocks.MILLISECOND)
+            ),
             silent.address,
             silent.draining,
         ]
@@ -56,7 +61,11 @@
             raise ValueError("written by another commit")
         return {
             ids.WorkerId(worker): SilentWorker(
-                remaining=remaining * clocks.MILLISECOND,
+                remaining=(
+                    None
+                    if remaining is None
+                    else remaining * clocks.MILLISECOND
+                ),
                 address=address,
                 draining=bool(draining),
             )
--- a/tests/dispatch/test_silent_workers.py
+++ b/tests/dispatch/test_silent_workers.py
@@ -17,6 +17,9 @@
     ids.WorkerId("i-2"): silent_workers.SilentWorker(
         remaining=datetime.timedelta()
     ),
+    ids.WorkerId("i-3"): silent_workers.SilentWorker(
+        remaining=None, address="10.0.0.3:80"
+    ),
 }
 
 
