End the session with a worker that the leader has forgotten

Callers saw work stopped and started again on a worker that had just returned.

Cause: the leader forgets a worker that has no runs, does not answer and is not listed. Its session goes on while it has an end to acknowledge. When the registry lists the worker again, it gets a second session. The former one then reads a report, knows none of the new runs, and stops them as not assigned.

Change: the session that a new one replaces is cancelled.

--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -84,6 +84,7 @@
         self.dispatcher.closed_zones = set(closed_zones)
         self.changed = asyncio.Event()
         self.sessions: dict[ids.WorkerId, sessions.Session] = {}
+        self.session_tasks: dict[ids.WorkerId, asyncio.Task] = {}
         self.feeds = feeds.Feeds(
             storage=storage,
             registry_format=registry_format,
@@ -227,7 +228,11 @@
             changed=self.changed,
         )
         self.sessions[worker_id] = session
-        self._spawn(session.run())
+        if existing is not None:
+            # The worker was forgotten meanwhile. The former session takes all
+            # runs that the worker lists now for strays.
+            self.session_tasks[worker_id].cancel()
+        self.session_tasks[worker_id] = self._spawn(session.run())
 
     # Rounds
 
@@ -312,10 +317,11 @@
         self,
         coroutine: collections.abc.Coroutine[typing.Any, typing.Any, None],
         name: str = "",
-    ) -> None:
+    ) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine, name=name)
         self.tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
--- a/tests/dispatch/test_lease_gaps.py
+++ b/tests/dispatch/test_lease_gaps.py
@@ -181,3 +181,47 @@
         lapsed, starts, remaining = asyncio.run(scenario())
         assert (lapsed, starts) == (0, 1)
         assert remaining > LEASE / 2
+
+
+class TestReturnedWorker:
+    """A worker is listed again after the leader has forgotten it."""
+
+    def test_former_session_stops_no_run(self):
+        """Guards against two sessions with one worker.
+
+        The one from before the worker was forgotten still had an end to
+        acknowledge. It knew none of the new runs, and stopped them.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                process = site.start("a")
+                await process.lead()
+                worker = site.workers.workers["w1"]
+                site.workers.workers["w2"].cut_off = True
+                site.storage.remove("workers/w2")
+                test_leader.Site.submit(site, fakes.job(TASK.job))
+                await site.until(lambda: worker.running)
+                renew = site.workers.renew
+
+                async def renew_until_acknowledged(entry, order):
+                    worker.cut_off = worker.cut_off or order.acknowledged > 0
+                    return await renew(entry, order)
+
+                site.workers.renew = renew_until_acknowledged
+                worker.end(TASK, model.EndKind.DONE)
+                await site.until(lambda: worker.cut_off)
+                site.workers.renew = renew
+                site.storage.remove("workers/w1")
+                known = process.leader.dispatcher.workers
+                await site.until(lambda: "w1" not in known)
+                step = fakes.step(long_running=True, estimate=1000 * SECOND)
+                spec = fakes.job("00000000000000bb", step)
+                test_leader.Site.submit(site, spec)
+                worker.cut_off = False
+                site.storage.put("workers/w1", b"")
+                await site.until(lambda: worker.running)
+                await asyncio.sleep(1)
+                return [end.kind for end in worker.ends], site.starts()
+
+        assert asyncio.run(scenario()) == ([], 2)
