Ask for a report at once after a renewal without an answer

Callers saw runs lapse on an unlisted worker that lived, although calls to it were lost for less than the length of a lease.

Cause: after a renewal without an answer, an unlisted worker gets no lease before it has answered. The call that asks it still let it delay the report for 600 ms, and the next call after a lost one came 600 ms later.

Evidence: TestLostCalls in test_lease_gaps.py, with leases of 6 s. With calls lost for 4 and 4.5 s, both runs on the unlisted worker lapsed; up to 3 s, and on a listed worker, none did.

Change: a renewal that follows a failed one asks for a report without a delay.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -259,6 +259,9 @@
             return datetime.timedelta()
         if not self.worker.runs:
             return datetime.timedelta()
+        if self.failures:
+            # A worker that is not listed gets no lease before it answers.
+            return datetime.timedelta()
         return REPORT_WAIT
 
     def _has_unsettled_runs(self) -> bool:
--- a/tests/dispatch/test_lease_gaps.py
+++ b/tests/dispatch/test_lease_gaps.py
@@ -2,19 +2,27 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import datetime
 
 import pytest
 
 from tests.dispatch import fakes
 from tests.dispatch import test_inherited_leases
 from tests.dispatch import test_leader
+from tests.dispatch import test_session
+from turmerichook._internal.dispatch import session as sessions
+from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
+from turmerichook import exceptions
 
 MS = fakes.MS
 SECOND = fakes.SECOND
 TASK = test_leader.TASK
 LEASE = test_inherited_leases.TIMING.lease_max
 TICK_S = 0.02
+# Time-out of a call beyond the time for which it may be delayed.
+CALL_TIMEOUT = 800 * MS
 # Time after which a lease that nobody renews has ended.
 PAST_LEASE_S = (LEASE + SECOND).total_seconds()
 
@@ -225,3 +233,135 @@
                 return [end.kind for end in worker.ends], site.starts()
 
         assert asyncio.run(scenario()) == ([], 2)
+
+
+class LossyLink:
+    """A link to a worker that loses all calls for a time.
+
+    The worker's clock follows the leader's, and its runs lapse. It delays a
+    report for as long as it is asked to.
+    """
+
+    def __init__(self, fixture):
+        self.fixture = fixture
+        self.clock = fixture.clock
+        self.worker = fixture.worker
+        self.lost_until = datetime.timedelta()
+        self.last = self.clock.uptime()
+        self.renewal = fixture.workers.renew
+        fixture.workers.renew = self.renew
+
+    def _advance(self):
+        now = self.clock.uptime()
+        self.worker.clock += now - self.last
+        self.last = now
+        self.worker.lapse()
+
+    async def renew(self, entry, order):
+        self._advance()
+        if self.clock.uptime() < self.lost_until:
+            await self.clock.sleep(order.wait + CALL_TIMEOUT)
+            raise exceptions.WorkerUnreachableError(message="no answer")
+        self.worker.renew(order)
+        await self.clock.sleep(order.wait)
+        self._advance()
+        return await self.renewal(
+            entry, dataclasses.replace(order, wait=datetime.timedelta())
+        )
+
+
+class TestLostCalls:
+    """Calls to a worker that lives are lost for less than a lease."""
+
+    @pytest.mark.parametrize("listed", (True, False))
+    @pytest.mark.parametrize("lost_s", (0.5, 1, 2, 3, 4, 4.5))
+    def test_run_outlives_lost_calls(self, lost_s, listed):
+        """Guards against a lease that ends while a report is delayed.
+
+        The worker was reached in time, but was asked to delay its report.
+        """
+
+        async def scenario():
+            fixture = test_session.SessionFixture(test_session.SkippingClock())
+            session = fixture.session
+            session.timing = dataclasses.replace(
+                fakes.TIMING, lease_max=6 * SECOND
+            )
+            link = LossyLink(fixture)
+            await fixture.start()
+            for _ in range(3):
+                await session._renew()
+            if not listed:
+                fixture.dispatcher.remove_entry(ids.WorkerId("w1"))
+            link.lost_until = fixture.clock.uptime() + lost_s * SECOND
+            end = fixture.clock.uptime() + 10 * SECOND
+            while fixture.clock.uptime() < end:
+                session.term.confirmed_at = fixture.clock.uptime()
+                await session._renew()
+            return len(fixture.worker.running), len(session.worker.runs)
+
+        assert asyncio.run(scenario()) == (2, 2)
+
+
+class TestPausedLeader:
+    """The leader's process is suspended, and the workers are not."""
+
+    @pytest.mark.parametrize("pause_s", (0.5, 1, 2, 5))
+    def test_no_conclusion_from_a_pause(self, pause_s, monkeypatch):
+        """Guards against leases that a leader takes for ended by itself.
+
+        After a longer pause its own lease is gone, and it leads again.
+        """
+        monkeypatch.setattr(
+            test_inherited_leases,
+            "TIMING",
+            dataclasses.replace(fakes.TIMING, lease_max=6 * SECOND),
+        )
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                name = await site.run_task(first)
+                view = first.leader.dispatcher.workers[name]
+                site.clock.moved += pause_s * SECOND
+                await asyncio.sleep(test_inherited_leases.REACTION_S)
+                seen = view.reachable, len(view.runs)
+                if first.term.ended.is_set():
+                    await first.kill()
+                    second = site.start("b")
+                    await second.lead()
+                await asyncio.sleep(PAST_LEASE_S)
+                return seen, site.lapsed(), site.starts()
+
+        assert asyncio.run(scenario()) == ((True, 1), 0, 1)
+
+
+class TestShortestLeaseOfAStart:
+    """A start is sent while the store does not confirm the term."""
+
+    def test_start_has_the_time_for_a_renewal(self):
+        """Guards against a start whose lease ends before the next renewal."""
+
+        async def scenario():
+            fixture = test_session.SessionFixture(test_session.SkippingClock())
+            await fixture.session._renew()
+            now = fixture.clock.uptime()
+            fixture.dispatcher.place(now, now, 10)
+            saves = fixture.dispatcher.next_saves(10)
+            orders = fixture.dispatcher.committed(saves, now)
+            term = fixture.session.term
+            while term.has_authority():
+                last = fixture.clock.uptime() - now
+                await fixture.clock.sleep(10 * MS)
+            fixture.clock.skipped -= 20 * MS
+            assert term.has_authority()
+            for order in orders:
+                await fixture.session.start(order)
+            assert last > SECOND
+            return fixture.worker.lease_until - fixture.worker.clock
+
+        remaining = asyncio.run(scenario())
+        # A failed renewal, and the next one.
+        needed = 2 * (CALL_TIMEOUT + sessions.REPORT_WAIT)
+        assert remaining > needed + sessions.RETRY_PAUSE
