Ask for a short delay of the report while a worker gets no lease

Callers saw runs lapse on workers that answered a new leader in time.

Cause: a worker in the stored list of silent workers gets no lease before a commit has replaced the list. The request that follows its first answer still let it delay the report for 600 ms, so that its lease came up to 600 ms after a commit that takes some 100 ms.

Change: without a lease that only the list withholds, the worker is asked to answer after 250 ms. While the store is away, a limited worker is called four times in a second; leases that end as the term is unconfirmed are not affected.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -184,11 +184,12 @@
         worker = self.worker
         asked = self.dispatcher.settlement.next_sequence_number()
         acknowledged = worker.acknowledged
+        lease_until = self._lease_until()
         order = orders.Renewal(
             token=self.term.token,
             acknowledged=acknowledged,
-            lease_until=self._lease_until(),
-            wait=self._report_wait(),
+            lease_until=lease_until,
+            wait=self._report_wait(lease_until),
         )
         try:
             report = await self.workers.renew(worker.entry, order)
@@ -250,7 +251,13 @@
         )
         return min(lease_max, remaining)
 
-    def _report_wait(self) -> datetime.timedelta:
+    def _report_wait(
+        self, lease_until: datetime.timedelta | None
+    ) -> datetime.timedelta:
+        """Return how long the worker may delay its report.
+
+        :param lease_until: the lease that the worker gets with the request.
+        """
         if (
             not self.worker.report_received
             or self._has_unsettled_runs()
@@ -262,6 +269,9 @@
         if self.failures:
             # A worker that is not listed gets no lease before it answers.
             return datetime.timedelta()
+        if lease_until is None and self._lease_limit() is not None:
+            # The next commit may allow a lease.
+            return RETRY_PAUSE
         return REPORT_WAIT
 
     def _has_unsettled_runs(self) -> bool:
--- a/tests/dispatch/test_lease_gaps.py
+++ b/tests/dispatch/test_lease_gaps.py
@@ -302,6 +302,32 @@
 
         assert asyncio.run(scenario()) == (2, 2)
 
+    @pytest.mark.parametrize("commit_ms", (50, 150, 240))
+    def test_run_outlives_the_wait_for_a_commit(self, commit_ms):
+        """Guards against a lease that ends while a report is delayed.
+
+        The worker was in the stored list of silent workers. The commit that
+        allows a new lease was made in time.
+        """
+
+        async def scenario():
+            fixture = test_session.SessionFixture(test_session.SkippingClock())
+            session = fixture.session
+            LossyLink(fixture)
+            await fixture.start()
+            await session._renew()
+            now = fixture.clock.uptime()
+            fixture.worker.lease_until = fixture.worker.clock + 400 * MS
+            limits = fixture.dispatcher.run_tracker.lease_limits
+            limits[ids.WorkerId("w1")] = now
+            while fixture.clock.uptime() < now + SECOND:
+                if fixture.clock.uptime() >= now + commit_ms * MS:
+                    limits.clear()
+                await session._renew()
+            return len(fixture.worker.running)
+
+        assert asyncio.run(scenario()) == 2
+
 
 class TestPausedLeader:
     """The leader's process is suspended, and the workers are not."""
@@ -365,3 +391,45 @@
         # A failed renewal, and the next one.
         needed = 2 * (CALL_TIMEOUT + sessions.REPORT_WAIT)
         assert remaining > needed + sessions.RETRY_PAUSE
+
+
+class TestUnsentStarts:
+    """A term ends between a commit and the starts that it releases."""
+
+    @pytest.mark.parametrize("planned", (True, False))
+    def test_tasks_start_at_once_under_the_next_leader(self, planned):
+        """Guards against tasks that wait for leases that nobody granted."""
+        count = 12
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                views = first.leader.dispatcher.workers.values()
+                await site.until(lambda: all(v.clock for v in views))
+                release = first.leader.committer._send_starts
+
+                def end_term(saves):
+                    if any(save.runs for save in saves):
+                        first.term.end("test")
+                    release(saves)
+
+                first.leader.committer._send_starts = end_term
+                step = fakes.step(count, estimate=1000 * SECOND)
+                test_leader.Site.submit(site, fakes.job(TASK.job, step))
+                await site.until(first.term.ended.is_set)
+                await asyncio.sleep(0.1)
+                before = site.starts()
+                if planned:
+                    await first.hand_over()
+                else:
+                    await first.kill()
+                began = site.clock.uptime()
+                second = site.start("b")
+                await second.lead()
+                await site.until(lambda: site.starts() == count)
+                return before, site.clock.uptime() - began
+
+        before, waited = asyncio.run(scenario())
+        assert before == 0
+        assert waited < LEASE
