Take a worker that answers again off the list with the next commit

Callers saw start-refused with the reason expired in bursts, as workers came back after a cut.

Cause: no start is sent to a worker that the stored list of silent workers names. The list is searched for changes each 100 ms, and commits may follow each 25 ms. A worker that answers is open for placement at once, so that the commits until the next search placed tasks on it and sent none of the starts. Each time the tasks waited again, and used up a run number.

The test in test_lease_gaps.py, with a later search, failed before.

Change: a commit searches for silent workers if one that the list limits answers again.

--- a/src/turmerichook/_internal/dispatch/inherited_leases.py
+++ b/src/turmerichook/_internal/dispatch/inherited_leases.py
@@ -195,7 +195,7 @@
         """
         now = self.clock.uptime()
         named = self.named
-        if now >= self.next_search:
+        if now >= self.next_search or self._any_answers_again():
             self.next_search = now + SEARCH_INTERVAL
             named = self._workers_to_name(now)
         if named == self.named:
@@ -213,6 +213,23 @@
             changed=True,
         )
 
+    def _any_answers_again(self) -> bool:
+        """Return whether a worker without leases may have them again.
+
+        The commit may place tasks on it, and no start can be sent to it while
+        the list names it.
+        """
+        workers = (
+            self.run_tracker.workers.get(worker_id)
+            for worker_id in self.limits
+        )
+        return any(
+            worker is not None
+            and worker.clock_read_at
+            and not _may_be_lost(worker)
+            for worker in workers
+        )
+
     def _lease_notes(self, silent: str) -> sequence_value.LeaseNotes:
         return sequence_value.LeaseNotes(
             earlier_terms_recorded=self.earlier_terms_recorded, silent=silent
--- a/tests/dispatch/test_lease_gaps.py
+++ b/tests/dispatch/test_lease_gaps.py
@@ -11,6 +11,7 @@
 from tests.dispatch import test_inherited_leases
 from tests.dispatch import test_leader
 from tests.dispatch import test_session
+from turmerichook._internal.dispatch import inherited_leases
 from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
@@ -394,7 +395,7 @@
 
 
 class TestUnsentStarts:
-    """A term ends between a commit and the starts that it releases."""
+    """A commit is made, and the starts that it releases are not sent."""
 
     @pytest.mark.parametrize("planned", (True, False))
     def test_tasks_start_at_once_under_the_next_leader(self, planned):
@@ -433,3 +434,42 @@
         before, waited = asyncio.run(scenario())
         assert before == 0
         assert waited < LEASE
+
+    def test_start_on_a_worker_that_answers_again(self, monkeypatch):
+        """Guards against starts that are committed and then not sent.
+
+        The worker gets no lease before a commit takes it off the list of
+        silent workers. The commits that placed tasks on it left it there.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                process = site.start("a")
+                await process.lead()
+                name = await site.run_task(process)
+                worker = site.workers.workers[name]
+                for other in site.workers.workers:
+                    if other != name:
+                        await site.unlist(process, other)
+                worker.cut_off = True
+                inherited = process.leader.inherited_leases
+                await site.until(lambda: inherited.named)
+                # The next search for silent workers is far ahead.
+                monkeypatch.setattr(
+                    inherited_leases, "SEARCH_INTERVAL", 60 * SECOND
+                )
+                await site.until(
+                    lambda: (
+                        inherited.next_search - site.clock.uptime()
+                        > 30 * SECOND
+                    )
+                )
+                step = fakes.step(estimate=1000 * SECOND)
+                spec = fakes.job("00000000000000bb", step)
+                test_leader.Site.submit(site, spec)
+                await asyncio.sleep(test_inherited_leases.REACTION_S)
+                worker.cut_off = False
+                await site.until(lambda: site.starts() == 2)
+                return worker.starts[-1][1], site.lapsed()
+
+        assert asyncio.run(scenario()) == (1, 0)
