Test that a lost worker on no list with a time keeps its leases

The list of silent workers names an unlisted worker that answers, without the end of its leases. The test guards against a successor that takes them for ended before a former leader has stopped to renew them.

--- a/tests/dispatch/test_lease_gaps.py
+++ b/tests/dispatch/test_lease_gaps.py
@@ -145,6 +145,32 @@
 
         assert asyncio.run(scenario()) == 0
 
+    def test_lost_worker_is_not_given_up_early(self):
+        """Guards against two runs of a task at the same time.
+
+        The list has no end of the leases on a worker that answers, and the
+        former leader may still renew them.
+        """
+
+        async def scenario():
+            async with new_site() as site:
+                first = site.start("a")
+                await first.lead()
+                name = await site.run_task(first)
+                await site.unlist(first, name)
+                second = site.start("b")
+                await first.kill()
+                site.workers.workers[name].cut_off = True
+                claimed_at = site.clock.uptime()
+                await second.lead()
+                await asyncio.sleep(test_inherited_leases.REACTION_S)
+                tracker = second.leader.dispatcher.run_tracker
+                until = tracker.leases_until(tracker.workers[name])
+                return until - claimed_at
+
+        bound = asyncio.run(scenario())
+        assert bound >= test_inherited_leases.FULL_BOUND
+
     def test_run_goes_on_under_one_leader(self):
         """Guards against a run that is given up with the worker's entry."""
 
