Know which workers shut down before the registry is read

Seen by callers: nothing yet. In random plays without any crash, tasks count crashes of workers and start alone; the fourth in a row fails the job.

Cause: a leader stores which workers drain. Its successor looked at this list after the registry, and only for workers that are not listed. A worker that was back by then as another incarnation counted as crashed under the runs that it had, although its stop was planned and noted.

Evidence: TestPlannedStopAtAChange failed before, with one crash counted.

Change: the successor restores the stored entries once the jobs are read, and before it reads the registry. A listed worker's entry replaces the stored one after its former runs are settled.

Result: tests/dispatch passes.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -240,16 +240,15 @@
 
     def restore_entry(
         self, worker_id: ids.WorkerId, address: str, *, draining: bool
-    ) -> bool:
-        """Add what is left of the entry of a worker that is not registered.
-
-        Nothing is placed on it.
+    ) -> None:
+        """Add what is left of the entry of a worker that has runs.
 
-        :returns: whether the worker has runs and had no entry.
+        Nothing is placed on it unless an entry in the registry replaces this
+        one, which is not used if there is an entry already.
         """
         worker = self.workers.get(worker_id)
         if worker is None or worker.entry is not None:
-            return False
+            return
         worker.entry = deployment.WorkerEntry(
             worker=worker_id,
             incarnation=0,
@@ -267,7 +266,6 @@
             cold=fleet.ZERO,
             remaining=None,
         )
-        return True
 
     def remove_entry(self, worker_id: ids.WorkerId) -> None:
         """Record that the registry no longer lists a worker.
--- a/src/turmerichook/_internal/dispatch/feeds.py
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -93,12 +93,20 @@
             confirm=self._confirm_registry,
         )
 
-    async def recover(self, term: leadership.Term) -> None:
+    async def recover(
+        self,
+        term: leadership.Term,
+        *,
+        jobs_read: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
         """Read the state that former leaders have stored.
 
         Must be called once former leaders cannot change this state any more.
         The registry is read last: until all jobs have been read, a worker's
         report cannot be interpreted and its ends must not be acknowledged.
+
+        :param jobs_read: called before the registry is read, again if that
+            has to be repeated.
         """
         while not term.ended.is_set():
             try:
@@ -110,6 +118,7 @@
                 }
                 await self.inbox.list()
                 self._recover_final()
+                jobs_read()
                 await self.registry.list()
                 break
             except exceptions.StoreError as error:
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -125,7 +125,9 @@
             await self._open_log()
             self.inherited_leases.open()
             self._spawn(self.inherited_leases.run())
-            await self.feeds.recover(self.term)
+            await self.feeds.recover(
+                self.term, jobs_read=self._restore_entries
+            )
             self._call_silent_workers()
             self._log_recovered()
             self._spawn(self.feeds.inbox.run())
@@ -163,16 +165,27 @@
             earlier_terms_recorded=inherited.earlier_terms_recorded,
         )
 
+    def _restore_entries(self) -> None:
+        """Add what former leaders have stored of silent workers' entries.
+
+        The registry may already list another incarnation of a worker that
+        has shut down as planned. That it was draining must be known by then.
+        """
+        for worker_id, silent in self.inherited_leases.inherited.items():
+            if silent.address:
+                self.dispatcher.restore_entry(
+                    worker_id, silent.address, draining=silent.draining
+                )
+
     def _call_silent_workers(self) -> None:
         """Open sessions with silent workers that are no longer registered.
 
         If another incarnation answers at its address, a worker's runs have
         certainly ended.
         """
-        for worker_id, silent in self.inherited_leases.inherited.items():
-            if silent.address and self.dispatcher.restore_entry(
-                worker_id, silent.address, draining=silent.draining
-            ):
+        for worker_id in self.inherited_leases.inherited:
+            worker = self.dispatcher.workers.get(worker_id)
+            if worker is not None and worker.entry is not None:
                 self._ensure_session(worker_id)
 
     async def _close(self) -> None:
