Do not suspect a worker for services that fail after a long run

Cause: `failed` ends of three jobs without a `done` in between make a worker suspected, and it gets one task each 4 s then. Tasks that last may fail at any time and never end `done`, so that a worker of services stays suspected for good. An end that says nothing of the worker counted against it.

Evidence: TestFailedServices failed before: 6 s after the leases of the lost worker had ended, jobs had one task of three running.

Change: a `failed` end of such a task doesn't count against its worker once reports have listed the run for 4 s. A worker that fails all that it starts ends its runs sooner.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -377,6 +377,11 @@
             return False
         if kind is not model.EndKind.FAILED:
             return False
+        if run.step.long_running and run.begun:
+            if now - run.first_listed_at >= SUSPENSION_TIME:
+                # Such a task may fail at any time. A worker that fails what
+                # it starts ends it sooner.
+                return False
         self.failed_jobs.add(run.task.job)
         if not self.suspected:
             return False
--- a/tests/dispatch/test_failure_proofs.py
+++ b/tests/dispatch/test_failure_proofs.py
@@ -644,3 +644,36 @@
         monkeypatch.setattr(test_leader.Registry, "decode", decode)
         record = asyncio.run(scenario())
         assert (record.crashes, record.unconfirmed) == (0, ())
+
+
+class TestFailedServices:
+    """Tasks that last fail at any time, through no fault of their workers."""
+
+    def test_do_not_close_their_workers(self):
+        """Guards against services that wait for workers that are sound.
+
+        Services of several jobs had each failed on a worker after a long run,
+        which was then taken for one that fails whatever it starts.
+        """
+        site = test_crashing_tasks.CrashHarness(
+            *test_crashing_tasks.workers(3)
+        )
+        site.crashing = set()
+        jobs = [ids.JobId(f"{number:016x}") for number in range(8)]
+        service = test_crashing_tasks.step(count=3, long_running=True)
+        for job in jobs:
+            site.submit(fakes.job(job, service))
+        site.play(10)
+        for worker in site.workers.values():
+            for task in sorted(worker.running):
+                worker.end(task, model.EndKind.FAILED)
+                site.play(10)
+        site.crash("w0")
+        # It does not return.
+        site.back_at.clear()
+        site.dispatcher.remove_entry(ids.WorkerId("w0"))
+        lost = site.dispatcher.workers[ids.WorkerId("w0")]
+        site.play(20, until=lambda: not lost.runs)
+        # LOST allows 6 s.
+        site.play(6)
+        assert [len(site.running(job)) for job in jobs] == [3] * len(jobs)
