Do not count a lost worker of unknown incarnation as crashed

Seen by callers: nothing. Found by reading; it takes a task that a version without stored incarnations had assigned, or a report without `born`.

Cause: an unconfirmed crash counts once the worker answers as another incarnation than the stored one, and 0, which stands for an unknown one, differs from every other.

Evidence: TestUnknownIncarnation failed before, with one crash counted.

Change: such a crash is withdrawn when the worker answers, and still counts if the worker has certainly ended.

Result: the test passes, and so do test_lapsed_runs, test_crashing_tasks and test_crashes_and_leaders.

--- a/src/turmerichook/_internal/dispatch/crash_counts.py
+++ b/src/turmerichook/_internal/dispatch/crash_counts.py
@@ -104,7 +104,8 @@
     ) -> None:
         """Settle the unconfirmed crashes of a worker that is alive.
 
-        Those of its present incarnation are withdrawn, others are counted.
+        Those of its present incarnation are withdrawn, and those of an unknown
+        one. Others are counted.
         """
         self._settle(worker, now, alive=worker.incarnation)
 
@@ -144,7 +145,7 @@
             if record is None:
                 continue
             for lost in record.pop_unconfirmed(worker.worker):
-                if lost.incarnation == alive:
+                if alive is not None and _may_be_same(lost.incarnation, alive):
                     self.note_change(task.job, now)
                     _log(
                         events.DispatchEvent.TASK_CRASH_WITHDRAWN,
@@ -217,6 +218,14 @@
                 del self.lost_at[worker]
 
 
+def _may_be_same(incarnation: int, other: int) -> bool:
+    """Return whether two incarnations of a worker may be the same.
+
+    Incarnation 0 is one that was not reported or not stored.
+    """
+    return incarnation == other or not (incarnation and other)
+
+
 def _log(
     event: events.DispatchEvent,
     task: model.TaskKey,
--- a/tests/dispatch/test_failure_proofs.py
+++ b/tests/dispatch/test_failure_proofs.py
@@ -21,6 +21,7 @@
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import stored
 
 MS = fakes.MS
@@ -677,3 +678,28 @@
         # LOST allows 6 s.
         site.play(6)
         assert [len(site.running(job)) for job in jobs] == [3] * len(jobs)
+
+
+class TestUnknownIncarnation:
+    """A task was lost with a worker whose incarnation is not known."""
+
+    def test_does_not_count_when_the_worker_answers(self):
+        """Guards against a crash that only two unlike numbers prove.
+
+        A version that did not store incarnations had assigned the task.
+        """
+        site = test_lapsed_runs.CutHarness(4)
+        site.submit(fakes.job(test_crashing_tasks.JOB))
+        site.play(1)
+        (name,) = site.holders()
+        site.cut(name)
+        lost = progresses.LostWorker(ids.WorkerId(name), 0)
+        site.record().note_unconfirmed(lost)
+        site.dispatcher.run_tracker.note_change(
+            test_crashing_tasks.JOB, site.now
+        )
+        site.step()
+        site.take_over()
+        site.reconnect(name)
+        site.step()
+        assert (site.record().crashes, site.record().unconfirmed) == (0, ())
