Play runs that end as failed beside cuts and changes of the leader

A job may fail only once a task has failed as often as its queue allows, by the count of the workers, or two workers have crashed under it.

--- a/tests/dispatch/test_failure_proofs.py
+++ b/tests/dispatch/test_failure_proofs.py
@@ -104,6 +104,8 @@
         whether they were draining.
     :ivar crashes_under: for each task, how many processes of workers that ran
         it have ended without notice.
+    :ivar fail_share: share of the short tasks' runs that end as ``failed``.
+    :ivar failed_ends: for each task, how many of its runs have ended so.
     """
 
     def __init__(self, draw):
@@ -123,6 +125,8 @@
         self.report_late = set()
         self.noted = {}
         self.crashes_under = collections.Counter()
+        self.fail_share = 0.0
+        self.failed_ends = collections.Counter()
         self.began = {}
         self.gangs_together = {}
         self.number = 0
@@ -458,7 +462,11 @@
                 continue
             needed = random.Random(str(task)).choice((0.5, 1.5, 3, 6))
             if self.now - began >= needed * SECOND:
-                self.workers[name].end(task, model.EndKind.DONE)
+                kind = model.EndKind.DONE
+                if self.fail_share and self.draw.random() < self.fail_share:
+                    kind = model.EndKind.FAILED
+                    self.failed_ends[task] += 1
+                self.workers[name].end(task, kind)
 
     def break_gangs(self):
         members = collections.defaultdict(list)
@@ -504,9 +512,14 @@
 
     def proven(self, job):
         """Return whether a task of a job must not be started again."""
+        limits = (
+            (self.crashes_under, CRASHES_PROVEN),
+            (self.failed_ends, fakes.QUEUE.max_attempts),
+        )
         return any(
-            count >= CRASHES_PROVEN
-            for task, count in self.crashes_under.items()
+            count >= limit
+            for counts, limit in limits
+            for task, count in counts.items()
             if task.job == job
         )
 
@@ -599,6 +612,25 @@
         assert site.idle_tasks() == []
 
 
+class TestFailedEnds:
+    """Runs end as ``failed`` beside cuts and changes of the leader."""
+
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("mix", ("cuts", "leaders"))
+    def test_each_counts_once(self, mix, seed):
+        """Guards against an end that two leaders count, or one of no run."""
+        site = prepared_site(seed)
+        site.fail_share = 0.5
+        site.play_faults(mix, FAULTS_SECONDS)
+        site.end_faults()
+        site.play(RUNS_AGAIN_SECONDS, until=lambda: not site.idle_tasks())
+        assert site.idle_tasks() == []
+        assert any(
+            stored.decode_state(job, value) is model.JobState.FAILED
+            for job, value in site.saved.items()
+        )
+
+
 class TestPlannedStopAtAChange:
     """A worker restarts as planned while the leader changes."""
 
