--- a/tests/dispatch/test_failure_proofs.py
+++ b/tests/dispatch/test_failure_proofs.py
@@ -17,6 +17,7 @@
 from tests.dispatch import test_inherited_leases
 from tests.dispatch import test_lapsed_runs
 from tests.dispatch import test_leader
+from turmerichook._internal.dispatch import crashes
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
@@ -81,6 +82,7 @@
 }
 SERVICE_JOB = ids.JobId("00000000000000c0")
 SERVING_GANG_JOB = ids.JobId("00000000000000c1")
+TIMED_JOB = ids.JobId("00000000000000c2")
 DRAINING = deployment.WorkerState.DRAINING
 READY = deployment.WorkerState.READY
 
@@ -325,6 +327,7 @@
 
     def step(self):
         if self.leader_back_at is None:
+            self.dispatcher.open_all_due(self.now, self.now)
             super().step()
             self.seen_draining.update(
                 name
@@ -587,6 +590,14 @@
             test_crashing_tasks.step(long_running=True),
         )
     )
+    site.submit(
+        dataclasses.replace(
+            fakes.job(TIMED_JOB, test_crashing_tasks.step(count=2)),
+            repetition=model.Repetition(
+                count=12, first=site.now, interval=8 * SECOND
+            ),
+        )
+    )
     for _ in range(6):
         site.submit_drawn()
     site.play(1)
@@ -712,6 +723,65 @@
         assert [len(site.running(job)) for job in jobs] == [3] * len(jobs)
 
 
+class TestLossOfPower:
+    """All workers lose power, some of which had been cut off before."""
+
+    def test_runs_that_had_lapsed_do_not_count(self):
+        """Guards against a loss of power that counts as four crashes.
+
+        Four workers of a task were cut off one after another, and their runs
+        lapsed. Then all workers restart at the same moment.
+        """
+        site = test_lapsed_runs.CutHarness(9)
+        site.submit(
+            fakes.job(test_crashing_tasks.JOB, test_crashing_tasks.step())
+        )
+        names = test_lapsed_runs.lose_in_turn(site, crashes.CRASHES_MAX)
+        for worker in site.workers.values():
+            worker.restart()
+        for name in set(site.workers) - set(names):
+            site.dispatcher.set_entry(site.entry(name), site.now)
+        site.reconnect(*names)
+        site.play(10)
+        assert not site.failed()
+        assert len(site.running()) == 1
+
+
+class TestCutsBesideCrashes:
+    """A task crashes its workers soon after they have listed it."""
+
+    @pytest.mark.parametrize("cut", (0, 3))
+    def test_starts_are_limited(self, cut):
+        """Guards against workers out of reach that count as lost with power.
+
+        Others are cut off, and live, within a second of each crash.
+        """
+        site = test_lapsed_runs.CutHarness(12)
+        site.submit(
+            fakes.job(test_crashing_tasks.JOB, test_crashing_tasks.step())
+        )
+        site.submit(
+            fakes.job(
+                test_crashing_tasks.OTHER_JOB,
+                test_crashing_tasks.step(count=30),
+            )
+        )
+        others = []
+        for _ in range(test_crashing_tasks.STARTS_MAX + 1):
+            site.play(30, until=lambda: site.failed() or bool(site.holders()))
+            for name in others:
+                site.workers[name].cut_off = False
+            site.play(0.5)
+            crashing = site.holders()
+            others = [n for n in site.workers if n not in crashing][:cut]
+            for name in others:
+                site.workers[name].cut_off = True
+            site.play(0.2)
+            site.crash(*crashing)
+        assert site.failed()
+        assert site.starts() <= test_crashing_tasks.STARTS_MAX
+
+
 class TestUnknownIncarnation:
     """A task was lost with a worker whose incarnation is not known."""
 
