--- a/src/turmerichook/_internal/dispatch/crash_counts.py
+++ b/src/turmerichook/_internal/dispatch/crash_counts.py
@@ -16,9 +16,9 @@
 # A worker that was lost and has neither answered nor been listed for this time
 # counts as crashed. Partitions are over by then as a rule; a job that failed
 # for a worker that is alive could not be brought back.
-GONE_AFTER = datetime.timedelta(seconds=60)
+GONE_AFTER = datetime.timedelta(minutes=3)
 # Time between two searches for tasks whose workers are gone.
-SEARCH_INTERVAL = datetime.timedelta(seconds=1)
+SEARCH_INTERVAL = datetime.timedelta(seconds=2)
 
 # Marks a job as failed for one of its tasks.
 FailJob = collections.abc.Callable[
@@ -57,6 +57,8 @@
         ] = {}
         self.counted: collections.Counter[bool] = collections.Counter()
         self.next_search = fleet.ZERO
+        # Whether the registry is outdated, so that silence proves nothing.
+        self.registry_outdated = False
 
     def pop(self) -> collections.Counter[bool]:
         """Return the crashes counted since the last call."""
@@ -104,8 +106,7 @@
     ) -> None:
         """Settle the unconfirmed crashes of a worker that is alive.
 
-        Those of its present incarnation are withdrawn, and those of an unknown
-        one. Others are counted.
+        Those of its present incarnation are withdrawn, others are counted.
         """
         self._settle(worker, now, alive=worker.incarnation)
 
@@ -117,21 +118,38 @@
 
     def give_up_gone(self, now: datetime.timedelta) -> None:
         """Give up the tasks that wait for workers that are gone for good."""
-        if now < self.next_search:
+        if now < self.next_search or self.registry_outdated:
             return
         self.next_search = now + SEARCH_INTERVAL
-        for task in {t for tasks in self.lost_at.values() for t in tasks}:
+        gone: collections.Counter[model.TaskKey] = collections.Counter()
+        for worker, tasks in list(self.lost_at.items()):
+            for task, since in list(tasks.items()):
+                record = self._record(task)
+                if record is None or not record.has_lost(worker):
+                    del tasks[task]
+                elif now - since >= GONE_AFTER:
+                    gone[task] += 1
+            if not tasks:
+                del self.lost_at[worker]
+        for task, number in gone.items():
             record = self._record(task)
-            if record is None or not record.unconfirmed:
-                self._forget(task)
-                continue
-            gone = sum(
-                now - self.lost_at[lost.worker][task] >= GONE_AFTER
-                for lost in record.unconfirmed
-            )
-            if record.phase is progresses.Phase.WAITING and gone:
-                if crashes.at_limit(record, gone=gone):
-                    self._give_up(self.jobs[task.job], task, now)
+            if record is not None and (
+                record.phase is progresses.Phase.WAITING
+                and crashes.at_limit(record, gone=number)
+            ):
+                self.counted[True] += 1
+                self._give_up(self.jobs[task.job], task, now)
+
+    def note_registry(
+        self, now: datetime.timedelta, *, outdated: bool
+    ) -> None:
+        """Note that the registry has become outdated or current.
+
+        While it is outdated, workers that are alive may seem to be gone.
+        """
+        self.registry_outdated = outdated
+        for tasks in self.lost_at.values():
+            tasks.update(dict.fromkeys(tasks, now))
 
     def _settle(
         self,
@@ -145,7 +163,8 @@
             if record is None:
                 continue
             for lost in record.pop_unconfirmed(worker.worker):
-                if alive is not None and _may_be_same(lost.incarnation, alive):
+                # An unknown incarnation does not prove a crash.
+                if lost.incarnation == alive or 0 in (lost.incarnation, alive):
                     self.note_change(task.job, now)
                     _log(
                         events.DispatchEvent.TASK_CRASH_WITHDRAWN,
@@ -169,7 +188,7 @@
     ) -> None:
         """Count a crash, and give the task up if it has had too many.
 
-        A task that runs elsewhere meanwhile is given up when that run ends.
+        A task that runs elsewhere meanwhile had not had too many.
         """
         record = job.progress.tasks[task]
         record.note_crash(certain=crash is not fleet.Crash.DOUBTFUL)
@@ -211,20 +230,6 @@
     ) -> None:
         self.lost_at.setdefault(lost.worker, {}).setdefault(task, now)
 
-    def _forget(self, task: model.TaskKey) -> None:
-        for worker, tasks in list(self.lost_at.items()):
-            tasks.pop(task, None)
-            if not tasks:
-                del self.lost_at[worker]
-
-
-def _may_be_same(incarnation: int, other: int) -> bool:
-    """Return whether two incarnations of a worker may be the same.
-
-    Incarnation 0 is one that was not reported or not stored.
-    """
-    return incarnation == other or not (incarnation and other)
-
 
 def _log(
     event: events.DispatchEvent,
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -54,8 +54,6 @@
         self.registry_confirmed_at: datetime.timedelta | None = None
         self.registry_outdated = False
         self.closed_zones: set[ids.ZoneId] = set()
-        # Unix time less our time, at the last placement.
-        self.wall_offset = fleet.ZERO
         self.interference = interference.Interference()
         self.run_tracker = run_trackers.RunTracker()
         self.run_tracker.inherited_leases_until = inherited_leases_until
@@ -120,9 +118,7 @@
                 step,
                 now,
                 incarnation=record.incarnation,
-                age=(
-                    wall - record.assigned_at if record.assigned_at else None
-                ),
+                proven=record.proven,
             )
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
@@ -307,6 +303,7 @@
                 else events.DispatchEvent.REGISTRY_CURRENT,
                 age_ms=round((now - confirmed_at) / clocks.MILLISECOND),
             )
+            self.run_tracker.crash_counts.note_registry(now, outdated=outdated)
         self.registry_outdated = outdated
         guarded = {s.service for s in self.configuration.services if s.guarded}
         for worker in self.workers.values():
@@ -338,7 +335,6 @@
         :returns: the number of tasks assigned.
         """
         self.check_registry_age(now)
-        self.wall_offset = wall - now
         unreleased = self.run_tracker.unreleased
         return self.waiting.place(
             workers=self.workers.values(),
@@ -397,7 +393,6 @@
             worker.worker,
             run,
             incarnation=worker.incarnation,
-            at=now + self.wall_offset,
         )
         step = job.spec.steps[task.step]
         new_run = fleet.Run(
