--- a/tests/dispatch/test_failure_proofs.py
+++ b/tests/dispatch/test_failure_proofs.py
@@ -623,6 +623,17 @@
         assert site.idle_tasks() == []
 
 
+class TestFoundByHunts:
+    """Plays that failed when they were run by hand."""
+
+    @pytest.mark.parametrize(("mix", "seed"), [("all", 202)])
+    def test_no_job_fails(self, mix, seed):
+        """Guards against four doubtful crashes in losses of power."""
+        site = prepared_site(seed)
+        site.play_faults(mix, FAULTS_SECONDS)
+        site.end_faults()
+
+
 class TestFailedEnds:
     """Runs end as ``failed`` beside cuts and changes of the leader."""
 
