Ask lost workers for which a task waits

Cause: a worker without runs that is not listed was called by nobody, and forgotten. So "nothing heard for 3 minutes" included workers that would have answered, as they had lost the store only.

Change: a worker with unconfirmed losses is not forgotten, and is called while a task waits for news of it. One of which a former leader has noted the loss has no address, and is not called.

Tests: test_unlisted_worker_is_asked and test_reachable_workers_are_not_gone failed before.

--- a/src/turmerichook/_internal/dispatch/crash_counts.py
+++ b/src/turmerichook/_internal/dispatch/crash_counts.py
@@ -116,6 +116,14 @@
         """Count the unconfirmed crashes of a worker that has ended."""
         self._settle(worker, now, alive=None)
 
+    def awaits(self, worker: ids.WorkerId) -> bool:
+        """Return whether a task waits for news of a lost worker."""
+        for task in self.lost_at.get(worker, ()):
+            record = self._record(task)
+            if record is not None and crashes.must_wait(record):
+                return True
+        return False
+
     def give_up_gone(self, now: datetime.timedelta) -> None:
         """Give up the tasks that wait for workers that are gone for good."""
         if now < self.next_search or self.registry_outdated:
--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -157,8 +157,12 @@
             return True
         if worker.report_received and worker.reachable:
             return False
+        if not worker.listed:
+            return self.dispatcher.run_tracker.crash_counts.awaits(
+                worker.worker
+            )
         # An entry of any other service may come from another writer.
-        return worker.listed and self.dispatcher.uses(worker.entry.service)
+        return self.dispatcher.uses(worker.entry.service)
 
     async def _pause(self, limit: datetime.timedelta) -> None:
         await self.clock.wait_event(self.wake, limit)
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -56,7 +56,7 @@
         for worker in list(self.run_tracker.workers.values()):
             if not worker.runs:
                 if not worker.listed and not worker.reachable:
-                    del self.run_tracker.workers[worker.worker]
+                    self._forget(worker)
                 continue
             leases_until = self.run_tracker.leases_until(worker)
             if not worker.reachable and leases_until is not None:
@@ -65,6 +65,11 @@
             self._tick_runs(worker, now)
         self._move_held_back(now)
 
+    def _forget(self, worker: fleet.Worker) -> None:
+        """Forget a worker, unless a task may have to wait for news of it."""
+        if worker.worker not in self.run_tracker.crash_counts.lost_at:
+            del self.run_tracker.workers[worker.worker]
+
     def _tick_runs(
         self, worker: fleet.Worker, now: datetime.timedelta
     ) -> None:
--- a/tests/dispatch/test_lost_workers.py
+++ b/tests/dispatch/test_lost_workers.py
@@ -1,5 +1,6 @@
 """Tests of workers that are lost for good, or without a leader."""
 
+import asyncio
 import time
 
 import msgpack
@@ -8,9 +9,12 @@
 from tests.dispatch import fakes
 from tests.dispatch import test_crashing_tasks
 from tests.dispatch import test_lapsed_runs
+from tests.dispatch import test_session
 from turmerichook._internal.dispatch import crash_counts
 from turmerichook._internal.dispatch import crashes
+from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.models import ids
+from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import stored
 
@@ -235,6 +239,54 @@
         site.play(2)
         assert site.running()
 
+    @pytest.mark.parametrize("waits", (True, False))
+    def test_unlisted_worker_is_asked(self, waits):
+        """Guards against silence of a worker that nobody calls.
+
+        A worker that only the store misses answers the leader.
+        """
+
+        async def scenario():
+            fixture = test_session.SessionFixture(test_session.SkippingClock())
+            await fixture.start()
+            tracker = fixture.dispatcher.run_tracker
+            worker = fixture.session.worker
+            fixture.dispatcher.remove_entry(worker.worker)
+            fixture.dispatcher.settlement.mark_unreachable(
+                worker, fixture.clock.uptime()
+            )
+            for task in list(fixture.worker.running):
+                fixture.worker.end(task, model.EndKind.LEASE_EXPIRED)
+            lost = range(crashes.CRASHES_MAX if waits else 1)
+            for run in list(worker.runs.values()):
+                run.crash = fleet.Crash.UNCONFIRMED
+                tracker.drop_run(worker, run, "lapsed", fixture.clock.uptime())
+                record = tracker.jobs[run.task.job].progress.tasks[run.task]
+                record.unconfirmed += tuple(
+                    progresses.LostWorker(ids.WorkerId(f"x{number}"), 1)
+                    for number in lost[1:]
+                )
+            fixture.dispatcher.watchdog.tick(fixture.clock.uptime())
+            asked = asyncio.create_task(fixture.session.run())
+            await asyncio.sleep(0.05)
+            asked.cancel()
+            return [
+                record.has_lost(worker.worker)
+                for job in tracker.jobs.values()
+                for record in job.progress.tasks.values()
+            ]
+
+        assert asyncio.run(scenario()) == 2 * [not waits]
+
+    def test_reachable_workers_are_not_gone(self):
+        """Guards against a job that fails for workers that answer."""
+        site, names = waiting_site()
+        for name in names:
+            site.workers[name].cut_off = False
+        site.play(GONE_S + 10)
+        assert not site.failed()
+        assert site.running()
+
     def test_job_that_is_given_up_counts(self):
         """Guards against a job that is given up and counts nowhere."""
         site, _ = waiting_site()
