Play lapsed runs on cut-off workers with real processes

Each worker returns, as the same incarnation, once its run has lapsed and the task runs elsewhere. A proxy can be cut for a time: what is sent meanwhile arrives later. The stand-in of the platform also notes the ends of all runs and tasks that run twice at once. It takes the host that became the leader last for the leader, and ignores log lines from before a host's restart.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -78,3 +78,13 @@
     Then all jobs complete
     And no entry process has ended
     And each odd entry is named in the leader's log
+
+  # Guards against a job that fails for lapsed runs: its workers live, but were
+  # out of reach of the leader and the registry, and counted as crashed.
+  Scenario: A service goes on though its workers are cut off in turn
+    Given a platform with 6 workers behind links, 3 entry processes and leases of 2 s
+    When a caller submits a service of one task
+    And its worker is cut off just after each of 5 starts while the leader is stopped or killed now and then
+    Then no caller was shown the service as failed
+    And the workers noted only lapsed runs of it, one on each cut
+    And 2 s later the service runs on one worker, and never ran on two at once
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import collections
 import datetime
 import json
 import os
@@ -19,6 +20,7 @@
 import urllib.parse
 
 from standins import batch_worker
+from standins import proxy
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.http import calls
@@ -48,6 +50,9 @@
 CAPACITY_GRACE_S = 4.0
 # Time for which a worker that has crashed is away.
 DOWN_TIME_S = 1.5
+# Time for which the registry lists a worker that is cut off: the longest
+# lifetime of the lease under which a worker writes its entry.
+ENTRY_TTL_S = 1.0
 
 SETTINGS = """\
 node-name = "{node}"
@@ -89,6 +94,9 @@
     :ivar uses: time of each start, and the millicores in use after it.
     :ivar excesses: starts beyond the capacity: the task, the millicores in use
         and the largest capacity that may count.
+    :ivar ended: the ends of all runs so far.
+    :ivar last_end: number of the last one of them.
+    :ivar link: the proxy that all calls pass; None if they arrive directly.
     """
 
     def __init__(self, *, name: str, zone: str):
@@ -106,10 +114,32 @@
         self.port = 0
         self.silent = False
         self.back_at: float | None = None
+        self.ended: list[orders.EndRow] = []
+        self.last_end = 0
+        self.link: proxy.Proxy | None = None
 
-    async def start(self) -> None:
-        """Start listening on a free loopback port."""
+    async def start(self, *, linked: bool = False) -> None:
+        """Start listening on a free loopback port.
+
+        :param linked: whether calls pass a proxy that can be cut.
+        """
         self.port = await self.server.start(host="127.0.0.1", port=0)
+        if linked:
+            self.link = proxy.Proxy(
+                target=("127.0.0.1", self.port), plan=lambda: proxy.NO_FAULT
+            )
+            self.port = await self.link.start()
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the worker's link is cut."""
+        return self.link is not None and not self.link.passing.is_set()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.link is not None:
+            await self.link.stop()
+        await self.server.stop(grace=0.0)
 
     def entry(self) -> bytes:
         """Return the worker's own registry entry."""
@@ -136,7 +166,9 @@
 
     def crash(self) -> None:
         """Lose all runs, and answer no call for ``DOWN_TIME_S``."""
+        self._note_ends()
         self.state.restart()
+        self.last_end = 0
         self.ends_at.clear()
         self.back_at = asyncio.get_running_loop().time() + DOWN_TIME_S
 
@@ -157,12 +189,18 @@
         for task in list(self.state.running):
             if now >= self.ends_at.get(task, now):
                 self.state.end(task, model.EndKind.DONE)
+        self._note_ends()
         if self.state.ends:
             self.changed.set()
 
+    def _note_ends(self) -> None:
+        self.ended += [e for e in self.state.ends if e.number > self.last_end]
+        self.last_end = self.state.last_end
+
     async def handle(self, exchange: server.Exchange) -> None:
         """Handle one HTTP request."""
         document = json.loads(await exchange.read_all() or b"{}")
+        self._note_ends()
         if self.silent:
             await asyncio.sleep(SILENCE_S)
             return
@@ -245,6 +283,7 @@
                 if self.back_at is not None:
                     exchange.connection.wire.abort()
                     return
+                self._note_ends()
                 report = self.state.renew(order)
         except exceptions.StaleTokenError:
             await exchange.respond_json(
@@ -390,6 +429,7 @@
         self.http, self.ready, self.admin = _free_ports(3)
         self.log = folder / f"{node}.log"
         self.process: subprocess.Popen | None = None
+        self.log_bytes = 0
 
     def start(self, store_port: int) -> None:
         """Start the process."""
@@ -406,6 +446,8 @@
             )
         )
         with self.log.open("ab") as log:
+            # Lines of earlier processes of the host end here.
+            self.log_bytes = log.tell()
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "turmerichook._internal.cli.entry"],
                 env={**os.environ, "TURMERICHOOK_NODE_FILE": str(path)},
@@ -415,7 +457,15 @@
 
     def events(self, name: str) -> list[dict]:
         """Return the log lines of one event."""
-        lines = self.log.read_text().splitlines() if self.log.exists() else []
+        return self._events(name, after=0)
+
+    def events_since_start(self, name: str) -> list[dict]:
+        """Return the log lines of one event of the present process."""
+        return self._events(name, after=self.log_bytes)
+
+    def _events(self, name: str, *, after: int) -> list[dict]:
+        text = self.log.read_bytes()[after:] if self.log.exists() else b""
+        lines = text.decode().splitlines()
         rows = [json.loads(line) for line in lines if line[:1] == "{"]
         return [row for row in rows if row.get("event") == name]
 
@@ -424,8 +474,9 @@
         """Whether the process is the leader according to its log events."""
         if self.process is None or self.process.poll() is not None:
             return False
-        gained = len(self.events("leadership-gained"))
-        return gained > len(self.events("leadership-lost"))
+        gained = len(self.events_since_start("leadership-gained"))
+        lost = len(self.events_since_start("leadership-lost"))
+        return gained > lost
 
     def stop(self) -> None:
         """Kill the process if it is still running."""
@@ -438,6 +489,8 @@
     """The simulated store and workers, and several entry host processes.
 
     :param lease_ms: length of the leases on workers in milliseconds.
+    :param linked: whether calls of workers pass proxies that can be cut.
+    :ivar overlaps: tasks that had two runs at the same time.
     """
 
     def __init__(
@@ -448,8 +501,11 @@
         entries: int,
         lease_ms: int = LEASE_MS,
         enforce_limits: bool = True,
+        linked: bool = False,
     ):
         self.enforce_limits = enforce_limits
+        self.linked = linked
+        self.overlaps: set[model.TaskKey] = set()
         self.store = StoreHost()
         self.workers = [
             WorkerHost(name=f"i-{n}", zone=ZONES[n % len(ZONES)])
@@ -477,7 +533,7 @@
             host="127.0.0.1", port=0
         )
         for worker in self.workers:
-            await worker.start()
+            await worker.start(linked=self.linked)
             self.store.storage.put(f"servers/{worker.name}", worker.entry())
         self.configure(version=1)
         self.ticker = asyncio.create_task(self._tick())
@@ -498,8 +554,9 @@
             entry.stop()
         if self.ticker is not None:
             self.ticker.cancel()
-        for host in (self.store, *self.workers):
-            await host.server.stop(grace=0.0)
+        for worker in self.workers:
+            await worker.stop()
+        await self.store.server.stop(grace=0.0)
 
     def configure(self, *, version: int) -> None:
         """Store the operators' configuration under ``op/config``."""
@@ -532,6 +589,27 @@
         worker.capacities.append((now, millicores))
         self.store.storage.put(f"servers/{worker.name}", worker.entry())
 
+    async def cut(self, worker: WorkerHost) -> None:
+        """Cut a worker off from the entry hosts and from the store.
+
+        The worker goes on, and the registry lists it for ``ENTRY_TTL_S`` more.
+        Returns once it is no longer listed.
+        """
+        worker.link.passing.clear()
+        await asyncio.sleep(ENTRY_TTL_S)
+        self.store.storage.remove(f"servers/{worker.name}")
+
+    def reconnect(self, worker: WorkerHost) -> None:
+        """End a worker's cut; it writes its registry entry again."""
+        worker.link.passing.set()
+        self.store.storage.put(f"servers/{worker.name}", worker.entry())
+
+    def _note_overlaps(self) -> None:
+        runs = collections.Counter(
+            task for worker in self.workers for task in worker.state.running
+        )
+        self.overlaps.update(task for task in runs if runs[task] > 1)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
@@ -541,6 +619,7 @@
                     self.store.storage.put(
                         f"servers/{worker.name}", worker.entry()
                     )
+            self._note_overlaps()
 
     async def until(self, condition, timeout: float = START_TIMEOUT_S) -> None:
         """Poll a condition until it holds.
@@ -630,8 +709,15 @@
                 await asyncio.sleep(0.1)
 
     def leader(self) -> Entry | None:
-        """Return the entry host that is the leader, or None."""
-        return next((e for e in self.entries if e.leading), None)
+        """Return the entry host that became the leader last, or None.
+
+        A host that is paused does not know of a later leader.
+        """
+        return max(
+            (entry for entry in self.entries if entry.leading),
+            key=lambda entry: entry.events("leadership-gained")[-1]["time"],
+            default=None,
+        )
 
     def kill(self, entry: Entry) -> None:
         """Kill an entry host's process with SIGKILL."""
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -38,6 +38,9 @@
     """Accepts connections and relays them to one target.
 
     :param plan: returns the fault for each new connection.
+    :ivar passing: set unless the proxy is cut. A cut proxy accepts
+        connections and passes nothing on; what was sent meanwhile arrives
+        after the cut, as with TCP after a network partition.
     """
 
     def __init__(self, *, target: tuple[str, int], plan: Plan):
@@ -48,6 +51,8 @@
         self.tasks: set[asyncio.Task] = set()
         self.listener: asyncio.Server | None = None
         self.waiting_responses: list[asyncio.Future] = []
+        self.passing = asyncio.Event()
+        self.passing.set()
 
     async def start(self, port: int = 0) -> int:
         """Start listening on loopback and return the port."""
@@ -91,6 +96,7 @@
         if fault.kind is Kind.BLACK_HOLE:
             self.faults += 1
             await asyncio.sleep(3600)
+        await self.passing.wait()
         target_reader, target_writer = await asyncio.open_connection(
             *self.target
         )
@@ -169,6 +175,7 @@
         while data := await reader.read(READ_BYTES):
             if self.half_open:
                 await asyncio.sleep(3600)
+            await self.proxy.passing.wait()
             if self.fault.kind is Kind.NONE or not self._is_affected(up):
                 writer.write(data)
             elif self.fault.kind in (Kind.DUPLICATE, Kind.CROSS):
@@ -177,6 +184,7 @@
             else:
                 await self._forward_with_fault(data, writer)
             await writer.drain()
+        await self.proxy.passing.wait()
         if not self.half_open and writer.can_write_eof():
             writer.write_eof()
 
