--- a/features/steps/platform_cuts.py
+++ b/features/steps/platform_cuts.py
@@ -99,7 +99,7 @@
     else:
         leader.process.terminate()
         await platform.until(lambda: leader.process.poll() is not None)
-    leader.start(platform.store_port)
+    platform.start_entry(leader)
 
 
 async def note_state(context) -> str:
--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -14,15 +14,16 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import urllib.parse
 
 from standins import batch_worker
+from standins import launcher
 from standins import proxy
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.http import addresses
 from turmerichook._internal.http import calls
 from turmerichook._internal.http import server
 from turmerichook._internal.models import ids
@@ -62,9 +63,9 @@
 krakow = "malopolska"
 tarnow = "malopolska"
 [bind-addresses]
-http = "127.0.0.1:{http}"
-readiness = "127.0.0.1:{ready}"
-admin = "127.0.0.1:{admin}"
+http = "{http}"
+readiness = "{ready}"
+admin = "{admin}"
 [policy-params]
 contact-ms = 3000
 drain-timeout-ms = 2000
@@ -420,13 +421,21 @@
     """One process of an entry host."""
 
     def __init__(
-        self, *, folder: pathlib.Path, node: str, zone: str, lease_ms: int
+        self,
+        *,
+        folder: pathlib.Path,
+        node: str,
+        zone: str,
+        lease_ms: int,
+        unused: launcher.Addresses,
     ):
         self.folder = folder
         self.lease_ms = lease_ms
         self.node = node
         self.zone = zone
-        self.http, self.ready, self.admin = _free_ports(3)
+        # Outgoing connections have other addresses, so that they do not take
+        # the ports while the process restarts.
+        self.http, self.ready, self.admin = (unused.free() for _ in range(3))
         self.log = folder / f"{node}.log"
         self.process: subprocess.Popen | None = None
         self.log_bytes = 0
@@ -489,8 +498,10 @@
     """The simulated store and workers, and several entry host processes.
 
     :param lease_ms: length of the leases on workers in milliseconds.
-    :param linked: whether calls of workers pass proxies that can be cut.
+    :param linked: whether calls of workers, and those of each entry host to
+        the store, pass proxies that can be cut.
     :ivar overlaps: tasks that had two runs at the same time.
+    :ivar store_links: the proxies between entry hosts and the store, by node.
     """
 
     def __init__(
@@ -506,17 +517,20 @@
         self.enforce_limits = enforce_limits
         self.linked = linked
         self.overlaps: set[model.TaskKey] = set()
+        self.store_links: dict[str, proxy.Proxy] = {}
         self.store = StoreHost()
         self.workers = [
             WorkerHost(name=f"i-{n}", zone=ZONES[n % len(ZONES)])
             for n in range(workers)
         ]
+        unused = launcher.Addresses()
         self.entries = [
             Entry(
                 folder=folder,
                 node=f"edge-{n}",
                 zone=ZONES[n % len(ZONES)],
                 lease_ms=lease_ms,
+                unused=unused,
             )
             for n in range(entries)
         ]
@@ -538,7 +552,13 @@
         self.configure(version=1)
         self.ticker = asyncio.create_task(self._tick())
         for entry in self.entries:
-            entry.start(self.store_port)
+            if self.linked:
+                self.store_links[entry.node] = proxy.Proxy(
+                    target=("127.0.0.1", self.store_port),
+                    plan=lambda: proxy.NO_FAULT,
+                )
+                await self.store_links[entry.node].start()
+            self.start_entry(entry)
         await self.until(
             lambda: (
                 any(e.events("recovered") for e in self.entries)
@@ -556,8 +576,15 @@
             self.ticker.cancel()
         for worker in self.workers:
             await worker.stop()
+        for link in self.store_links.values():
+            await link.stop()
         await self.store.server.stop(grace=0.0)
 
+    def start_entry(self, entry: Entry) -> None:
+        """Start an entry host's process, for the first time or again."""
+        link = self.store_links.get(entry.node)
+        entry.start(self.store_port if link is None else link.port)
+
     def configure(self, *, version: int) -> None:
         """Store the operators' configuration under ``op/config``."""
         document = {
@@ -611,10 +638,16 @@
         self.overlaps.update(task for task in runs if runs[task] > 1)
 
     async def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        last = loop.time()
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
+            # Clocks of workers follow the real time even if this loop is late,
+            # as leaders rely on their rate to know when leases end.
+            now = loop.time()
+            span, last = (now - last) * SECOND, now
             for worker in self.workers:
-                worker.tick(TICK_INTERVAL_S * SECOND)
+                worker.tick(span)
                 if worker.has_returned():
                     self.store.storage.put(
                         f"servers/{worker.name}", worker.entry()
@@ -634,9 +667,10 @@
         self, entry: Entry, method: str, job: str, document: dict | None = None
     ) -> calls.Answer:
         """Send a caller's request to an entry host."""
+        host, port = addresses.split(entry.http)
         pool = calls.CallPool(
-            host="127.0.0.1",
-            port=entry.http,
+            host=host,
+            port=port,
             connections=1,
             authority=HOST,
         )
@@ -731,13 +765,3 @@
     def done(self) -> list[model.TaskKey]:
         """Return the tasks that workers completed, once for each run."""
         return [task for worker in self.workers for task in worker.state.done]
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -51,6 +51,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.listener: asyncio.Server | None = None
         self.waiting_responses: list[asyncio.Future] = []
+        self.port = 0
         self.passing = asyncio.Event()
         self.passing.set()
 
@@ -59,7 +60,8 @@
         self.listener = await asyncio.start_server(
             self._accept, "127.0.0.1", port
         )
-        return self.listener.sockets[0].getsockname()[1]
+        self.port = self.listener.sockets[0].getsockname()[1]
+        return self.port
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
