Take a worker's new start time for a restart even if it is earlier

Callers would see a service with a task less for good: a worker whose machine's clock was set back while it restarted was ignored, as its start time was before the former one. Its reports counted as outdated, its tasks stayed bound to it, and their leases were renewed.

Cause: the order of start times stood for the order of starts. Class of fault: a wall clock is taken for a sequence.

Change: a start time is outdated only if this leader has heard of a later one after it. Reports answer a call, and the registry is read in the order of its revisions, so that another start time that was never heard of is a new one.

--- a/src/turmerichook/_internal/dispatch/crashes.py
+++ b/src/turmerichook/_internal/dispatch/crashes.py
@@ -70,7 +70,7 @@
         ended = [
             run
             for run in worker.runs.values()
-            if run.incarnation and run.incarnation < incarnation
+            if run.incarnation and run.incarnation != incarnation
         ]
         if ended or worker.incarnation:
             self._mark(worker, ended, now, certain=True)
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -218,6 +218,8 @@
         # Millicores that the filler tasks on the worker request.
         self.filler_millicores = 0
         self.incarnation = entry.incarnation if entry else 0
+        # Incarnations that have ended, as far as this leader has heard.
+        self.former_incarnations: set[int] = set()
         # Reading of the worker's clock in its last report, and our time at
         # which the report arrived; None before the first report.
         self.clock: datetime.timedelta | None = None
--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -21,12 +21,15 @@
     """
     if not incarnation or incarnation == worker.incarnation:
         return True
-    previous = worker.incarnation
-    if previous and incarnation < previous:
+    # The order of start times says nothing: the clock of the worker's machine
+    # may have been set back between two starts.
+    if incarnation in worker.former_incarnations:
         return False
+    previous = worker.incarnation
     losses.mark_restarted(worker, incarnation, now)
     worker.incarnation = incarnation
     if previous:
+        worker.former_incarnations.add(previous)
         _reset_after_restart(worker)
     return True
 
