--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -421,6 +421,7 @@
             filling=worker.filler_millicores,
             failures=record.failures,
             crashes=record.crashes,
+            unconfirmed=len(record.unconfirmed),
         )
 
     def next_saves(self, room: int) -> list[jobs.JobSnapshot]:
