Let the proofs of a job's tasks share a write

Change: a proof waits for 2 s, and the tasks of a job share the write; a commit that holds the job anyway writes it sooner.

Test: test_tasks_of_a_service_share_a_write failed before with more than one.

--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -21,6 +21,10 @@
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 
+# Time for which the proof that a run did not crash its worker waits to be
+# written, so that the tasks of a job share one write. A commit that holds the
+# job for another reason writes it sooner.
+PROOF_DELAY = datetime.timedelta(seconds=2)
 # Step of a run whose job the leader does not hold, so that its demand is
 # unknown.
 STRAY_STEP = model.Step(count=1, demand=resources.NOTHING)
@@ -36,6 +40,8 @@
     :ivar unsaved_jobs: jobs with progress that is to be written to the store,
         in the order of their first unsaved change, and our time of that
         change.
+    :ivar unsaved_proofs: jobs with runs that have proved not to crash their
+        worker, and our time of the first one that is not in the store.
     :ivar unreleased: jobs with assignments that are in no commit yet.
     :ivar orders: orders to be sent.
     :ivar inherited_leases_until: our time at which all leases that former
@@ -59,6 +65,7 @@
         self.waiting = waiting.WaitingTasks()
         self.advice = advices.AdviceCache()
         self.unsaved_jobs: dict[ids.JobId, datetime.timedelta] = {}
+        self.unsaved_proofs: dict[ids.JobId, datetime.timedelta] = {}
         self.unreleased: set[ids.JobId] = set()
         self.orders: list[decisions.Order] = []
         self.losses = crashes.Losses(workers=self.workers)
@@ -72,6 +79,20 @@
         """Mark a job's progress as changed, to be written to the store."""
         self.unsaved_jobs.setdefault(job, now)
 
+    def note_proof(self, job: ids.JobId, now: datetime.timedelta) -> None:
+        """Have a run's proof written within about ``PROOF_DELAY``."""
+        self.unsaved_proofs.setdefault(job, now)
+
+    def save_proofs(self, now: datetime.timedelta) -> None:
+        """Mark jobs as changed whose proofs have waited long enough."""
+        while self.unsaved_proofs:
+            job, noted_at = next(iter(self.unsaved_proofs.items()))
+            if now - noted_at < PROOF_DELAY:
+                return
+            del self.unsaved_proofs[job]
+            if job in self.jobs:
+                self.note_change(job, now)
+
     def oldest_unsaved_age(
         self, now: datetime.timedelta
     ) -> datetime.timedelta:
--- a/src/turmerichook/_internal/dispatch/saves.py
+++ b/src/turmerichook/_internal/dispatch/saves.py
@@ -44,6 +44,7 @@
 
     def _save(self, job: jobs.Job) -> jobs.JobSnapshot:
         del self.run_tracker.unsaved_jobs[job.spec.job]
+        self.run_tracker.unsaved_proofs.pop(job.spec.job, None)
         self.run_tracker.unreleased.discard(job.spec.job)
         ends, job.unsaved_ends = tuple(job.unsaved_ends), []
         return jobs.JobSnapshot(
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -186,7 +186,7 @@
         if not record.proven:
             record.proven = True
             if run.step.long_running or run.step.estimate >= LONG_TASK:
-                self.run_tracker.note_change(job.spec.job, now)
+                self.run_tracker.note_proof(job.spec.job, now)
 
     def _clear_suspicion(
         self, job: jobs.Job, task: model.TaskKey, now: datetime.timedelta
--- a/src/turmerichook/_internal/dispatch/watchdog.py
+++ b/src/turmerichook/_internal/dispatch/watchdog.py
@@ -53,6 +53,7 @@
             return
         self.next_tick = now + TICK_INTERVAL
         self.run_tracker.crash_counts.give_up_gone(now)
+        self.run_tracker.save_proofs(now)
         for worker in list(self.run_tracker.workers.values()):
             if not worker.runs:
                 if not worker.listed and not worker.reachable:
--- a/tests/dispatch/test_lapsed_runs.py
+++ b/tests/dispatch/test_lapsed_runs.py
@@ -53,6 +53,10 @@
         tasks = self.dispatcher.jobs[JOB].progress.tasks
         return tasks[test_crashing_tasks.CRASHING]
 
+    def records(self):
+        """Return the leader's records of the job's tasks."""
+        return list(self.dispatcher.jobs[JOB].progress.tasks.values())
+
     def lapsed(self, name):
         """Return how many of a worker's runs ended without a lease."""
         return sum(
--- a/tests/dispatch/test_lost_workers.py
+++ b/tests/dispatch/test_lost_workers.py
@@ -135,6 +135,28 @@
         assert time.process_time() - began < 0.1
         assert not counts.lost_at
 
+    def test_tasks_of_a_service_share_a_write(self, monkeypatch):
+        """Guards against a write for each task that has proved to run.
+
+        The tasks start 200 ms apart, as the workers get room one by one.
+        """
+        site = test_lapsed_runs.CutHarness(8)
+        saved = []
+        monkeypatch.setattr(site, "store", lambda saves: saved.extend(saves))
+        step = test_crashing_tasks.step(
+            count=8, long_running=True, max_per_worker=1
+        )
+        site.cut(*site.workers)
+        site.submit(fakes.job(JOB, step))
+        for name in site.workers:
+            site.reconnect(name)
+            site.play(0.2)
+        assert len(site.running()) == 8
+        saved.clear()
+        site.play(8)
+        assert all(record.proven for record in site.records())
+        assert len(saved) == 1
+
 
 class TestIncarnations:
     """A worker restarts, and it is not known which incarnation ran a task."""
