Let late news of a former incarnation not hide the running one

Callers would see tasks that never end, and gangs that never start: a leader that read an entry, or got a report, of a worker's former incarnation after it had heard of the running one took the former for a restart and the running one for ended, so that it ignored all its further reports.

Cause: accepts any incarnation that the leader has not heard of before, whatever the order of the news. Class of fault: the order of arrival stands for the order of events.

Change: a report that was requested after all other news of the incarnation is the latest news, whatever its start time; one that was requested before them is outdated. A registry entry only moves the start time forward; an earlier one waits for a report. An incarnation has ended for good only once reports of two incarnations have followed each other.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -205,9 +205,14 @@
         worker = self.workers.get(entry.worker)
         if worker is None:
             worker = fleet.Worker(worker=entry.worker, entry=entry)
+            worker.incarnation_known_at = self.settlement.last_sequence_number
             self.workers[entry.worker] = worker
-        accepted = incarnations.accept_incarnation(
-            worker, entry.incarnation, self.run_tracker.losses, now
+        accepted = incarnations.accept_entry(
+            worker,
+            entry.incarnation,
+            self.run_tracker.losses,
+            now,
+            last_request=self.settlement.last_sequence_number,
         )
         if accepted and entry.incarnation:
             self.run_tracker.crash_counts.note_heard(worker, now)
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -218,7 +218,12 @@
         # Millicores that the filler tasks on the worker request.
         self.filler_millicores = 0
         self.incarnation = entry.incarnation if entry else 0
-        # Incarnations that have ended, as far as this leader has heard.
+        # Number of the last request for a report when the leader learned of
+        # this incarnation.
+        self.incarnation_known_at = 0
+        # Incarnation that sent the last report, or 0 if none has been heard,
+        # and those that sent reports before it.
+        self.heard_incarnation = 0
         self.former_incarnations: set[int] = set()
         # Reading of the worker's clock in its last report, and our time at
         # which the report arrived; None before the first report.
--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -8,30 +8,83 @@
 from turmerichook._internal.logs import setup as logs
 
 
-def accept_incarnation(
+def accept_entry(
     worker: fleet.Worker,
     incarnation: int,
     losses: crashes.Losses,
     now: datetime.timedelta,
+    *,
+    last_request: int,
 ) -> bool:
     """Update the worker's incarnation; return False for an outdated one.
 
+    The registry may lag behind the worker's reports. Whether an entry with an
+    earlier start time is outdated, or the clock of the worker's machine has
+    been set back, the next report tells.
+
     :param incarnation: Unix time in milliseconds of the start, or 0 if it was
         not reported, which is accepted.
+    :param last_request: number of the last request for a report.
     """
     if not incarnation or incarnation == worker.incarnation:
         return True
-    # The order of start times says nothing: the clock of the worker's machine
-    # may have been set back between two starts.
-    if incarnation in worker.former_incarnations:
+    if (
+        incarnation < worker.incarnation
+        or incarnation in worker.former_incarnations
+    ):
         return False
+    _replace(worker, incarnation, losses, now, last_request)
+    return True
+
+
+def accept_report(
+    worker: fleet.Worker,
+    incarnation: int,
+    losses: crashes.Losses,
+    now: datetime.timedelta,
+    *,
+    requested_at: int,
+    last_request: int,
+) -> bool:
+    """Update the worker's incarnation; return False for an outdated one.
+
+    The order of start times says nothing, as the clock of the worker's machine
+    may have been set back between two starts. An answer to a request that was
+    sent after all other news of the worker's incarnation is the latest news.
+
+    :param incarnation: Unix time in milliseconds of the start, or 0 if it was
+        not reported, which is accepted.
+    :param requested_at: number of the request for the report.
+    :param last_request: number of the last request for a report.
+    """
+    if not incarnation:
+        return True
+    if incarnation != worker.incarnation:
+        if (
+            incarnation in worker.former_incarnations
+            or requested_at <= worker.incarnation_known_at
+        ):
+            return False
+        _replace(worker, incarnation, losses, now, last_request)
+    if worker.heard_incarnation not in (0, incarnation):
+        worker.former_incarnations.add(worker.heard_incarnation)
+    worker.heard_incarnation = incarnation
+    return True
+
+
+def _replace(
+    worker: fleet.Worker,
+    incarnation: int,
+    losses: crashes.Losses,
+    now: datetime.timedelta,
+    last_request: int,
+) -> None:
     previous = worker.incarnation
     losses.mark_restarted(worker, incarnation, now)
     worker.incarnation = incarnation
+    worker.incarnation_known_at = last_request
     if previous:
-        worker.former_incarnations.add(previous)
         _reset_after_restart(worker)
-    return True
 
 
 def _reset_after_restart(worker: fleet.Worker) -> None:
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -67,8 +67,13 @@
 
         :param requested_at: sequence number of the request for the report.
         """
-        if not incarnations.accept_incarnation(
-            worker, report.incarnation, self.run_tracker.losses, now
+        if not incarnations.accept_report(
+            worker,
+            report.incarnation,
+            self.run_tracker.losses,
+            now,
+            requested_at=requested_at,
+            last_request=self.last_sequence_number,
         ):
             return
         self.run_tracker.crash_counts.note_heard(worker, now)
