Take incarnations for ended that answered before a later request only

Callers would see tasks that wait for good: a worker that restarted with its clock set back could be ignored by the leader if the registry still had the entry of the former incarnation, and a report of that one arrived late as well.

Cause: since an incarnation counts as ended once two reports have followed each other in the order of arrival, and a leader that has read the former incarnation from the registry only does not count it as ended when the new one reports.

Evidence: a search with 5,000 series of late entries and reports found a worker with start time 2 whose reports are refused for good, after entry 3, report 2, entry 3 again, and a late report of 3.

Change: a report that was requested before the latest news is not applied, also if it names the present incarnation. A report that is applied ends all others that the leader knew of, as they had started before it was requested.

--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -221,9 +221,9 @@
         # Number of the last request for a report when the leader learned of
         # this incarnation.
         self.incarnation_known_at = 0
-        # Incarnation that sent the last report, or 0 if none has been heard,
-        # and those that sent reports before it.
-        self.heard_incarnation = 0
+        # Incarnations that this one has replaced without a report since, and
+        # those that have certainly ended.
+        self.replaced_incarnations: set[int] = set()
         self.former_incarnations: set[int] = set()
         # Reading of the worker's clock in its last report, and our time at
         # which the report arrived; None before the first report.
--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -49,8 +49,9 @@
     """Update the worker's incarnation; return False for an outdated one.
 
     The order of start times says nothing, as the clock of the worker's machine
-    may have been set back between two starts. An answer to a request that was
-    sent after all other news of the worker's incarnation is the latest news.
+    may have been set back between two starts. The answer to a request that
+    was sent after all other news of the worker's incarnation is the latest
+    news; the answer to an earlier request may be older than these.
 
     :param incarnation: Unix time in milliseconds of the start, or 0 if it was
         not reported, which is accepted.
@@ -59,16 +60,16 @@
     """
     if not incarnation:
         return True
+    if (
+        incarnation in worker.former_incarnations
+        or requested_at <= worker.incarnation_known_at
+    ):
+        return False
     if incarnation != worker.incarnation:
-        if (
-            incarnation in worker.former_incarnations
-            or requested_at <= worker.incarnation_known_at
-        ):
-            return False
         _replace(worker, incarnation, losses, now, last_request)
-    if worker.heard_incarnation not in (0, incarnation):
-        worker.former_incarnations.add(worker.heard_incarnation)
-    worker.heard_incarnation = incarnation
+    # All others had started before the request, and one runs at a time.
+    worker.former_incarnations |= worker.replaced_incarnations - {incarnation}
+    worker.replaced_incarnations.clear()
     return True
 
 
@@ -84,6 +85,7 @@
     worker.incarnation = incarnation
     worker.incarnation_known_at = last_request
     if previous:
+        worker.replaced_incarnations.add(previous)
         _reset_after_restart(worker)
 
 
