--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -165,6 +165,13 @@
                 worker, order.run, outcome
             )
 
+    def check_single_runs(self):
+        """Check that no task runs on two workers."""
+        running = [
+            task for worker in self.workers.values() for task in worker.running
+        ]
+        assert len(running) == len(set(running)), running
+
     def step(self):
         """Take reports of all workers, send stops, place, and send starts."""
         for name in self.workers:
@@ -555,12 +562,7 @@
 
     @stateful.invariant()
     def one_run_of_each_task(self):
-        running = [
-            task
-            for worker in self.harness.workers.values()
-            for task in worker.running
-        ]
-        assert len(running) == len(set(running)), running
+        self.harness.check_single_runs()
 
     @stateful.invariant()
     def nothing_beyond_capacity(self):
--- a/tests/dispatch/test_late_news.py
+++ b/tests/dispatch/test_late_news.py
@@ -188,12 +188,7 @@
 
     @stateful.invariant()
     def one_run_of_each_task(self):
-        running = [
-            task
-            for worker in self.harness.workers.values()
-            for task in worker.running
-        ]
-        assert len(running) == len(set(running)), running
+        self.harness.check_single_runs()
 
     @stateful.rule()
     def calm_down(self):
