Request a report of an idle worker whose entry starts earlier

Callers would wait for room that is there: an idle worker that restarts with its clock set back gets no task for good.

Cause: since an entry with an earlier start time waits for a report, but none is requested of an idle worker that has reported before. Class of fault: a decision is left to a message that nobody asks for.

Change: such an entry counts as news of the worker, whose report is requested anew.

Tests: TestIdleWorkerWithItsClockSetBack failed before.

--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -20,7 +20,7 @@
 
     The registry may lag behind the worker's reports. Whether an entry with an
     earlier start time is outdated, or the clock of the worker's machine has
-    been set back, the next report tells.
+    been set back, the next report tells, which is requested.
 
     :param incarnation: Unix time in milliseconds of the start, or 0 if it was
         not reported, which is accepted.
@@ -28,10 +28,13 @@
     """
     if not incarnation or incarnation == worker.incarnation:
         return True
-    if (
-        incarnation < worker.incarnation
-        or incarnation in worker.former_incarnations
-    ):
+    if incarnation in worker.former_incarnations:
+        return False
+    if incarnation < worker.incarnation:
+        if worker.entry is None or worker.entry.incarnation != incarnation:
+            # An idle worker would not be asked for another report.
+            worker.report_received = False
+            worker.incarnation_known_at = last_request
         return False
     _replace(worker, incarnation, losses, now, last_request)
     return True
