Acknowledge no ends to a worker that may have restarted

Callers could see a task run again after it was done: a worker that restarted while it was out of reach, got a start and ended it before the first renewal forgot that end.

Cause: the first renewal after a failed one acknowledges the ends of the incarnation that was heard last, and ends are numbered anew by each. Class of fault: a number of one process is used for the next.

Not seen with real processes.

Change: after a failed renewal the next one acknowledges nothing. The worker keeps its ends until the one after.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -187,7 +187,8 @@
     async def _renew(self) -> None:
         worker = self.worker
         asked = self.dispatcher.settlement.next_sequence_number()
-        acknowledged = worker.acknowledged
+        # Another incarnation may answer, whose ends are numbered anew.
+        acknowledged = 0 if self.failures else worker.acknowledged
         lease_until = self._lease_until()
         order = orders.Renewal(
             token=self.term.token,
