Note which incarnation of a worker holds a run

Callers could see a job fail although its workers live: a worker that restarted between a task's assignment and its start, and was out of reach later, counted as crashed when it answered again.

Cause: the run and the stored progress kept the incarnation of the assignment, so that the incarnation that answered passed for another one.

Change: when a report lists a run, its incarnation is that of the report, and is stored if it differs.

--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -122,6 +122,8 @@
             else:
                 self.run_tracker.stop(worker, run, now, "not-wanted")
         run.last_listed_at = now
+        if worker.incarnation and run.incarnation != worker.incarnation:
+            self._note_incarnation(worker, run, now)
         if row.percent != run.percent:
             run.percent = row.percent
             run.progress_changed_at = now
@@ -174,6 +176,20 @@
             return
         self.run_tracker.stop(worker, stray, now, "not-assigned")
 
+    def _note_incarnation(
+        self, worker: fleet.Worker, run: fleet.Run, now: datetime.timedelta
+    ) -> None:
+        """Note that the present incarnation of the worker holds a run.
+
+        The worker may have restarted between the assignment and the start.
+        """
+        run.incarnation = worker.incarnation
+        job = self.run_tracker.jobs.get(run.task.job)
+        if job is not None and run_trackers.is_current(job, worker, run):
+            record = job.progress.tasks[run.task]
+            record.incarnation = worker.incarnation
+            self.run_tracker.note_change(job.spec.job, now)
+
     def _note_proven(
         self,
         worker: fleet.Worker,
