Repeat the stop of a run after its worker has restarted

Callers could see a service that neither runs nor is replaced: a run whose stop the former incarnation had accepted stayed in its stop for good if the start reached the next incarnation late.

Cause: the restart did not reset that the stop had been accepted. Class of fault: an answer of one process is used for the next.

Not seen with real processes.

--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -111,3 +111,6 @@
             # incarnation.
             run.phase = fleet.RunPhase.UNCERTAIN
             run.fenced = True
+        elif run.phase is fleet.RunPhase.STOPPING:
+            # The new incarnation does not know of the stop.
+            run.stop_accepted = False
