Ignore the entry of an incarnation that has ended

Callers could see a service restart for no reason: the leader stopped the runs of a restarted worker when it read once more that the former incarnation was shutting down.

Cause: such an entry was refused as news of the incarnation, but its state and capacity replaced those of the running one.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -201,7 +201,10 @@
     def set_entry(
         self, entry: deployment.WorkerEntry, now: datetime.timedelta
     ) -> None:
-        """Add a worker, or update it, from its registry entry."""
+        """Add a worker, or update it, from its registry entry.
+
+        The entry of an incarnation that has certainly ended is ignored.
+        """
         worker = self.workers.get(entry.worker)
         if worker is None:
             worker = fleet.Worker(worker=entry.worker, entry=entry)
@@ -214,6 +217,8 @@
             now,
             last_request=self.settlement.last_sequence_number,
         )
+        if entry.incarnation in worker.former_incarnations:
+            return
         if accepted and entry.incarnation:
             self.run_tracker.crash_counts.note_heard(worker, now)
         if not _same_state(worker.entry, entry):
