Let the answer from a worker's former address not unlist it

Callers could see tasks of a listed worker taken for lost: another worker's answer from its former address arrived after its new entry had been read, and marked the worker as unlisted and its incarnation as ended.

Cause: the answer was applied to the entry of the time of its arrival, not of the request. Class of fault: an answer counts for a later state than it was given for.

--- a/src/turmerichook/_internal/dispatch/session.py
+++ b/src/turmerichook/_internal/dispatch/session.py
@@ -185,7 +185,7 @@
         return min(REPORT_WAIT, max(RETRY_PAUSE, commit_delay))
 
     async def _renew(self) -> None:
-        worker = self.worker
+        worker, entry = self.worker, self.worker.entry
         asked = self.dispatcher.settlement.next_sequence_number()
         # Another incarnation may answer, whose ends are numbered anew.
         acknowledged = 0 if self.failures else worker.acknowledged
@@ -197,15 +197,17 @@
             wait=self._report_wait(lease_until),
         )
         try:
-            report = await self.workers.renew(worker.entry, order)
+            report = await self.workers.renew(entry, order)
         except exceptions.WorkerUnreachableError:
             self._note_failure()
             await self.clock.sleep(RETRY_PAUSE)
             return
         except exceptions.IncarnationEndedError:
-            self.dispatcher.settlement.incarnation_ended(
-                worker, self.clock.uptime()
-            )
+            # The worker may have moved while the request was under way.
+            if worker.entry.address == entry.address:
+                self.dispatcher.settlement.incarnation_ended(
+                    worker, self.clock.uptime()
+                )
             self.changed.set()
             await self.clock.sleep(IDLE_CHECK_INTERVAL)
             return
