--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -218,8 +218,8 @@
         # Millicores that the filler tasks on the worker request.
         self.filler_millicores = 0
         self.incarnation = entry.incarnation if entry else 0
-        # Number of the last request for a report when the leader learned of
-        # this incarnation.
+        # Latest sequence number of the settlement when the leader learned of
+        # this incarnation: reports that were requested up to it may be older.
         self.incarnation_known_at = 0
         # Incarnations that this one has replaced without a report since, and
         # those that have certainly ended.
--- a/src/turmerichook/_internal/dispatch/incarnations.py
+++ b/src/turmerichook/_internal/dispatch/incarnations.py
@@ -24,7 +24,8 @@
 
     :param incarnation: Unix time in milliseconds of the start, or 0 if it was
         not reported, which is accepted.
-    :param last_request: number of the last request for a report.
+    :param last_request: latest sequence number, which no request for a
+        report that is still to be sent has.
     """
     if not incarnation or incarnation == worker.incarnation:
         return True
@@ -57,9 +58,10 @@
     news; the answer to an earlier request may be older than these.
 
     :param incarnation: Unix time in milliseconds of the start, or 0 if it was
-        not reported, which is accepted.
-    :param requested_at: number of the request for the report.
-    :param last_request: number of the last request for a report.
+        not reported, which is accepted whenever it was requested.
+    :param requested_at: sequence number of the request for the report.
+    :param last_request: latest sequence number, which no request for a
+        report that is still to be sent has.
     """
     if not incarnation:
         return True
