--- a/tests/dispatch/test_late_news.py
+++ b/tests/dispatch/test_late_news.py
@@ -123,6 +123,21 @@
         self.renew(name)
         assert not worker.ends
 
+    def start_after_restart(self):
+        """Restart a worker between an assignment and the start of its task.
+
+        Return the worker's name.
+        """
+        self.submit(fakes.job(JOB, test_crashing_tasks.step()))
+        (start,) = self.place()
+        name = start.worker
+        self.workers[name].restart()
+        self.send(start)
+        self.dispatcher.set_entry(self.entry(name), self.now)
+        self.play(0.5)
+        assert self.phases(name) == [fleet.RunPhase.RUNNING]
+        return name
+
     def phases(self, name):
         """Return the phases of the runs on a worker."""
         runs = self.dispatcher.workers[ids.WorkerId(name)].runs.values()
@@ -367,14 +382,7 @@
         carried out its start and listed it.
         """
         site = RenewingHarness(3)
-        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
-        (start,) = site.place()
-        name = start.worker
-        site.workers[name].restart()
-        site.send(start)
-        site.dispatcher.set_entry(site.entry(name), site.now)
-        site.play(0.5)
-        assert site.phases(name) == [fleet.RunPhase.RUNNING]
+        name = site.start_after_restart()
         site.workers[name].cut_off = True
         site.dispatcher.remove_entry(name)
         site.play(30, until=lambda: not site.dispatcher.workers[name].runs)
@@ -397,14 +405,7 @@
         carried out its start and listed it to the former leader.
         """
         site = RenewingHarness(1)
-        site.submit(fakes.job(JOB, test_crashing_tasks.step()))
-        (start,) = site.place()
-        name = start.worker
-        site.workers[name].restart()
-        site.send(start)
-        site.dispatcher.set_entry(site.entry(name), site.now)
-        site.play(0.5)
-        assert site.phases(name) == [fleet.RunPhase.RUNNING]
+        name = site.start_after_restart()
         site.workers[name].cut_off = True
         site.take_over()
         site.play(40, until=lambda: not site.dispatcher.workers[name].runs)
