--- /dev/null
+++ b/review/standin2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: a small deployment on loopback."""
