--- a/review/standin2/site.py
+++ b/review/standin2/site.py
@@ -12,6 +12,7 @@
 import subprocess
 import time
 
+from standin2 import link as links
 from standins import batch_platform
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import calls
@@ -116,6 +117,52 @@
         ]
         self.began = time.monotonic()
         self.record: list[str] = []
+        # The links between the entry hosts and the store, if there are any.
+        self.links: dict[str, links.Link] = {}
+
+    async def link_store(self) -> None:
+        """Let the channels of each entry host to the store pass a link.
+
+        Must be called before ``start``.
+        """
+        self.store_port = await self.store.server.start(
+            host="127.0.0.1", port=0
+        )
+        for entry in self.entries:
+            self.links[entry.node] = links.Link(("127.0.0.1", self.store_port))
+            await self.links[entry.node].start()
+
+    async def start(self) -> None:
+        """Start everything and wait for the first leader."""
+        if not self.links:
+            await super().start()
+            return
+        for worker in self.workers:
+            await worker.start()
+            self.store.storage.put(f"servers/{worker.name}", worker.entry())
+        self.configure(version=1)
+        self.ticker = asyncio.create_task(self._tick())
+        for entry in self.entries:
+            self.start_entry(entry)
+        await self.until(
+            lambda: (
+                any(e.events("recovered") for e in self.entries)
+                and all(
+                    e.events("configuration-in-force") for e in self.entries
+                )
+            )
+        )
+
+    def start_entry(self, entry: batch_platform.Entry) -> None:
+        """Start an entry host's process."""
+        link = self.links.get(entry.node)
+        entry.start(self.store_port if link is None else link.port)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await super().stop()
+        for link in self.links.values():
+            await link.stop()
 
     def note(self, text: str) -> None:
         """Add a line to the record."""
@@ -226,6 +273,48 @@
             self.note("log " + " ".join(row))
 
 
+    def note_orders(self) -> None:
+        """Add what the leader logged of orders without an answer."""
+        rows = []
+        for entry in self.entries:
+            for name in ("start-unknown", "run-stopped", "run-lost"):
+                rows += [
+                    (
+                        row["time"],
+                        entry.node,
+                        name,
+                        f"{row['job']}.{row['task']} run {row['run']}"
+                        f" on {row['worker']}",
+                        row.get("reason", ""),
+                        row.get("detail", ""),
+                    )
+                    for row in entry.events(name)
+                ]
+        for row in sorted(rows):
+            self.note("log " + " ".join(row))
+
+
+    def note_failures(self) -> None:
+        """Add what the leader logged of crashes and of failed jobs."""
+        rows = []
+        for entry in self.entries:
+            for name in ("task-crashed-worker", "job-failed"):
+                rows += [
+                    (
+                        row["time"],
+                        entry.node,
+                        name,
+                        f"{row['job']} {row['task']} run {row['run']}",
+                        row.get("worker", ""),
+                        row.get("reason", ""),
+                        f"crashes={row['crashes']}",
+                    )
+                    for row in entry.events(name)
+                ]
+        for row in sorted(rows):
+            self.note("log " + " ".join(row))
+
+
 def _as_started_by_the_platform(entry: batch_platform.Entry) -> Entry:
     started = Entry.__new__(Entry)
     started.__dict__.update(entry.__dict__)
