--- a/review/standin2/runner.py
+++ b/review/standin2/runner.py
@@ -28,6 +28,15 @@
     def __init__(self, *, name: str, zone: str):
         super().__init__(name=name, zone=zone)
         self.channels: links.Link | None = None
+        # Whether the runner fails all that it starts and runs.
+        self.unhealthy = False
+
+    def tick(self, span: datetime.timedelta) -> None:
+        """Advance the clock; fail what runs while the runner is unhealthy."""
+        super().tick(span)
+        if self.unhealthy:
+            for task in list(self.state.running):
+                self.fail(task)
 
     async def start(self, *, linked: bool = False) -> None:
         """Listen on a free loopback port behind a link."""
