--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""One of eight runners crashes several times; no task fails by itself."""
+"""The store carries a submission out after its cancel was answered."""
 
 import asyncio
 import json
@@ -6,85 +6,101 @@
 import pathlib
 import sys
 import tempfile
+import time
 
+from standin2 import late_store
 from standin2 import runner
 from standin2 import site
-from turmerichook._internal.workflow import model
+from turmerichook._internal.dispatch import keys
 
-RUNNERS = 8
-LASTING = [f"00000000000000d{number}" for number in range(2)]
-# The runner is down for a second, then up for a while, and so on.
-CRASHES = 5
-DOWN_S = 0.3
-UP_S = 1.2
-# A client hands in a job every so often.
-JOBS = 24
-JOB_INTERVAL_S = 0.6
-FINISH_S = 14.0
-TASK = {"cpu": 1000, "mem-mb": 500}
+RUNNERS = 4
+JOB = "00000000000000b1"
+# The write is carried out this long after it was sent, as the store may do it
+# 1 to 6 s later.
+LATE_S = 4.0
+# The process sends the write twice in the time that it has.
+LATE_WRITES = 2
+# Bounds of the site: cancel_ms, and contact-ms, after which the store counts
+# as stable again.
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+STEP_S = 4.0
+WATCHED_S = 20.0
+TASK = {"cpu": 500, "mem-mb": 100, "estimate-ms": 4000}
 
 
-def ordinary_job() -> dict:
-    """Return a job with four tasks of 2.7 s."""
+def job() -> dict:
+    """Return a job of three steps, one after the other."""
     return {
-        "spec": json.dumps({"s": 2.7, "cpu": 1000}),
-        "steps": [{"count": 4, **TASK, "estimate-ms": 2700}],
+        "spec": json.dumps({"s": STEP_S, "cpu": 500}),
+        "steps": [
+            {"count": 2, **TASK},
+            {"count": 2, "after": [0], **TASK},
+            {"count": 2, "after": [1], **TASK},
+        ],
     }
 
 
-def lasting_job() -> dict:
-    """Return a job with a task that lasts for each runner."""
-    step = {"count": RUNNERS, **TASK, "estimate-ms": 600_000}
-    return {
-        "spec": json.dumps({"s": 600, "cpu": 1000}),
-        "steps": [{**step, "long-running": True}],
-    }
+def starts(platform: site.Site) -> list[tuple[float, str, str]]:
+    """Return time, task and runner of each start of the job's tasks."""
+    return sorted(
+        (at, task.text(), worker.name)
+        for worker in platform.workers
+        for task, at in worker.started_at
+        if task.job == JOB
+    )
 
 
-async def crash_in_turn(platform: site.Site, worker: runner.Runner) -> None:
-    """Let a runner go down and up by turns."""
-    for _ in range(CRASHES):
-        platform.note(
-            f"{worker.name} crashes with "
-            + ", ".join(f"{t.job} {t.text()}" for t in worker.state.running)
-        )
-        worker.crash_for(DOWN_S)
-        await asyncio.sleep(DOWN_S + UP_S)
+async def cancel(platform: site.Site) -> bool:
+    """Cancel the job as a client does; return whether it was answered."""
+    for entry in (platform.entries[1], platform.entries[2]):
+        status, _ = await platform.ask(entry, "DELETE", JOB)
+        if 200 <= status < 300 or status == 410:
+            return True
+        await asyncio.sleep(0.5)
+    return False
 
 
 async def play(platform: site.Site, trouble: bool) -> bool:
     """Return whether the rule held."""
-    for job in LASTING:
-        if not await platform.hand_in(job, lasting_job()):
-            raise RuntimeError("a lasting job was not accepted")
-    await asyncio.sleep(3.0)
-    crashing = None
-    accepted = []
-    for number in range(JOBS):
-        job = f"{0xA000 + number:016x}"
-        if await platform.hand_in(job, ordinary_job()):
-            accepted.append(job)
-        await asyncio.sleep(JOB_INTERVAL_S)
-        if trouble and crashing is None and number >= 2:
-            crashing = asyncio.create_task(
-                crash_in_turn(platform, platform.workers[0])
-            )
-    if crashing is not None:
-        await crashing
-    platform.note(f"end of traffic; {len(accepted)} jobs accepted")
-    await asyncio.sleep(FINISH_S)
-    states = {job: await platform.look(job) for job in accepted}
-    failed = [job for job in accepted if states[job] == "failed"]
-    ends = [
-        end
-        for worker in platform.workers
-        for end in worker.ended
-        if end.kind is model.EndKind.FAILED
-    ]
-    platform.note(f"states: {states}")
-    platform.note(f"ends `failed` on any runner: {len(ends)}")
-    platform.note(f"shown as failed: {failed}")
-    return not failed
+    if trouble:
+        platform.note("the store carries the next submission out late")
+        platform.store.late_key = keys.job(JOB)
+        platform.store.late_count = LATE_WRITES
+        platform.store.delay = LATE_S
+    began = time.monotonic()
+    status, _ = await platform.ask(platform.entries[0], "POST", JOB, job())
+    if trouble and status != 504:
+        raise RuntimeError(f"the submission was answered with {status}")
+    # The client gives the job up instead of sending it again.
+    if not await cancel(platform):
+        raise RuntimeError("the cancel was not answered")
+    canceled_at = time.monotonic()
+    platform.note("the cancel is acknowledged")
+    await asyncio.sleep(WATCHED_S)
+    store = platform.store
+    stable_at = began
+    if trouble:
+        if store.outcomes[:1] != ["done"]:
+            raise RuntimeError(f"the late writes: {store.outcomes}")
+        platform.note(
+            f"late writes: {store.outcomes}, the last one"
+            f" {store.done_at - began:.2f} s after the submission;"
+            f" {store.writes} writes in all since the start"
+        )
+        stable_at = store.done_at + CONTACT_S
+    late = []
+    for at, task, worker in starts(platform):
+        after = at - canceled_at
+        counts = after > CANCEL_S and at > stable_at
+        platform.note(
+            f"{task} started on {worker} {after:.2f} s after the cancel"
+            + ("; this counts" if counts else "")
+        )
+        if counts:
+            late.append(task)
+    platform.note(f"state at the end: {await platform.look(JOB)}")
+    return not late
 
 
 async def main() -> int:
@@ -95,6 +111,7 @@
         platform = site.Site(
             folder=pathlib.Path(temporary), workers=RUNNERS, entries=3
         )
+        platform.store = late_store.LateStore()
         platform.workers = [
             runner.Runner(name=worker.name, zone=worker.zone)
             for worker in platform.workers
@@ -103,7 +120,6 @@
             await platform.start()
             held = await play(platform, trouble)
             platform.note_leaders()
-            platform.note_failures()
             platform.note_runs()
         except Exception as error:
             platform.note(f"the case couldn't run: {error!r}")
