--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,7 @@
 
 from standin2 import site
 
-STEPS = 600
+STEPS = 800
 LARGE = "00000000000000b1"
 # A client hands in an ordinary job each second.
 ORDINARY = [f"00000000000000c{number}" for number in range(5)]
@@ -22,7 +22,7 @@
 
 
 def large_job(trouble: bool) -> dict:
-    """Return a job with 600 tasks: one a step, or all in one step."""
+    """Return a job with 800 tasks: one a step, or all in one step."""
     steps = (
         [{"count": 1, **TASK} for _ in range(STEPS)]
         if trouble
@@ -105,6 +105,7 @@
             await platform.start()
             async with asyncio.timeout(TIME_LIMIT_S):
                 held = await play(platform, trouble)
+            platform.note("the rule held" if held else "the rule didn't hold")
             platform.note_leaders()
             platform.note_runs()
         except Exception as error:
@@ -112,11 +113,10 @@
             return 2
         finally:
             await platform.stop()
-            platform.note("the rule held" if held else "the rule didn't hold")
             (folder / "record.txt").write_text(
                 "\n".join(platform.record) + "\n"
             )
     return 0 if held else 1
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(site.run(main))
--- a/review/standin2/site.py
+++ b/review/standin2/site.py
@@ -6,11 +6,14 @@
 """
 
 import asyncio
+import collections.abc
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import time
+import typing
 
 from standin2 import link as links
 from standins import batch_platform
@@ -214,7 +217,8 @@
         except ValueError:
             content = {}
         self.note(
-            f"{method} {prefix}{job} to {entry.node}: {answer.status} {content}"
+            f"{method} {prefix}{job} to {entry.node}:"
+            f" {answer.status} {content}"
         )
         return answer.status, content
 
@@ -313,6 +317,29 @@
             self.note("log " + " ".join(row))
 
 
+def run(
+    main: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, int]
+    ],
+) -> int:
+    """Run a case and return its exit status.
+
+    The case ends with status 2 on SIGTERM, after its own cleaning up.
+    """
+
+    async def cancelled_by_signal() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
+        try:
+            return await main()
+        except asyncio.CancelledError:
+            return 2
+
+    return asyncio.run(cancelled_by_signal())
+
+
 def _as_started_by_the_platform(entry: batch_platform.Entry) -> Entry:
     started = Entry.__new__(Entry)
     started.__dict__.update(entry.__dict__)
