--- a/review/standin2/site.py
+++ b/review/standin2/site.py
@@ -13,6 +13,7 @@
 import signal
 import subprocess
 import time
+import traceback
 import typing
 
 from standin2 import link as links
@@ -324,7 +325,8 @@
 ) -> int:
     """Run a case and return its exit status.
 
-    The case ends with status 2 on SIGTERM, after its own cleaning up.
+    The case ends with status 2 on SIGTERM, after its own cleaning up, and
+    after an error of its own.
     """
 
     async def cancelled_by_signal() -> int:
@@ -336,6 +338,9 @@
             return await main()
         except asyncio.CancelledError:
             return 2
+        except Exception:
+            traceback.print_exc()
+            return 2
 
     return asyncio.run(cancelled_by_signal())
 
