Determine the estimates along a job's steps once for each job

Cause: a waiting step asked for the critical path three times, twice by the job's deadline, and each time the paths of all steps were determined anew, in a time that is quadratic in the steps. Taking a job took cubic time, in the event loop that renews the lease. Related: the end of a step searched all steps for those that become ready, the downstream work was searched for each step, and a round searched all records of a job for each waiting filler step and each step with a limit for each worker.

Change: StepGraph determines critical paths, downstream work and successors once for each job, and Progress counts unfinished dependencies and assigned tasks. A specification never changes, so nothing has to be updated.

--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -172,7 +172,7 @@
         return (
             self.needs.filler
             and now - self.since > STARVATION_TIME
-            and not any(r.worker for r in self.job.progress.tasks.values())
+            and not self.job.progress.assigned_count
         )
 
     def tasks_by_worker(self) -> collections.Counter[ids.WorkerId]:
@@ -182,11 +182,9 @@
         """
         counts: collections.Counter[ids.WorkerId] = collections.Counter()
         if self.step.max_per_worker:
-            key = self.key
-            for task, record in self.job.progress.tasks.items():
-                if task.occurrence == key.occurrence and task.step == key.step:
-                    if record.worker:
-                        counts[record.worker] += 1
+            for record in self.job.progress.step_records(self.key):
+                if record.worker:
+                    counts[record.worker] += 1
         return counts
 
 
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -14,6 +14,7 @@
 
 from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
+from turmerichook._internal.workflow import step_graph
 
 
 class Phase(enum.Enum):
@@ -116,11 +117,15 @@
 class Progress:
     """Progress of one job.
 
+    :ivar graph: dependencies between the steps.
     :ivar tasks: records of the tasks that were ever assigned to a worker.
+    :ivar assigned_count: number of tasks that are assigned to a worker.
     :ivar canceled: whether a caller has cancelled the job.
     :ivar failed: why the job has failed; None if it has not.
     :ivar unfinished_tasks: number of tasks that are not done, by occurrence
         and index of the step.
+    :ivar unfinished_dependencies: number of steps that are not done and that
+        a step depends on, by occurrence and index of the step.
     :ivar opened_occurrences: number of occurrences that have been opened,
         which happens when they are due; only tasks of opened occurrences may
         start.
@@ -130,10 +135,13 @@
 
     def __init__(self, *, spec: model.JobSpec):
         self.spec = spec
+        self.graph = step_graph.StepGraph(spec.steps)
         self.tasks: dict[model.TaskKey, TaskRecord] = {}
+        self.assigned_count = 0
         self.canceled = False
         self.failed: FailureReason | None = None
         self.unfinished_tasks: dict[tuple[int, int], int] = {}
+        self.unfinished_dependencies: dict[tuple[int, int], int] = {}
         self.opened_occurrences = 0
         self.completed_steps = 0
 
@@ -177,6 +185,9 @@
         self.opened_occurrences += 1
         for number, step in enumerate(self.spec.steps):
             self.unfinished_tasks[occurrence, number] = step.count
+            self.unfinished_dependencies[occurrence, number] = (
+                self.graph.dependency_counts[number]
+            )
         ready: list[model.TaskKey] = []
         for number, step in enumerate(self.spec.steps):
             if not step.after:
@@ -196,7 +207,7 @@
         :param incarnation: the worker's incarnation; 0 if unknown.
         """
         record = self.tasks.setdefault(task, TaskRecord())
-        record.phase = Phase.ASSIGNED
+        self._set_phase(record, Phase.ASSIGNED)
         record.worker = worker
         record.incarnation = incarnation
         record.proven = False
@@ -212,7 +223,7 @@
         record = self.tasks.setdefault(task, TaskRecord())
         if record.phase is Phase.DONE:
             return []
-        record.phase = Phase.DONE
+        self._set_phase(record, Phase.DONE)
         record.worker = ids.WorkerId("")
         record.incarnation = 0
         record.forget_crashes()
@@ -220,8 +231,23 @@
         self.unfinished_tasks[step_key] -= 1
         if self.unfinished_tasks[step_key]:
             return []
+        ready: list[model.TaskKey] = []
+        for number in self.complete_step(task.occurrence, task.step):
+            ready += self._step_tasks(task.occurrence, number)
+        return ready
+
+    def complete_step(self, occurrence: int, number: int) -> list[int]:
+        """Count a step whose tasks are all done.
+
+        :returns: the steps whose dependencies are all done by that.
+        """
         self.completed_steps += 1
-        return self._newly_ready(task.occurrence, task.step)
+        ready: list[int] = []
+        for later in self.graph.successors[number]:
+            self.unfinished_dependencies[occurrence, later] -= 1
+            if not self.unfinished_dependencies[occurrence, later]:
+                ready.append(later)
+        return ready
 
     def return_to_queue(
         self,
@@ -238,7 +264,7 @@
             run.
         """
         record = self.tasks[task]
-        record.phase = Phase.WAITING
+        self._set_phase(record, Phase.WAITING)
         record.worker = ids.WorkerId("")
         record.incarnation = 0
         if checkpoint:
@@ -252,15 +278,24 @@
 
         It is empty if no task has any.
         """
-        counts: collections.Counter[ids.CheckpointId] = collections.Counter()
-        for task in self._step_tasks(key.occurrence, key.step):
-            record = self.tasks.get(task)
-            if record is not None and record.checkpoint:
-                counts[record.checkpoint] += 1
+        counts = collections.Counter(
+            record.checkpoint
+            for record in self.step_records(key)
+            if record.checkpoint
+        )
         for checkpoint, _ in counts.most_common(1):
             return checkpoint
         return ids.CheckpointId("")
 
+    def step_records(
+        self, key: model.StepKey
+    ) -> collections.abc.Iterator[TaskRecord]:
+        """Return the records of a step's tasks."""
+        for task in self._step_tasks(key.occurrence, key.step):
+            record = self.tasks.get(task)
+            if record is not None:
+                yield record
+
     def assigned(self) -> list[model.TaskKey]:
         """Return the tasks that are assigned to a worker."""
         return [
@@ -284,10 +319,7 @@
 
     def dependencies_done(self, occurrence: int, number: int) -> bool:
         """Return whether all steps that a step depends on are done."""
-        return all(
-            not self.unfinished_tasks[occurrence, earlier]
-            for earlier in self.spec.steps[number].after
-        )
+        return not self.unfinished_dependencies[occurrence, number]
 
     def critical_path_from(self, number: int) -> datetime.timedelta:
         """Return the estimated run time of the critical path from a step.
@@ -295,11 +327,11 @@
         The critical path is the chain of dependent steps whose estimates sum
         up to the most; the step itself is the first of the chain.
         """
-        return self._critical_paths()[number]
+        return self.graph.critical_paths[number]
 
     def critical_path(self) -> datetime.timedelta:
         """Return the estimated run time of the critical path of the job."""
-        return max(self._critical_paths(), default=datetime.timedelta())
+        return self.graph.critical_path
 
     def downstream_work(self, number: int) -> datetime.timedelta:
         """Return the estimated processor time of all steps after a step.
@@ -307,43 +339,18 @@
         These are the steps that depend on the given one, directly or through
         other steps.
         """
-        downstream = {number}
-        work = datetime.timedelta()
-        for other, step in enumerate(self.spec.steps):
-            if downstream.intersection(step.after):
-                downstream.add(other)
-                work += step.count * step.processor_time
-        return work
-
-    def _critical_paths(self) -> list[datetime.timedelta]:
-        steps = self.spec.steps
-        lengths = [datetime.timedelta()] * len(steps)
-        for first in reversed(range(len(steps))):
-            successors = (
-                lengths[other]
-                for other in range(first + 1, len(steps))
-                if first in steps[other].after
-            )
-            lengths[first] = steps[first].estimate + max(
-                successors, default=datetime.timedelta()
-            )
-        return lengths
+        return self.graph.downstream_work[number]
+
+    def _set_phase(self, record: TaskRecord, phase: Phase) -> None:
+        self.assigned_count += (phase is Phase.ASSIGNED) - (
+            record.phase is Phase.ASSIGNED
+        )
+        record.phase = phase
 
     def _is_waiting(self, task: model.TaskKey) -> bool:
         record = self.tasks.get(task)
         return record is None or record.phase is Phase.WAITING
 
-    def _newly_ready(
-        self, occurrence: int, finished: int
-    ) -> list[model.TaskKey]:
-        ready: list[model.TaskKey] = []
-        for number, step in enumerate(self.spec.steps):
-            if finished in step.after and self.dependencies_done(
-                occurrence, number
-            ):
-                ready += self._step_tasks(occurrence, number)
-        return ready
-
     def _step_tasks(
         self, occurrence: int, number: int
     ) -> collections.abc.Iterator[model.TaskKey]:
@@ -368,12 +375,13 @@
     for _ in range(opened_occurrences):
         progress.open_occurrence()
     progress.tasks = tasks
+    progress.assigned_count = len(progress.assigned())
     progress.canceled = canceled
     progress.failed = failed
     for task, record in tasks.items():
         if record.phase is Phase.DONE:
             progress.unfinished_tasks[task.occurrence, task.step] -= 1
-    progress.completed_steps = sum(
-        not count for count in progress.unfinished_tasks.values()
-    )
+    for (occurrence, number), count in progress.unfinished_tasks.items():
+        if not count:
+            progress.complete_step(occurrence, number)
     return progress
