Let other tasks run while many jobs are taken

Callers could still see that nobody leads after several large jobs: whatever a leader reads at its take-over, after a lost history or in one answer of a watch was applied without a pause, and its lease was not renewed meanwhile. The next leader read the same. Nothing told which work had held it up.

Cause: Follower applied lists and changes in one turn of the event loop, and Feeds did the same with ended jobs.

Change: Follower pauses between two changes once 20 ms have passed, so that the renewals go on however many changes follow each other. The event loop-held and the metric loop_held_seconds name work of 200 ms or more, leader-load has the longest of each second, renewal-late tells of renewals that were far apart.

--- a/src/turmerichook/_internal/dispatch/committer.py
+++ b/src/turmerichook/_internal/dispatch/committer.py
@@ -96,7 +96,9 @@
 
     async def _commit(self) -> bool:
         """Write one commit; return False if there is a later leader."""
+        began = self.clock.monotonic()
         saves = self.dispatcher.next_saves(SAVE_ENTRIES_MAX)
+        self.meter.note_hold("snapshots", self.clock.monotonic() - began)
         writes, removals = _save_entries(saves)
         notes = inherited_leases.Notes(lease_notes=sequence_value.LeaseNotes())
         if self.inherited_leases is not None:
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -278,3 +278,16 @@
         level=events.Level.INFO,
         summary="the advisor answers again",
     )
+    LOOP_HELD = events.Event(
+        number=7055,
+        level=events.Level.WARNING,
+        summary="a piece of work has held up all other work of the process",
+        limit=50,
+    )
+    RENEWAL_LATE = events.Event(
+        number=7056,
+        level=events.Level.WARNING,
+        summary="the leader's lease is renewed late, as the process was busy"
+        " or suspended",
+        limit=50,
+    )
--- a/src/turmerichook/_internal/dispatch/feeds.py
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -18,6 +18,7 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal import pauses
 from turmerichook._internal.storage import follower
 from turmerichook._internal.storage import interface
 from turmerichook._internal.workflow import progress as progresses
@@ -50,6 +51,8 @@
 
     :param changed: set when a change needs a round of the leader.
     :param on_worker: called for each worker whose entry was read.
+    :param held: called with the key of each change and the time that its
+        application took.
     :ivar orphaned_cancels: keys of cancellations of jobs that the dispatcher
         does not hold; housekeeping removes them from the store.
     """
@@ -63,6 +66,7 @@
         clock: clocks.Clock,
         changed: asyncio.Event,
         on_worker: collections.abc.Callable[[ids.WorkerId], None],
+        held: follower.HeldCallback = lambda key, elapsed: None,
     ):
         self.storage = storage
         self.format = registry_format
@@ -79,6 +83,7 @@
             clock=clock,
             replace=self._replace_inbox,
             apply=self._apply_inbox,
+            held=held,
         )
         self.registry = follower.Follower(
             storage=storage,
@@ -91,6 +96,7 @@
                 dispatcher.timing.contact / REGISTRY_READS,
             ),
             confirm=self._confirm_registry,
+            held=held,
         )
 
     async def recover(
@@ -117,7 +123,7 @@
                     keys.job_id(item.key): item.value for item in items
                 }
                 await self.inbox.list()
-                self._recover_final()
+                await self._recover_final()
                 jobs_read()
                 await self.registry.list()
                 break
@@ -128,11 +134,13 @@
                 await self.clock.sleep(commits.RETRY_PAUSE)
         self.progress.clear()
 
-    def _recover_final(self) -> None:
+    async def _recover_final(self) -> None:
         now = self.clock.uptime()
+        between = pauses.Pauses(self.clock)
         jobs, final = self.dispatcher.jobs, self.dispatcher.final
         set_aside = self.dispatcher.run_tracker.set_aside
         for job_id, value in self.progress.items():
+            await between.pause()
             if job_id in jobs or job_id in final or job_id in set_aside:
                 continue
             try:
@@ -142,13 +150,16 @@
                 continue
             self.dispatcher.add_final(job_id, remainder, now)
 
-    def _replace_inbox(self, items: list[interface.Item]) -> None:
+    def _replace_inbox(
+        self, items: list[interface.Item]
+    ) -> list[interface.Item]:
         # Jobs first: a cancellation needs its job.
-        for prefix in (keys.JOB_PREFIX, keys.CANCEL_PREFIX):
-            follower.apply_each(
-                [item for item in items if item.key.startswith(prefix)],
-                self._apply_inbox,
-            )
+        return [
+            item
+            for prefix in (keys.JOB_PREFIX, keys.CANCEL_PREFIX)
+            for item in items
+            if item.key.startswith(prefix)
+        ]
 
     def _apply_inbox(self, change: interface.Item | interface.Removed) -> None:
         if isinstance(change, interface.Removed):
@@ -201,12 +212,14 @@
             events.DispatchEvent.JOB_UNREADABLE, job=job_id, error=str(error)
         )
 
-    def _replace_entries(self, items: list[interface.Item]) -> None:
+    def _replace_entries(
+        self, items: list[interface.Item]
+    ) -> list[interface.Item]:
         listed = {self.format.worker(item.key) for item in items}
         for worker in list(self.dispatcher.workers):
             if worker not in listed:
                 self.dispatcher.remove_entry(worker)
-        follower.apply_each(items, self._apply_entry)
+        return items
 
     def _apply_entry(self, change: interface.Item | interface.Removed) -> None:
         worker_id = self.format.worker(change.key)
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -92,6 +92,7 @@
             clock=clock,
             changed=self.changed,
             on_worker=self._ensure_session,
+            held=self.meter.note_hold,
         )
         self.housekeeping = housekeeping.Housekeeping(
             final=self.dispatcher.final,
@@ -264,13 +265,14 @@
 
     def _round(self) -> None:
         """Do the work that needs no commit, and trigger the next commit."""
+        began = self.clock.monotonic()
         now = self.clock.uptime()
         dispatcher = self.dispatcher
         dispatcher.open_all_due(self.feeds.wall(), now)
         dispatcher.watchdog.tick(now)
         self._send_orders()
         self.committer.wake.set()
-        self.meter.note_round()
+        self.meter.note_round(self.clock.monotonic() - began)
         self.meter.note_crashes(dispatcher.run_tracker.crash_counts.pop())
         reported = self.meter.report(
             jobs=len(dispatcher.jobs),
--- a/src/turmerichook/_internal/dispatch/leadership.py
+++ b/src/turmerichook/_internal/dispatch/leadership.py
@@ -315,7 +315,9 @@
                 renewal = asyncio.create_task(self._renew(term))
                 renewals.add(renewal)
                 renewal.add_done_callback(renewals.discard)
+                sent_at = self.clock.uptime()
                 await self.clock.wait_event(term.ended, RENEW_INTERVAL)
+                self._log_lateness(term, self.clock.uptime() - sent_at)
                 if suspended == term.has_authority():
                     suspended = not suspended
                     self._log_authority(term, suspended)
@@ -334,6 +336,15 @@
         else:
             term.confirmed_at = max(term.confirmed_at, sent)
 
+    def _log_lateness(self, term: Term, interval: datetime.timedelta) -> None:
+        """Log that two renewals are far apart."""
+        if interval >= 2 * RENEW_INTERVAL:
+            logs.emit(
+                events.DispatchEvent.RENEWAL_LATE,
+                epoch=term.token,
+                interval_ms=interval // clocks.MILLISECOND,
+            )
+
     def _log_authority(self, term: Term, suspended: bool) -> None:
         if term.ended.is_set():
             return
--- a/src/turmerichook/_internal/dispatch/load.py
+++ b/src/turmerichook/_internal/dispatch/load.py
@@ -14,6 +14,9 @@
 from turmerichook._internal.metrics import registry
 
 REPORT_INTERVAL = datetime.timedelta(seconds=1)
+# Time from which on a single piece of work that holds the event loop is
+# reported. No lease is renewed and no caller answered meanwhile.
+HOLD_REPORTED = 200 * clocks.MILLISECOND
 ZERO = datetime.timedelta()
 
 
@@ -42,10 +45,26 @@
         self.released = 0
         self.waited = ZERO
         self.longest_wait = ZERO
+        self.longest_hold = ZERO
 
-    def note_round(self) -> None:
+    def note_hold(self, work: str, elapsed: datetime.timedelta) -> None:
+        """Note for how long a piece of work has held the event loop.
+
+        :param work: kind of work, or the key of the item that was applied.
+        """
+        self.longest_hold = max(self.longest_hold, elapsed)
+        if elapsed >= HOLD_REPORTED:
+            self.metrics.observe("loop_held_seconds", elapsed.total_seconds())
+            logs.emit(
+                events.DispatchEvent.LOOP_HELD,
+                work=work,
+                held_ms=elapsed // clocks.MILLISECOND,
+            )
+
+    def note_round(self, elapsed: datetime.timedelta) -> None:
         """Count one round of the leader."""
         self.rounds += 1
+        self.note_hold("round", elapsed)
 
     def note_placement(
         self, placed: int, limited: bool, elapsed: datetime.timedelta
@@ -60,6 +79,7 @@
         self.placed += placed
         self.limited += limited
         self.placing += elapsed
+        self.note_hold("placement", elapsed)
         self.metrics.observe("placement_seconds", elapsed.total_seconds())
 
     def note_commit(
@@ -154,6 +174,7 @@
             unsaved=unsaved,
             unsaved_ms=oldest_unsaved_age // clocks.MILLISECOND,
             orders=orders,
+            longest_hold_ms=self.longest_hold // clocks.MILLISECOND,
         )
         self._reset()
         return True
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -55,7 +55,7 @@
     answer_count: int | None
 
 
-@dataclasses.dataclass(kw_only=True, eq=False)
+@dataclasses.dataclass(kw_only=True, eq=False, slots=True)
 class WaitingStep:
     """Waiting tasks of a step, each with the worker of its last run.
 
--- a/src/turmerichook/_internal/intake/operators.py
+++ b/src/turmerichook/_internal/intake/operators.py
@@ -9,7 +9,6 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
-from turmerichook._internal.storage import follower
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
 
@@ -66,18 +65,18 @@
         """Zones in which no tasks are placed."""
         return frozenset(self.closed_zone_by_key.values())
 
-    def replace(self, items: list[interface.Item]) -> None:
-        """Replace all orders by those listed in the store.
+    def replace(self, items: list[interface.Item]) -> list[interface.Item]:
+        """Open the closed zones whose orders are not listed in the store.
 
-        A closed zone whose order is not listed is opened. The configuration
-        stays if none is listed.
+        :returns: all listed orders, which are still to be applied. The
+            configuration stays if none is listed.
         """
         listed_keys = {item.key for item in items}
         for key in [
             key for key in self.closed_zone_by_key if key not in listed_keys
         ]:
             self._open_zone(key)
-        follower.apply_each(items, self.apply)
+        return items
 
     def apply(self, change: interface.Item | interface.Removed) -> None:
         """Apply one change of an order.
--- /dev/null
+++ b/src/turmerichook/_internal/pauses.py
@@ -0,0 +1,30 @@
+"""Pauses in long work, in which the other tasks of the event loop run."""
+
+import asyncio
+import datetime
+
+from turmerichook._internal import clock as clocks
+
+# Longest time for which pieces of work follow each other without a pause. The
+# renewal of a lease needs a few turns of the event loop.
+HOLD_MAX = 20 * clocks.MILLISECOND
+
+
+class Pauses:
+    """Lets other tasks run between two pieces of work, if it is time.
+
+    A piece of work that takes longer than ``HOLD_MAX`` holds the event loop
+    for all of its time.
+    """
+
+    def __init__(self, clock: clocks.Clock):
+        self.clock = clock
+        self.since = clock.monotonic()
+
+    async def pause(self) -> datetime.timedelta:
+        """Pause if it is time; return the monotonic time afterwards."""
+        now = self.clock.monotonic()
+        if now - self.since >= HOLD_MAX:
+            await asyncio.sleep(0)
+            now = self.since = self.clock.monotonic()
+        return now
--- a/src/turmerichook/_internal/storage/follower.py
+++ b/src/turmerichook/_internal/storage/follower.py
@@ -6,6 +6,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
+from turmerichook._internal import pauses
 from turmerichook._internal.storage import events
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
@@ -17,7 +18,10 @@
 # calls to the client as well.
 RETRY_DELAY = datetime.timedelta(milliseconds=300)
 
-ReplaceCallback = collections.abc.Callable[[list[interface.Item]], None]
+ReplaceCallback = collections.abc.Callable[
+    [list[interface.Item]], collections.abc.Iterable[interface.Item]
+]
+HeldCallback = collections.abc.Callable[[str, datetime.timedelta], None]
 ConfirmCallback = collections.abc.Callable[[datetime.timedelta], None]
 ApplyCallback = collections.abc.Callable[
     [interface.Item | interface.Removed], None
@@ -27,13 +31,18 @@
 class Follower:
     """Lists the items below a prefix, then watches for changes.
 
+    Other tasks run between two changes if many are applied.
+
     :param replace: called with all items, at the start and whenever changes
-        were missed.
-    :param apply: called with each later change. A change may be reported more
-        than once.
+        were missed. Returns them in the order in which they are applied.
+    :param apply: called with each of these items and each later change. A
+        change may be reported more than once. One that causes an unexpected
+        error is left out.
     :param watch_timeout: longest time for which a watch waits for a change.
     :param confirm: called after each successful call with our time at which
         the call was sent. All changes made before have been reported.
+    :param held: called with the key of each change and the time that its
+        application took.
     """
 
     def __init__(
@@ -46,6 +55,7 @@
         apply: ApplyCallback,
         watch_timeout: datetime.timedelta = WATCH_TIMEOUT,
         confirm: ConfirmCallback = lambda sent_at: None,
+        held: HeldCallback = lambda key, elapsed: None,
     ):
         self.storage = storage
         self.prefix = prefix
@@ -54,6 +64,7 @@
         self.apply = apply
         self.watch_timeout = watch_timeout
         self.confirm = confirm
+        self.held = held
         self.revision: ids.Revision | None = None
         self.failing = False
 
@@ -81,7 +92,7 @@
         """Read all items and pass them to ``replace``."""
         sent_at = self.clock.uptime()
         items, revision = await interface.read_all(self.storage, self.prefix)
-        self.replace(items)
+        await self._apply_each(self.replace(items))
         self.revision = revision
         self.confirm(sent_at)
 
@@ -90,10 +101,28 @@
         changes = await self.storage.watch(
             self.prefix, after=self.revision, wait=self.watch_timeout
         )
-        apply_each(changes.changes, self.apply)
+        await self._apply_each(changes.changes)
         self.revision = changes.revision
         self.confirm(sent_at)
 
+    async def _apply_each(
+        self,
+        changes: collections.abc.Iterable[interface.Item | interface.Removed],
+    ) -> None:
+        between = pauses.Pauses(self.clock)
+        for change in changes:
+            began = await between.pause()
+            try:
+                self.apply(change)
+            except Exception as error:
+                logs.emit(
+                    events.StorageEvent.ITEM_FAILED,
+                    key=change.key,
+                    revision=change.revision,
+                    error=repr(error),
+                )
+            self.held(change.key, self.clock.monotonic() - began)
+
     def _note_failure(self, error: exceptions.TurmerichookError) -> None:
         if not self.failing:
             self.failing = True
@@ -112,20 +141,3 @@
                 prefix=self.prefix,
                 revision=self.revision,
             )
-
-
-def apply_each(
-    changes: collections.abc.Iterable[interface.Item | interface.Removed],
-    apply: ApplyCallback,
-) -> None:
-    """Apply changes; one that causes an unexpected error is left out."""
-    for change in changes:
-        try:
-            apply(change)
-        except Exception as error:
-            logs.emit(
-                events.StorageEvent.ITEM_FAILED,
-                key=change.key,
-                revision=change.revision,
-                error=repr(error),
-            )
--- a/tests/dispatch/test_failure_boundaries.py
+++ b/tests/dispatch/test_failure_boundaries.py
@@ -168,7 +168,7 @@
                 storage=storage,
                 prefix="x/",
                 clock=clock,
-                replace=lambda items: None,
+                replace=lambda items: (),
                 apply=apply,
             )
             running = asyncio.create_task(watch.run())
--- a/tests/dispatch/test_registry_age.py
+++ b/tests/dispatch/test_registry_age.py
@@ -64,7 +64,7 @@
             storage=storage,
             prefix="servers/",
             clock=clock,
-            replace=lambda items: None,
+            replace=lambda items: (),
             apply=lambda change: None,
             watch_timeout=SECOND,
             confirm=confirmed.append,
