Store the cancellation of a job that is not in the store yet

Cause: JobStore.cancel wrote nothing if neither the job nor its progress was there, although a submission might be under way. The record alone would not have helped: the leader took the cancellation of a job that it did not hold for an orphan and removed it with its next commit.

Change: the cancellation is written under the condition that there is neither job nor progress, and 410 follows once it is durable. The leader keeps such cancellations for the retention of a job's state and applies them as it reads the job, before a task can be placed; lists are applied cancellations first. An entry process writes five of them a second and refuses others with 503 and Retry-After, before any effect. TokenBucket moves out of TeamRates for that. Cancellations of jobs that exist and submissions are as before.

--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -291,3 +291,9 @@
         " or suspended",
         limit=50,
     )
+    EARLY_CANCEL_APPLIED = events.Event(
+        number=7014,
+        level=events.Level.INFO,
+        summary="a job is cancelled at once, as it was stored after its"
+        " cancellation",
+    )
--- a/src/turmerichook/_internal/dispatch/feeds.py
+++ b/src/turmerichook/_internal/dispatch/feeds.py
@@ -12,6 +12,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import commits
 from turmerichook._internal.dispatch import dispatcher as dispatchers
+from turmerichook._internal.dispatch import early_cancels
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leadership
@@ -53,8 +54,10 @@
     :param on_worker: called for each worker whose entry was read.
     :param held: called with the key of each change and the time that its
         application took.
-    :ivar orphaned_cancels: keys of cancellations of jobs that the dispatcher
-        does not hold; housekeeping removes them from the store.
+    :ivar early_cancels: cancellations of jobs that are not in the store;
+        housekeeping removes them at the end of their retention.
+    :ivar orphaned_cancels: keys of cancellations of final jobs, which
+        housekeeping removes from the store.
     """
 
     def __init__(
@@ -74,6 +77,9 @@
         self.clock = clock
         self.changed = changed
         self.on_worker = on_worker
+        self.early_cancels = early_cancels.EarlyCancels(
+            retention=dispatcher.timing.state_retention
+        )
         self.orphaned_cancels: set[str] = set()
         # Stored progress by job; empty once the leader has recovered.
         self.progress: dict[ids.JobId, bytes] = {}
@@ -153,10 +159,10 @@
     def _replace_inbox(
         self, items: list[interface.Item]
     ) -> list[interface.Item]:
-        # Jobs first: a cancellation needs its job.
+        # Cancellations first, so that no task of a job is placed in between.
         return [
             item
-            for prefix in (keys.JOB_PREFIX, keys.CANCEL_PREFIX)
+            for prefix in (keys.CANCEL_PREFIX, keys.JOB_PREFIX)
             for item in items
             if item.key.startswith(prefix)
         ]
@@ -179,8 +185,10 @@
             or job_id in set_aside
         ):
             return
-        # Stays in the set if an error ends this method.
+        # Stays in the set if an error ends this method. A cancellation then
+        # stays in the store for a later leader.
         set_aside.add(job_id)
+        canceled = self.early_cancels.apply(job_id)
         try:
             spec = stored.decode_spec(job_id, item.value)
             value = self.progress.get(job_id)
@@ -195,15 +203,18 @@
             progress, now=self.clock.uptime(), wall=self.wall()
         )
         set_aside.discard(job_id)
+        if canceled:
+            logs.emit(events.DispatchEvent.EARLY_CANCEL_APPLIED, job=job_id)
+            self.dispatcher.cancel(job_id, self.clock.uptime())
 
     def _add_cancel(self, item: interface.Item) -> None:
         job_id = keys.job_id(item.key)
-        if job_id in self.dispatcher.run_tracker.set_aside:
-            return
-        if job_id not in self.dispatcher.jobs:
+        if job_id in self.dispatcher.jobs:
+            self.dispatcher.cancel(job_id, self.clock.uptime())
+        elif job_id in self.dispatcher.final:
             self.orphaned_cancels.add(item.key)
-            return
-        self.dispatcher.cancel(job_id, self.clock.uptime())
+        elif job_id not in self.dispatcher.run_tracker.set_aside:
+            self.early_cancels.note(job_id, self.clock.uptime())
 
     def _log_unreadable(
         self, job_id: ids.JobId, error: exceptions.TurmerichookError
--- a/src/turmerichook/_internal/dispatch/housekeeping.py
+++ b/src/turmerichook/_internal/dispatch/housekeeping.py
@@ -4,6 +4,7 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import commits
+from turmerichook._internal.dispatch import early_cancels
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.models import ids
 
@@ -21,8 +22,9 @@
 
     :param final: final jobs and our time at which each final state became
         durable, the earliest first.
-    :param orphaned_cancels: keys of cancellations of jobs that the dispatcher
-        does not hold.
+    :param orphaned_cancels: keys of cancellations of final jobs.
+    :param early_cancels: cancellations that wait for their jobs; they are
+        removed at the end of their retention.
     """
 
     def __init__(
@@ -30,11 +32,13 @@
         *,
         final: dict[ids.JobId, datetime.timedelta],
         orphaned_cancels: set[str],
+        early_cancels: early_cancels.EarlyCancels,
         state_retention: datetime.timedelta,
         clock: clocks.Clock,
     ):
         self.final = final
         self.orphaned_cancels = orphaned_cancels
+        self.early_cancels = early_cancels
         self.retention = state_retention * RETENTION_FACTOR
         self.clock = clock
         self.last_cleanup_at = datetime.timedelta()
@@ -60,4 +64,8 @@
                 break
             del self.final[job_id]
             selected.append(keys.progress(job_id))
+        remaining = entry_limit - len(selected)
+        selected += map(
+            keys.cancel, self.early_cancels.expired(now, remaining)
+        )
         return selected
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -97,6 +97,7 @@
         self.housekeeping = housekeeping.Housekeeping(
             final=self.dispatcher.final,
             orphaned_cancels=self.feeds.orphaned_cancels,
+            early_cancels=self.feeds.early_cancels,
             state_retention=timing.state_retention,
             clock=clock,
         )
--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -5,6 +5,7 @@
 """
 
 import datetime
+import math
 import typing
 
 from turmerichook._internal import clock as clocks
@@ -265,15 +266,33 @@
                     repeated=repeated,
                 )
                 await exchange.respond(status=200, body=b"{}")
-                return
             case job_store.NoSuchJob():
-                reason, status = "no-such-job", 410
+                logs.emit(events.IntakeEvent.CANCEL_RECORDED, job=job)
+                await self._refuse(exchange, 410, "no-such-job")
+            case job_store.TooManyUnknownJobs(retry_after=wait):
+                await self._refuse_cancel(
+                    exchange,
+                    job,
+                    503,
+                    "too-many-unknown-jobs",
+                    math.ceil(wait.total_seconds()),
+                )
             case job_store.NoResultReason.OUTCOME_UNKNOWN:
-                reason, status = outcome.value, 504
-            case _:
-                reason, status = outcome.value, 503
+                await self._refuse_cancel(exchange, job, 504, outcome.value)
+            case job_store.NoResultReason():
+                await self._refuse_cancel(
+                    exchange, job, 503, outcome.value, RETRY_AFTER_S
+                )
+
+    async def _refuse_cancel(
+        self,
+        exchange: server.Exchange,
+        job: ids.JobId,
+        status: int,
+        reason: str,
+        retry_after: int | None = None,
+    ) -> None:
         logs.emit(events.IntakeEvent.CANCEL_REFUSED, job=job, reason=reason)
-        retry_after = RETRY_AFTER_S if status == 503 else None
         await self._refuse(exchange, status, reason, retry_after)
 
     async def _pending(
--- a/src/turmerichook/_internal/intake/events.py
+++ b/src/turmerichook/_internal/intake/events.py
@@ -34,8 +34,17 @@
         number=7204,
         level=events.Level.INFO,
         summary=(
-            "a cancellation was not confirmed by the store, or the job does "
-            "not exist"
+            "a cancellation was not confirmed by the store, or there are too "
+            "many of jobs that do not exist"
+        ),
+        limit=200,
+    )
+    CANCEL_RECORDED = events.Event(
+        number=7211,
+        level=events.Level.INFO,
+        summary=(
+            "there is no such job; its cancellation is durable and applies if "
+            "a submission of the job takes effect later"
         ),
         limit=200,
     )
--- a/src/turmerichook/_internal/intake/job_store.py
+++ b/src/turmerichook/_internal/intake/job_store.py
@@ -12,6 +12,7 @@
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import interface
+from turmerichook._internal import token_bucket
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import stored
@@ -22,6 +23,12 @@
 # never changes, so a cached one is returned without a read of the store.
 FINAL_STATES_MAX = 2000
 
+# Rate and burst of stored cancellations of jobs that do not exist. All entry
+# processes share the few hundred writes that the store allows each second, and
+# these cancellations stay in the store for minutes.
+EARLY_CANCELS_PER_S = 5.0
+EARLY_CANCELS_BURST = 10.0
+
 ReadResult = typing.TypeVar("ReadResult")
 
 
@@ -50,11 +57,21 @@
 class NoSuchJob:
     """The store has no job of this id.
 
-    The job was never submitted, or its state has been removed after the
-    retention time.
+    The job was never submitted, its submission has not taken effect yet, or
+    its state has been removed after the retention time.
     """
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TooManyUnknownJobs:
+    """The cancellation of a job that does not exist was not stored.
+
+    :param retry_after: time after which it can be stored.
+    """
+
+    retry_after: datetime.timedelta
+
+
 class JobStore:
     """Submits and cancels jobs, and reads jobs' states and queues' lengths.
 
@@ -67,6 +84,10 @@
         self.clock = clock
         self.final_states: dict[ids.JobId, model.JobState] = {}
         self.failures: dict[ids.JobId, progresses.FailureReason] = {}
+        self.early_cancels = token_bucket.TokenBucket(
+            tokens=EARLY_CANCELS_BURST,
+            updated_at=clock.monotonic().total_seconds(),
+        )
 
     async def submit(
         self, spec: model.JobSpec, deadline: datetime.timedelta
@@ -76,10 +97,7 @@
         :param deadline: reading of the monotonic clock at which to give up.
         """
         commit = interface.Commit(
-            expect={
-                keys.job(spec.job): interface.ABSENT,
-                keys.progress(spec.job): interface.ABSENT,
-            },
+            expect=_no_such_job(spec.job),
             writes=(
                 interface.Write(
                     key=keys.job(spec.job), value=stored.encode_spec(spec)
@@ -98,21 +116,33 @@
 
     async def cancel(
         self, job: ids.JobId, deadline: datetime.timedelta
-    ) -> Stored | NoSuchJob | NoResultReason:
+    ) -> Stored | NoSuchJob | TooManyUnknownJobs | NoResultReason:
         """Store a cancellation of a job unless the job is final.
 
+        The cancellation of a job that does not exist is stored as well: a
+        submission of the job may still be under way, and may be carried out
+        after this call has returned ``NoSuchJob``.
+
         :param deadline: reading of the monotonic clock at which to give up.
         """
         while True:
             lookup = await self._find_job(job, deadline)
             match lookup:
-                case NoResultReason() | NoSuchJob():
+                case NoResultReason():
                     return lookup
                 case model.JobState():
                     return Stored(repeated=True)
-            key = keys.job(job)
+                case interface.Item(revision=revision):
+                    result = Stored(repeated=False)
+                    expect = {keys.job(job): revision}
+                case NoSuchJob():
+                    wait = self._take_early_cancel()
+                    if wait:
+                        return TooManyUnknownJobs(retry_after=wait)
+                    result = lookup
+                    expect = _no_such_job(job)
             commit = interface.Commit(
-                expect={key: lookup.revision},
+                expect=expect,
                 writes=(interface.Write(key=keys.cancel(job), value=b""),),
             )
             outcome = await self._commit_with_retries(commit, deadline)
@@ -120,9 +150,19 @@
                 case NoResultReason():
                     return outcome
                 case interface.Committed():
-                    return Stored(repeated=False)
-            # Conflict: the job became final after the lookup, so its item was
-            # removed from the inbox. The next lookup finds the final state.
+                    return result
+            # Conflict: after the lookup the job was stored, or became final,
+            # so that its item was removed from the inbox.
+
+    def _take_early_cancel(self) -> datetime.timedelta:
+        """Return how long the cancellation of an unknown job has to wait."""
+        return datetime.timedelta(
+            seconds=self.early_cancels.take(
+                rate=EARLY_CANCELS_PER_S,
+                burst=EARLY_CANCELS_BURST,
+                now=self.clock.monotonic().total_seconds(),
+            )
+        )
 
     async def state(
         self, job: ids.JobId, deadline: datetime.timedelta
@@ -287,3 +327,11 @@
             if self.clock.monotonic() + RETRY_PAUSE >= deadline:
                 return NoResultReason.OUTCOME_UNKNOWN
             await self.clock.sleep(RETRY_PAUSE)
+
+
+def _no_such_job(job: ids.JobId) -> dict[str, ids.Revision]:
+    """Return the conditions of a commit that the store has no such job."""
+    return {
+        keys.job(job): interface.ABSENT,
+        keys.progress(job): interface.ABSENT,
+    }
--- a/src/turmerichook/_internal/routing/rates.py
+++ b/src/turmerichook/_internal/routing/rates.py
@@ -5,25 +5,17 @@
 team allows short bursts after unused time.
 """
 
-import dataclasses
+from turmerichook._internal import token_bucket
 
 # Capacity of a token bucket, in seconds at the rate of the team.
 BURST_S = 2.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Bucket:
-    """Tokens that were available at ``updated_at``, in monotonic seconds."""
-
-    tokens: float
-    updated_at: float
-
-
 class TeamRates:
     """Token buckets of all teams in this gateway."""
 
     def __init__(self):
-        self.buckets: dict[str, Bucket] = {}
+        self.buckets: dict[str, token_bucket.TokenBucket] = {}
 
     def take_token(
         self, *, team: str, rate: float | None, gateways: int, now: float
@@ -43,17 +35,9 @@
         burst = max(1.0, gateway_rate * BURST_S)
         bucket = self.buckets.get(team)
         if bucket is None:
-            bucket = Bucket(tokens=burst, updated_at=now)
+            bucket = token_bucket.TokenBucket(tokens=burst, updated_at=now)
             self.buckets[team] = bucket
-        refilled = (
-            bucket.tokens + max(0.0, now - bucket.updated_at) * gateway_rate
-        )
-        bucket.tokens = min(burst, refilled)
-        bucket.updated_at = now
-        if bucket.tokens >= 1.0:
-            bucket.tokens -= 1.0
-            return 0.0
-        return (1.0 - bucket.tokens) / gateway_rate
+        return bucket.take(rate=gateway_rate, burst=burst, now=now)
 
     def retain_teams(self, teams: set[str]) -> None:
         """Delete the buckets of all teams but the given ones."""
--- a/tests/dispatch/test_housekeeping.py
+++ b/tests/dispatch/test_housekeeping.py
@@ -4,6 +4,7 @@
 
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import commits
+from turmerichook._internal.dispatch import early_cancels
 from turmerichook._internal.dispatch import housekeeping
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.models import ids
@@ -20,9 +21,11 @@
         self.clock.advance(RETENTION)
         self.final = {}
         self.orphaned_cancels = set()
+        self.early_cancels = early_cancels.EarlyCancels(retention=10 * SECOND)
         self.housekeeping = housekeeping.Housekeeping(
             final=self.final,
             orphaned_cancels=self.orphaned_cancels,
+            early_cancels=self.early_cancels,
             state_retention=10 * SECOND,
             clock=self.clock,
         )
@@ -97,3 +100,24 @@
         removed = fixture.housekeeping.removals(commits.CHANGE_ENTRIES_MAX)
         assert len(removed) == commits.CHANGE_ENTRIES_MAX
         assert fixture.housekeeping.removals(0) == []
+
+
+class TestEarlyCancellations:
+    """Cancellations of jobs that are not in the store."""
+
+    def test_removed_after_their_retention(self):
+        """Guards against a store that grows with each such cancellation."""
+        fixture = HousekeepingFixture()
+        for number in range(50):
+            fixture.early_cancels.note(
+                ids.JobId(f"{number:016x}"), fixture.clock.uptime()
+            )
+        removed = []
+        for _ in range(60):
+            removed += fixture.housekeeping.removals(
+                commits.CHANGE_ENTRIES_MAX
+            )
+            fixture.clock.advance(SECOND)
+            if fixture.clock.uptime() < RETENTION + 10 * SECOND:
+                assert not removed
+        assert len(removed) == len(set(removed)) == 50
--- a/tests/intake/test_job_store.py
+++ b/tests/intake/test_job_store.py
@@ -234,3 +234,112 @@
         assert asyncio.run(scenario(Harness())) == job_store.Stored(
             repeated=True
         )
+
+
+class TestCancel:
+    """Cancellations, of jobs that do not exist as well."""
+
+    def test_unknown_job(self):
+        """Guards against an answer that leaves nothing in the store.
+
+        A submission may be carried out later, and has to be cancelled then.
+        """
+
+        async def scenario(harness):
+            outcome = await harness.jobs.cancel(SPEC.job, harness.deadline())
+            return outcome, keys.cancel(SPEC.job) in harness.storage.items
+
+        assert asyncio.run(scenario(Harness())) == (
+            job_store.NoSuchJob(),
+            True,
+        )
+
+    def test_job_that_is_stored_after_the_lookup(self):
+        """Guards against "no such job" for a job that is accepted meanwhile.
+
+        The job is stored between the lookup and the write.
+        """
+
+        async def scenario(harness):
+            commit = harness.storage.commit
+
+            async def commit_after_submission(change):
+                harness.storage.commit = commit
+                await harness.jobs.submit(SPEC, harness.deadline())
+                return await commit(change)
+
+            harness.storage.commit = commit_after_submission
+            outcome = await harness.jobs.cancel(SPEC.job, harness.deadline())
+            return outcome, keys.cancel(SPEC.job) in harness.storage.items
+
+        assert asyncio.run(scenario(Harness())) == (
+            job_store.Stored(repeated=False),
+            True,
+        )
+
+    def test_write_of_unknown_outcome(self):
+        """Guards against an answer to a cancel that may not be durable."""
+
+        async def scenario(harness):
+            def lose_answer_and_go_down(commit):
+                harness.storage.down = True
+                return True
+
+            harness.storage.lose_answer = lose_answer_and_go_down
+            return await harness.jobs.cancel(SPEC.job, harness.deadline())
+
+        outcome = asyncio.run(scenario(Harness()))
+        assert outcome is job_store.NoResultReason.OUTCOME_UNKNOWN
+
+    def test_store_that_is_down(self):
+        """Guards against "no such job" where the store cannot be read."""
+
+        async def scenario(harness):
+            harness.storage.down = True
+            return await harness.jobs.cancel(SPEC.job, harness.deadline())
+
+        outcome = asyncio.run(scenario(Harness()))
+        assert outcome is job_store.NoResultReason.NOT_READ
+
+    def test_final_job(self):
+        """Guards against cancellations that stay for jobs that have ended."""
+
+        async def scenario(harness):
+            harness.store_completed(SPEC)
+            outcome = await harness.jobs.cancel(SPEC.job, harness.deadline())
+            return outcome, keys.cancel(SPEC.job) in harness.storage.items
+
+        assert asyncio.run(scenario(Harness())) == (
+            job_store.Stored(repeated=True),
+            False,
+        )
+
+    def test_flood_of_unknown_jobs(self):
+        """Guards against a store that is full of cancels of unknown jobs.
+
+        The store allows a few hundred writes each second. Cancels beyond the
+        limit are refused and not stored; those of jobs that exist are not
+        limited.
+        """
+
+        async def scenario(harness):
+            outcomes = [
+                await harness.jobs.cancel(
+                    ids.JobId(f"{number:016x}"), harness.deadline()
+                )
+                for number in range(200)
+            ]
+            refused = [
+                outcome
+                for outcome in outcomes
+                if isinstance(outcome, job_store.TooManyUnknownJobs)
+            ]
+            assert len(refused) + len(harness.storage.items) == 200
+            await harness.jobs.submit(SPEC, harness.deadline())
+            known = await harness.jobs.cancel(SPEC.job, harness.deadline())
+            return refused, known
+
+        refused, known = asyncio.run(scenario(Harness()))
+        assert len(refused) >= 200 - 2 * job_store.EARLY_CANCELS_BURST
+        assert all(outcome.retry_after <= 200 * MS for outcome in refused)
+        assert known == job_store.Stored(repeated=False)
