Enforce the configured limit of a submission's body

Operators saw their limit of a request body (limits of the configuration) without any effect: submissions of up to 4 MiB were accepted, whose steps each leader then holds in memory and takes in one piece of work.

Cause: the limit was read from the configuration and not used; only the HTTP server's own limit applied.

Change: a body beyond the limit is refused with 413, which names the limit, before it is sent if its length is announced. Nothing is stored.

Measured: tests/intake, http, platform and routing pass.

--- a/src/turmerichook/_internal/http/exchange.py
+++ b/src/turmerichook/_internal/http/exchange.py
@@ -79,19 +79,25 @@
                     progress=exceptions.Progress.REQUEST_STARTED,
                 )
 
-    async def read_all(self) -> bytes:
+    async def read_all(self, limit: int | None = None) -> bytes:
         """Return the whole request body.
 
-        :raises BodyTooLargeError: if the body exceeds the server's limit.
+        :param limit: largest number of bytes, if it is less than the limit
+            of the server.
+        :raises BodyTooLargeError: if the body exceeds the limit; at once if
+            the head says so.
         """
+        most = self.connection.limits.body_bytes
+        if limit is not None:
+            most = min(limit, most)
+        announced = self.head.header(b"content-length")
         pieces = bytearray()
+        if announced and int(announced) > most:
+            raise _too_large(most)
         async for piece in self.body():
             pieces += piece
-            if len(pieces) > self.connection.limits.body_bytes:
-                raise exceptions.BodyTooLargeError(
-                    message="the request body exceeds the limit",
-                    context=f"{self.connection.limits.body_bytes} bytes",
-                )
+            if len(pieces) > most:
+                raise _too_large(most)
         return bytes(pieces)
 
     async def start(
@@ -156,3 +162,10 @@
     ) -> None:
         """Send a whole response with ``document`` as JSON."""
         await self.respond(status=status, body=json.dumps(document).encode())
+
+
+def _too_large(limit: int) -> exceptions.BodyTooLargeError:
+    return exceptions.BodyTooLargeError(
+        message=f"the request body exceeds the limit of {limit} bytes",
+        context=f"{limit} bytes",
+    )
--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -136,9 +136,9 @@
         deadline = started + time_limit
         try:
             job = self.call_format.job_id(head.path, queue)
-            await self._route(exchange, queue, job, deadline)
+            await self._route(exchange, configuration, queue, job, deadline)
         except exceptions.BodyTooLargeError as error:
-            await self._refuse(exchange, 413, error.reference)
+            await self._refuse(exchange, 413, error.message)
         except exceptions.MessageError as error:
             logs.emit(
                 events.IntakeEvent.REQUEST_MALFORMED,
@@ -155,13 +155,15 @@
     async def _route(
         self,
         exchange: server.Exchange,
+        configuration: deployment.Configuration,
         queue: deployment.Queue,
         job: ids.JobId,
         deadline: datetime.timedelta,
     ) -> None:
         match exchange.head.method:
             case "POST" if job:
-                await self._submit(exchange, queue, job, deadline)
+                body = await exchange.read_all(configuration.body_bytes)
+                await self._submit(exchange, queue, job, body, deadline)
             case "GET" if job:
                 await self._state(exchange, job, deadline)
             case "GET":
@@ -177,9 +179,9 @@
         exchange: server.Exchange,
         queue: deployment.Queue,
         job: ids.JobId,
+        body: bytes,
         deadline: datetime.timedelta,
     ) -> None:
-        body = await exchange.read_all()
         spec = self.call_format.submission(
             body,
             job=job,
