Complete steps without tasks at once

Cause: a step counted as completed with its last task only.

Change: Progress completes a step without tasks once the steps before it are done, and goes on with those that follow. A job has at most as many steps over all its occurrences as tasks (20,000); others are refused with 400, which names the limit.

--- a/src/turmerichook/_internal/platform/caller_calls.py
+++ b/src/turmerichook/_internal/platform/caller_calls.py
@@ -17,8 +17,8 @@
 READY_PATH = "/v1/ready"
 METRICS_PATH = "/metrics"
 PAYLOAD_BYTES_MAX = 4000
-# All tasks of a job are held in memory and in a single stored value, so
-# their number is limited.
+# All tasks and steps of a job are held in memory, and its tasks in a single
+# stored value, so their numbers are limited.
 TASKS_MAX = 20_000
 # Longest estimate of a task's duration, 30 days.
 ESTIMATE_MS_MAX = 30 * 24 * 3600 * 1000
@@ -82,11 +82,18 @@
     )
     occurrences = fields.integer(document, "repeat-count", 0)
     tasks = sum(step.count for step in steps) * max(1, occurrences)
-    if not steps or not 0 < tasks <= TASKS_MAX:
+    if not 0 < tasks <= TASKS_MAX:
         raise exceptions.MessageError(
             message=f"a job must have 1 to {TASKS_MAX} tasks, not {tasks}",
             context="steps",
         )
+    repeated_steps = len(steps) * max(1, occurrences)
+    if repeated_steps > TASKS_MAX:
+        raise exceptions.MessageError(
+            message=f"a job must have at most {TASKS_MAX} steps over all"
+            f" occurrences, not {repeated_steps}",
+            context="steps",
+        )
     return model.JobSpec(
         job=job,
         queue=queue.queue,
--- a/src/turmerichook/_internal/workflow/progress.py
+++ b/src/turmerichook/_internal/workflow/progress.py
@@ -179,7 +179,8 @@
     def open_occurrence(self) -> list[model.TaskKey]:
         """Open the next occurrence and return the tasks that may start.
 
-        These are the tasks of all steps that depend on no other step.
+        These are the tasks of all steps that depend on no other step, or only
+        on steps without tasks.
         """
         occurrence = self.opened_occurrences
         self.opened_occurrences += 1
@@ -188,11 +189,10 @@
             self.unfinished_dependencies[occurrence, number] = (
                 self.graph.dependency_counts[number]
             )
-        ready: list[model.TaskKey] = []
-        for number, step in enumerate(self.spec.steps):
-            if not step.after:
-                ready += self._step_tasks(occurrence, number)
-        return ready
+        return self._ready_tasks(
+            occurrence,
+            [n for n, step in enumerate(self.spec.steps) if not step.after],
+        )
 
     def assign(
         self,
@@ -231,23 +231,45 @@
         self.unfinished_tasks[step_key] -= 1
         if self.unfinished_tasks[step_key]:
             return []
-        ready: list[model.TaskKey] = []
-        for number in self.complete_step(task.occurrence, task.step):
-            ready += self._step_tasks(task.occurrence, number)
-        return ready
+        return self.complete_step(task.occurrence, task.step)
 
-    def complete_step(self, occurrence: int, number: int) -> list[int]:
+    def complete_step(
+        self, occurrence: int, number: int
+    ) -> list[model.TaskKey]:
         """Count a step whose tasks are all done.
 
-        :returns: the steps whose dependencies are all done by that.
+        :returns: the tasks that may start now.
         """
+        return self._ready_tasks(
+            occurrence, self._count_completed(occurrence, number)
+        )
+
+    def _ready_tasks(
+        self, occurrence: int, numbers: collections.abc.Iterable[int]
+    ) -> list[model.TaskKey]:
+        """Return the tasks of steps whose dependencies are all done.
+
+        A step without tasks is done at once, and others may follow it.
+        """
+        ready: list[model.TaskKey] = []
+        pending = collections.deque(numbers)
+        while pending:
+            number = pending.popleft()
+            if self.spec.steps[number].count:
+                ready += self._step_tasks(occurrence, number)
+            else:
+                pending += self._count_completed(occurrence, number)
+        return ready
+
+    def _count_completed(self, occurrence: int, number: int) -> list[int]:
+        """Count a completed step; return those that only waited for it."""
         self.completed_steps += 1
-        ready: list[int] = []
+        followers: list[int] = []
         for later in self.graph.successors[number]:
             self.unfinished_dependencies[occurrence, later] -= 1
             if not self.unfinished_dependencies[occurrence, later]:
-                ready.append(later)
-        return ready
+                followers.append(later)
+        return followers
 
     def return_to_queue(
         self,
@@ -382,6 +404,7 @@
         if record.phase is Phase.DONE:
             progress.unfinished_tasks[task.occurrence, task.step] -= 1
     for (occurrence, number), count in progress.unfinished_tasks.items():
-        if not count:
+        # Steps without tasks are completed with the steps before them.
+        if not count and spec.steps[number].count:
             progress.complete_step(occurrence, number)
     return progress
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -229,6 +229,18 @@
             accepted=5 * MS,
         )
 
+    @pytest.mark.parametrize(
+        ("steps", "occurrences"), ((20_001, 0), (101, 200))
+    )
+    def test_too_many_steps(self, steps, occurrences):
+        """Guards against steps without tasks that fill a leader's memory."""
+        document = {
+            "steps": [{}] * (steps - 1) + [{"count": 1}],
+            "repeat-count": occurrences,
+        }
+        with pytest.raises(exceptions.MessageError, match="at most 20000"):
+            self.decode(document)
+
     def test_all_fields_of_a_step(self):
         """Guards against a requirement of a step that is not decoded."""
         spec = self.decode(
--- a/tests/workflow/test_large_jobs.py
+++ b/tests/workflow/test_large_jobs.py
@@ -1,5 +1,6 @@
 """Tests of jobs with as many steps as the body of a submission may have."""
 
+import dataclasses
 import datetime
 import random
 import time
@@ -14,6 +15,7 @@
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
 from turmerichook._internal.workflow import step_graph
+from turmerichook._internal.workflow import stored
 
 ZERO = datetime.timedelta()
 SECOND = datetime.timedelta(seconds=1)
@@ -116,6 +118,48 @@
         assert progress.state is model.JobState.COMPLETED
 
 
+class TestStepsWithoutTasks:
+    """Steps whose number of tasks is 0, which is omitted on the wire."""
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_job_completes(self, seed):
+        """Guards against a job that waits for a step without any task.
+
+        Such jobs were accepted and stayed queued or running for ever, also
+        for the next leader.
+        """
+        generator = random.Random(seed)
+        steps = tuple(
+            dataclasses.replace(step, count=generator.randint(0, 2))
+            for step in random_steps(generator, 12)
+        )
+        spec = fakes.job("0" * 16, *steps, fakes.step(1, after=(11,)))
+        progress = progresses.Progress(spec=spec)
+        ready = progress.open_occurrence()
+        while ready:
+            task = ready.pop(generator.randrange(len(ready)))
+            progress.assign(task, ids.WorkerId("w"), ids.Attempt(1))
+            ready += progress.finish(task)
+            if progress.state.final:
+                break
+            progress = stored.decode_progress(
+                spec, stored.encode_progress(progress)
+            )
+            assert sorted(ready) == sorted(progress.waiting())
+        assert not ready
+        assert progress.state is model.JobState.COMPLETED
+
+    def test_long_chain(self):
+        """Guards against an error over many steps without tasks in a row."""
+        chain = [fakes.step(0, after=(n,)) for n in range(5000)]
+        spec = fakes.job("0" * 16, fakes.step(1), *chain)
+        progress = progresses.Progress(spec=spec)
+        (task,) = progress.open_occurrence()
+        progress.assign(task, ids.WorkerId("w"), ids.Attempt(1))
+        assert not progress.finish(task)
+        assert progress.state is model.JobState.COMPLETED
+
+
 class TestTime:
     """Processor time for which one job holds the event loop."""
 
