Play large jobs and late submissions with real processes

Two scenarios of platform.feature: eight jobs of 3,000 steps come at once beside others, and the leader is killed; the store carries a submission out 4 s late, after its job was cancelled at another host and its process ended. The store in memory can carry commits out late for that.

The steps may run on no worker now.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -88,3 +88,21 @@
     Then no caller was shown the service as failed
     And the workers noted only lapsed runs of it, one on each cut
     And 2 s later the service runs on one worker, and never ran on two at once
+
+  Scenario: Large jobs come at once, and the leader is killed beside them
+    Given a platform with 4 workers and 3 entry processes
+    When callers submit 8 jobs of 3000 steps that no worker may run
+    And callers submit 3 jobs at all entry processes
+    Then all jobs complete
+    When callers submit 3 more jobs at all entry processes
+    And the leader is killed
+    Then all jobs complete
+    And there was one leader before the kill and one after it
+
+  Scenario: A submission takes effect after its job was cancelled
+    Given a platform with 3 workers and 3 entry processes
+    When the store carries a submission out 4 s late
+    And its caller gets no answer and cancels the job at another host
+    Then the cancel is answered, and nothing of the job ever starts
+    And its state is "canceled"
+    And no queue counts the job
--- a/src/turmerichook/_internal/storage/memory.py
+++ b/src/turmerichook/_internal/storage/memory.py
@@ -15,7 +15,9 @@
 
     All changes are retained until ``drop_history`` is called. While ``down``
     is set, every call fails. A commit for which ``lose_answer`` returns True
-    is processed, but its caller gets ``StoreOutcomeUnknownError``.
+    is processed, but its caller gets ``StoreOutcomeUnknownError``. A commit
+    for which ``delay`` returns a time is processed that much later, and its
+    caller gets the same error at once.
     """
 
     def __init__(self, *, clock: clocks.Clock):
@@ -31,6 +33,10 @@
         self.lose_answer: collections.abc.Callable[
             [interface.Commit], bool
         ] = lambda commit: False
+        self.delay: collections.abc.Callable[
+            [interface.Commit], datetime.timedelta
+        ] = lambda commit: datetime.timedelta()
+        self.late_commits: set[asyncio.Task] = set()
         self.changed = asyncio.Event()
         self.commits = 0
 
@@ -79,6 +85,23 @@
         self, commit: interface.Commit
     ) -> interface.Committed | interface.Conflict:
         await self._begin_call()
+        delay = self.delay(commit)
+        if delay:
+            late = asyncio.create_task(self._process_later(commit, delay))
+            self.late_commits.add(late)
+            late.add_done_callback(self.late_commits.discard)
+            raise exceptions.StoreOutcomeUnknownError(message="no answer")
+        return self._process(commit)
+
+    async def _process_later(
+        self, commit: interface.Commit, delay: datetime.timedelta
+    ) -> None:
+        await self.clock.sleep(delay)
+        self._process(commit)
+
+    def _process(
+        self, commit: interface.Commit
+    ) -> interface.Committed | interface.Conflict:
         self.commits += 1
         if commit.entries > interface.COMMIT_ENTRIES:
             raise exceptions.StoreUnavailableError(
