Limit the time of a placement round

Callers could see a leader without its lease while many large jobs wait: each round checks all waiting steps.

Cause: nothing bounded the time of a round, and a step without any candidate went through the whole choice of workers.

Evidence: TestManySteps, 250 steps that take 3 ms each: nothing else ran for 0.79 s before.

Change: a round leaves the steps that it has not checked after 100 ms to the next one, which first checks the most urgent ones again. A round that checks all steps in time, or ends at its limit of tasks, is as before. A step without candidates is put off at once. Sorting is repeated less often if more than 5,000 steps wait.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -7,6 +7,7 @@
 leader knows which workers a task may be running on.
 """
 
+import collections.abc
 import datetime
 import sys
 
@@ -336,12 +337,15 @@
         wall: datetime.timedelta,
         limit: int,
         jobs_limit: int = sys.maxsize,
+        exhausted: collections.abc.Callable[[], bool] = lambda: False,
     ) -> int:
         """Assign waiting tasks to workers.
 
         :param limit: maximum number of tasks to assign.
         :param jobs_limit: maximum number of jobs with assignments that no
             commit has made durable yet.
+        :param exhausted: returns whether to leave the other steps to the next
+            call.
         :returns: the number of tasks assigned.
         """
         self.check_registry_age(now)
@@ -357,6 +361,7 @@
             now=now,
             wall=wall,
             limit=limit,
+            exhausted=exhausted,
         )
 
     def fleet_room(self, now: datetime.timedelta) -> fleet_room.FleetRoom:
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -28,6 +28,7 @@
 from turmerichook._internal.metrics import registry
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal import pauses
 from turmerichook._internal.storage import interface
 from turmerichook import exceptions
 
@@ -39,6 +40,9 @@
 ROUND_INTERVAL_MAX = datetime.timedelta(milliseconds=200)
 # Largest number of tasks placed before one commit; others wait for the next.
 PLACED_TASKS_MAX = 200
+# Time after which a round leaves the steps that it has not checked to the next
+# one, so that the lease is renewed and workers' reports are taken in between.
+PLACEMENT_TIME_MAX = datetime.timedelta(milliseconds=100)
 # Time given to outstanding orders when the term ends.
 ORDER_COMPLETION_TIMEOUT_S = 0.3
 
@@ -291,14 +295,18 @@
             return
         dispatcher = self.dispatcher
         began = self.clock.monotonic()
+        time_limit = pauses.TimeLimit(self.clock, PLACEMENT_TIME_MAX)
         placed = dispatcher.place(
             self.clock.uptime(),
             self.feeds.wall(),
             PLACED_TASKS_MAX,
             jobs_limit,
+            exhausted=time_limit.passed,
         )
-        limited = placed >= PLACED_TASKS_MAX or (
-            len(dispatcher.run_tracker.unreleased) >= jobs_limit
+        limited = (
+            placed >= PLACED_TASKS_MAX
+            or len(dispatcher.run_tracker.unreleased) >= jobs_limit
+            or time_limit.passed()
         )
         if limited:
             self.changed.set()
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -146,6 +146,11 @@
         step = waiting.step
         records = waiting.job.progress.tasks
         fitting = [] if waiting.needs.filler else self._candidates(waiting)
+        if not fitting and not (
+            waiting.needs.filler or self._entitled(waiting)
+        ):
+            self._note_no_room(waiting)
+            return []
         counts = waiting.tasks_by_worker()
         conditions = self._conditions(waiting, counts)
         overdue = waiting.overdue(self.now)
@@ -179,8 +184,7 @@
                 if waiting.needs.filler:
                     self._block_fillers(waiting, conditions, overdue=overdue)
                 else:
-                    waiting.checked_position = self.room.position
-                    waiting.lacked_room = True
+                    self._note_no_room(waiting)
                 if self._entitled(waiting):
                     self._reserve_room(conditions, kept)
                 break
@@ -202,6 +206,11 @@
             choice.worker.release(step)
         return chosen
 
+    def _note_no_room(self, waiting: waiting_step.WaitingStep) -> None:
+        """Have a step checked again once workers have changed."""
+        waiting.checked_position = self.room.position
+        waiting.lacked_room = True
+
     def _choose_for_suspect(
         self, waiting: waiting_step.WaitingStep
     ) -> list[Choice]:
--- a/src/turmerichook/_internal/dispatch/urgency.py
+++ b/src/turmerichook/_internal/dispatch/urgency.py
@@ -9,6 +9,9 @@
 # objective is missed or a task starves, seconds after a step began to wait.
 # Sorting thousands of steps takes longer than a placement round.
 RESORT_INTERVAL = datetime.timedelta(milliseconds=100)
+# Number of items from which on the interval grows with it, so that sorting
+# takes a limited share of the time.
+RESORT_ITEMS = 5000
 
 Item = typing.TypeVar("Item")
 
@@ -48,7 +51,9 @@
         if self.resort_due(now):
             self.keys = {item: key(item) for item in all_items}
             self.sorted_items = sorted(self.keys, key=self.keys.__getitem__)
-            self.resort_at = now + RESORT_INTERVAL
+            self.resort_at = now + RESORT_INTERVAL * max(
+                1.0, len(self.keys) / RESORT_ITEMS
+            )
         else:
             self.sorted_items = [
                 item for item in self.sorted_items if is_live(item)
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -35,6 +35,11 @@
 # free.
 LONG_RUNNING_SHARE_MAX = 0.9
 
+# Number of the most urgent steps that each round checks, although an earlier
+# round of the same pass over all steps may have checked them, and of others
+# that it checks even if its time is exhausted.
+ALWAYS_CHECKED = 50
+
 # Assigns a task to a worker under a run number.
 Assign = collections.abc.Callable[
     [
@@ -69,6 +74,8 @@
         self.refusals = refusals.Refusals()
         self.headroom = headroom.Headroom()
         self.explain_at = fleet.ZERO
+        # Number of the present pass over all steps.
+        self.sweep = 0
 
     def __len__(self) -> int:
         return sum(len(step.tasks) for step in self.steps.values())
@@ -155,13 +162,20 @@
         now: datetime.timedelta,
         wall: datetime.timedelta,
         limit: int,
+        exhausted: collections.abc.Callable[[], bool] = lambda: False,
     ) -> int:
         """Assign tasks to workers, the most urgent first.
 
+        If the time of the round is exhausted before all steps are checked,
+        the next round goes on with the others. It checks the most urgent ones
+        first nevertheless.
+
         :param answer_count: returns how often the advisor's answers for a
             step have been stored.
         :param full: returns whether to stop before the next step.
         :param limit: maximum number of tasks to assign.
+        :param exhausted: returns whether to leave the other steps to the next
+            round. It is not called before the steps are sorted.
         :returns: the number of tasks assigned.
         """
         self.room.update(workers, closed, now)
@@ -181,10 +195,18 @@
             reserved=self.room.reserved,
             headroom=self.headroom,
         )
-        placed = 0
-        for waiting in self.by_urgency(workers=workers, now=now, wall=wall):
+        placed = advanced = 0
+        ordered = self.by_urgency(workers=workers, now=now, wall=wall)
+        for position, waiting in enumerate(ordered):
             if placed >= limit or full():
                 break
+            if waiting.sweep != self.sweep:
+                if exhausted() and advanced >= ALWAYS_CHECKED:
+                    return placed
+                waiting.sweep = self.sweep
+                advanced += 1
+            elif position >= ALWAYS_CHECKED:
+                continue
             chosen = round_.choose(waiting, limit - placed)
             for task, worker, run in chosen:
                 self.remove(task)
@@ -192,6 +214,7 @@
                 self.room.refresh(worker)
             placed += len(chosen)
             self._explain(round_, waiting)
+        self.sweep += 1
         return placed
 
     def _explain(
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -73,6 +73,8 @@
     :param checked_position: position in the log of changed workers up to
         which no worker had capacity for a task.
     :param checked_for: what that check depended on besides the workers.
+    :param sweep: number of the last pass over all steps that has checked this
+        step; see ``WaitingTasks.place``.
     :param lacked_room: whether a check has found too little room for the
         tasks, so that they do not merely wait for a commit.
     """
@@ -90,6 +92,7 @@
     needs: task_needs.Needs
     checked_position: int = rooms.UNCHECKED
     checked_for: CheckedFor | None = None
+    sweep: int = -1
     lacked_room: bool = False
     blocked_until: datetime.timedelta = fleet.ZERO
     explain_at: datetime.timedelta = fleet.ZERO
--- a/src/turmerichook/_internal/pauses.py
+++ b/src/turmerichook/_internal/pauses.py
@@ -28,3 +28,19 @@
             await asyncio.sleep(0)
             now = self.since = self.clock.monotonic()
         return now
+
+
+class TimeLimit:
+    """Tells when a time has passed since it was asked for the first time."""
+
+    def __init__(self, clock: clocks.Clock, limit: datetime.timedelta):
+        self.clock = clock
+        self.limit = limit
+        self.since: datetime.timedelta | None = None
+
+    def passed(self) -> bool:
+        """Return whether the time has passed."""
+        now = self.clock.monotonic()
+        if self.since is None:
+            self.since = now
+        return now - self.since >= self.limit
--- a/tests/dispatch/test_loop_pauses.py
+++ b/tests/dispatch/test_loop_pauses.py
@@ -13,6 +13,7 @@
 from turmerichook._internal.dispatch import feeds
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.dispatch import leadership
+from turmerichook._internal.dispatch import placement_round
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.models import ids
 from turmerichook._internal.storage import memory
@@ -20,6 +21,7 @@
 from turmerichook._internal.workflow import stored
 
 JOBS = 40
+STEPS = 250
 # Time for which one job holds the event loop, in seconds.
 PIECE_S = 0.03
 # Longest time between two turns of another task. All jobs one after the other
@@ -136,6 +138,36 @@
         assert asyncio.run(scenario()) < GAP_MAX_S
 
 
+class TestManySteps:
+    """More steps wait than a round can check in time."""
+
+    def test_renewals_go_on(self, monkeypatch):
+        """Guards against a lease that ends during one placement round.
+
+        Each round checked all waiting steps: 24,000 of them that no worker
+        may run took up to half a second, and more on a slow host.
+        """
+        checked = set()
+
+        def check_slowly(self, step, limit):
+            time.sleep(0.003)
+            checked.add(step.key)
+            return []
+
+        monkeypatch.setattr(placement_round.Round, "choose", check_slowly)
+
+        async def scenario():
+            site = test_leader.Site("w1")
+            site.submit(fakes.job("0" * 16, *[fakes.step()] * STEPS))
+            term, running = await site.lead()
+            gap = await longest_gap(site.until(lambda: len(checked) == STEPS))
+            term.end("test")
+            await running
+            return gap
+
+        assert asyncio.run(scenario()) < GAP_MAX_S
+
+
 @pytest.fixture
 def emitted(monkeypatch):
     """Return the log events and their fields, as they are written."""
