Play submissions and cancels among lost answers by seed

Callers, leaders that change, lost histories and a store that carries a third of the callers' writes out up to 0.6 s late or is down; no job may start once its cancel was answered and the store is calm.

--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -294,6 +294,6 @@
     EARLY_CANCEL_APPLIED = events.Event(
         number=7014,
         level=events.Level.INFO,
-        summary="a job is cancelled at once, as it was stored after its"
-        " cancellation",
+        summary="the leader had read a job's cancellation before the job, and"
+        " cancels it at once",
     )
--- a/tests/dispatch/test_early_cancels.py
+++ b/tests/dispatch/test_early_cancels.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import datetime
+import os
+import random
 
 import pytest
 
@@ -23,6 +25,13 @@
 SECOND = datetime.timedelta(seconds=1)
 MS = datetime.timedelta(milliseconds=1)
 SPEC = fakes.job("00000000000000b1", fakes.step(2), fakes.step(1, after=(0,)))
+# Jobs of a play, the time in which they are submitted, and the longest time
+# after which the store carries a write out, both in seconds.
+JOBS = 12
+PLAY_S = 1.5
+LATE_S = 0.6
+first, _, last = os.environ.get("EARLY_CANCEL_SEEDS", "1-4").partition("-")
+SEEDS = range(int(first), int(last or first) + 1)
 TIMED = dataclasses.replace(
     SPEC,
     repetition=model.Repetition(count=3, first=SECOND, interval=SECOND),
@@ -269,3 +278,123 @@
         assert len(list(cancels.expired(SECOND, 29))) == 29
         assert len(list(cancels.expired(SECOND, 0))) == 0
         assert len(cancels.noted) == 21
+
+
+class Play:
+    """Callers, leaders and a store that loses answers, by seed.
+
+    :ivar acknowledged: time at which the cancel of each job was answered.
+    """
+
+    def __init__(self, seed):
+        self.generator = random.Random(seed)
+        self.site = test_leader.Site("w1", "w2", "w3")
+        self.jobs = job_store.JobStore(
+            storage=self.site.storage, clock=self.site.clock
+        )
+        self.acknowledged = {}
+        self.starts = {}
+        for worker in self.site.workers.workers.values():
+            self._note_starts(worker)
+        self.site.storage.delay = self._delay
+
+    def _note_starts(self, worker):
+        start = worker.start
+
+        def note_and_start(order):
+            job = order.run.task.job
+            self.starts[job] = asyncio.get_running_loop().time()
+            return start(order)
+
+        worker.start = note_and_start
+
+    def _delay(self, commit):
+        """Return how late a write is carried out; a third are late."""
+        written = {write.key for write in commit.writes}
+        by_callers = any(key.startswith("inbox/") for key in written)
+        if not by_callers or self.generator.random() > 0.35:
+            return datetime.timedelta()
+        return self.generator.uniform(0.05, LATE_S) * SECOND
+
+    async def call(self, number):
+        """Submit a job, and cancel it at some time at another host."""
+        job = ids.JobId(f"{number:016x}")
+        steps = [fakes.step(), fakes.step(after=(0,))]
+        spec = dataclasses.replace(SPEC, job=job, steps=tuple(steps))
+        await asyncio.sleep(self.generator.uniform(0, PLAY_S))
+        submission = asyncio.create_task(
+            self.jobs.submit(spec, self._deadline())
+        )
+        await asyncio.sleep(self.generator.uniform(0, 2 * LATE_S))
+        while job not in self.acknowledged:
+            outcome = await self.jobs.cancel(job, self._deadline())
+            if isinstance(outcome, job_store.Stored | job_store.NoSuchJob):
+                now = asyncio.get_running_loop().time()
+                self.acknowledged[job] = now
+        if self.generator.random() < 0.3:
+            # A late copy of the submission.
+            await self.jobs.submit(spec, self._deadline())
+        await submission
+
+    def _deadline(self):
+        return self.site.clock.monotonic() + 300 * MS
+
+    async def disturb(self):
+        """Change the leader, lose the history or stop the store."""
+        term, running = await self.site.lead()
+        end = asyncio.get_running_loop().time() + PLAY_S + LATE_S
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(self.generator.uniform(0.1, 0.5))
+            match self.generator.choice(("leader", "history", "store")):
+                case "leader":
+                    term.end("killed")
+                    await running
+                    term, running = await self.site.lead()
+                case "history":
+                    self.site.storage.drop_history()
+                case "store":
+                    self.site.storage.down = True
+                    await asyncio.sleep(0.1)
+                    self.site.storage.down = False
+            term.confirmed_at = self.site.clock.uptime()
+        return term, running
+
+    async def run(self):
+        """Play, and return the jobs that were started too late."""
+        self.jobs.early_cancels.tokens = JOBS
+        calls = [asyncio.create_task(self.call(n)) for n in range(JOBS)]
+        term, running = await self.disturb()
+        await asyncio.gather(*calls)
+        self.site.storage.delay = lambda commit: datetime.timedelta()
+        term.end("killed")
+        await running
+        calm = asyncio.get_running_loop().time() + LATE_S
+        term, running = await self.site.lead()
+        await asyncio.sleep(LATE_S + 0.5)
+        states = {
+            job: await self.jobs.state(job, self._deadline())
+            for job in self.acknowledged
+        }
+        term.end("test")
+        await running
+        late = [
+            job for job in self.acknowledged if self.starts.get(job, 0) > calm
+        ]
+        return late, states
+
+
+class TestPlays:
+    """Submissions and cancels among lost answers and changes of the leader."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_start_after_a_cancel(self, seed):
+        """Guards against a job that starts once its cancel was answered.
+
+        By hand: ``EARLY_CANCEL_SEEDS=100-160`` plays these seeds instead.
+        """
+        late, states = asyncio.run(Play(seed).run())
+        assert not late
+        assert set(states.values()) <= {
+            model.JobState.CANCELED,
+            job_store.NoSuchJob(),
+        }
