--- a/tests/dispatch/test_backlog.py
+++ b/tests/dispatch/test_backlog.py
@@ -70,7 +70,7 @@
         worker = self.workers[ids.WorkerId(f"w{number}")]
         worker.remove(next(iter(worker.runs)))
 
-    def place_round(self, limit=200):
+    def place_round(self, limit=200, exhausted=lambda: False):
         """Run one placement round, and advance the time to the next."""
         self.waiting.place(
             workers=self.workers.values(),
@@ -83,6 +83,7 @@
             wall=self.now,
             limit=limit,
             full=lambda: False,
+            exhausted=exhausted,
         )
         self.now += ROUND
 
--- a/tests/dispatch/test_long_rounds.py
+++ b/tests/dispatch/test_long_rounds.py
@@ -4,7 +4,6 @@
 
 from tests.dispatch import fakes
 from tests.dispatch import test_backlog
-from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import urgency
 from turmerichook._internal.dispatch import waiting
 from turmerichook._internal.models import resources
@@ -34,20 +33,7 @@
     def place_round(self, limit=200):
         """Run a round whose time is exhausted after some steps."""
         checks = itertools.count(1)
-        self.waiting.place(
-            workers=self.workers.values(),
-            closed=self.closed,
-            approved=lambda step: None,
-            answer_count=lambda key: 0,
-            assign=self.assign,
-            interference=interference.Interference(),
-            now=self.now,
-            wall=self.now,
-            limit=limit,
-            full=lambda: False,
-            exhausted=lambda: next(checks) > 1,
-        )
-        self.now += test_backlog.ROUND
+        super().place_round(limit, exhausted=lambda: next(checks) > 1)
 
 
 class TestExhaustedRounds:
