Serve customers: keys, quotas and shares

Neither intake nor the leader read customers, keys or quotas.

Entry processes now check keys, and refuse them once their configuration may lack a removal. The leader counts what each customer runs, from the assignment until the end is certain, and starts nothing beyond the quota. When workers are full, customers that use more than their part go last.

--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import dataclasses
 import datetime
 import sys
 
@@ -32,6 +33,7 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
+from turmerichook._internal.workflow import stored
 
 # Age of the registry entries, as a share of the contact time, up to which they
 # count as current. An order by such an entry has to arrive within that time.
@@ -58,6 +60,7 @@
         self.interference = interference.Interference()
         self.run_tracker = run_trackers.RunTracker()
         self.run_tracker.inherited_leases_until = inherited_leases_until
+        self.run_tracker.customers.configure(configuration)
         self.settlement = settlement.Settlement(
             run_tracker=self.run_tracker, interference=self.interference
         )
@@ -120,6 +123,7 @@
                 now,
                 incarnation=record.incarnation,
                 proven=record.proven,
+                customer=progress.spec.customer,
             )
         if progress.canceled or progress.failed:
             self.run_tracker.stop_job_runs(job, now)
@@ -153,8 +157,9 @@
         )
 
     def configure(self, configuration: deployment.Configuration) -> None:
-        """Apply a newer configuration to the queues of all jobs."""
+        """Apply a newer configuration to all customers, queues and jobs."""
         self.configuration = configuration
+        self.run_tracker.customers.configure(configuration)
         for job in self.jobs.values():
             queue = configuration.queue(job.spec.queue)
             if queue is not None:
@@ -208,9 +213,8 @@
         """
         worker = self.workers.get(entry.worker)
         if worker is None:
-            worker = fleet.Worker(worker=entry.worker, entry=entry)
+            worker = self.run_tracker.add_worker(entry.worker, entry)
             worker.incarnation_known_at = self.settlement.last_sequence_number
-            self.workers[entry.worker] = worker
         accepted = incarnations.accept_entry(
             worker,
             entry.incarnation,
@@ -418,6 +422,7 @@
             progress_changed_at=now,
             placed_at=now,
             incarnation=worker.incarnation,
+            customer=job.spec.customer,
         )
         if job.suspected(task) and crashes.probation_allowed(
             self.workers.values()
@@ -457,21 +462,26 @@
     def add_final(
         self,
         job_id: ids.JobId,
-        remainder: dict[model.TaskKey, tuple[ids.Attempt, ids.WorkerId]],
+        remainder: dict[model.TaskKey, stored.UnfinishedRun],
         now: datetime.timedelta,
     ) -> None:
         """Record a final job, and stop the runs that it may still have.
 
-        :param remainder: run number and worker of each such task.
+        :param remainder: these runs, by task.
         """
         self.final[job_id] = now
-        for task, (number, worker_id) in remainder.items():
+        for task, unfinished in remainder.items():
+            step = run_trackers.STRAY_STEP
+            if unfinished.committed is not None:
+                step = dataclasses.replace(step, demand=unfinished.committed)
             run = self.run_tracker.recover_run(
                 task,
-                worker_id,
-                number,
-                run_trackers.STRAY_STEP,
+                unfinished.worker,
+                unfinished.run,
+                step,
                 now,
+                customer=unfinished.customer,
+                charge=unfinished.charge,
             )
             run.should_run = False
 
--- a/src/turmerichook/_internal/dispatch/events.py
+++ b/src/turmerichook/_internal/dispatch/events.py
@@ -57,6 +57,15 @@
         level=events.Level.INFO,
         summary="no former leader grants leases any more; theirs end sooner",
     )
+    CUSTOMER_DELAYED = events.Event(
+        number=7015,
+        level=events.Level.INFO,
+        summary=(
+            "tasks of a customer wait because of its quota, or because it "
+            "uses more than its share while others wait"
+        ),
+        limit=50,
+    )
     JOB_TAKEN = events.Event(
         number=7010,
         level=events.Level.INFO,
--- a/src/turmerichook/_internal/dispatch/fleet.py
+++ b/src/turmerichook/_internal/dispatch/fleet.py
@@ -11,6 +11,7 @@
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
+from turmerichook._internal.quotas import usage as usages
 from turmerichook._internal.workflow import model
 
 ZERO = datetime.timedelta()
@@ -103,6 +104,9 @@
     :param isolated: whether the task is suspected to crash workers, and had
         no other suspect and no starting task beside it when it was placed.
     :param crash: set when the worker has crashed, possibly due to the run.
+    :param customer: customer that the run counts for, or empty.
+    :param charge: what the run counts against the customer's quota; None for
+        the demand of the step.
     """
 
     task: model.TaskKey
@@ -129,6 +133,13 @@
     first_listed_at: datetime.timedelta | None = None
     isolated: bool = False
     crash: Crash | None = None
+    customer: ids.CustomerId = ids.CustomerId("")
+    charge: resources.Resources | None = None
+
+    @property
+    def charged(self) -> resources.Resources:
+        """What the run counts against its customer's quota."""
+        return self.step.demand if self.charge is None else self.charge
 
     @property
     def begun(self) -> bool:
@@ -175,6 +186,7 @@
 class Worker:
     """One worker as the leader sees it.
 
+    :param customer_usage: account to which the runs of customers are charged.
     :ivar version: incremented by each change that placement depends on.
     :ivar report_received: whether a report has arrived from this incarnation.
     """
@@ -195,10 +207,15 @@
     paced_at = VersionedAttribute()
 
     def __init__(
-        self, *, worker: ids.WorkerId, entry: deployment.WorkerEntry | None
+        self,
+        *,
+        worker: ids.WorkerId,
+        entry: deployment.WorkerEntry | None,
+        customer_usage: usages.Usage[ids.CustomerId] | None = None,
     ):
         self.version = 0
         self.worker = worker
+        self.customer_usage = customer_usage or usages.Usage()
         self.entry = entry
         # Whether the worker does not enforce its capacity, and its entry was
         # read too long ago to rely on.
@@ -288,6 +305,8 @@
         self.runs[run.task] = run
         self.version += 1
         self.reserve(run.step)
+        if run.customer:
+            self.customer_usage.charge(run.customer, run.charged)
         self.unknown_demands += not run.demand_known
         if self.suspected:
             # This run tests whether the worker has recovered; until it has
@@ -304,6 +323,8 @@
         if self.probation == task:
             self.probation = None
         self.release(run.step)
+        if run.customer:
+            self.customer_usage.refund(run.customer, run.charged)
         self.unknown_demands -= not run.demand_known
         return run
 
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -288,6 +288,7 @@
         )
         if reported:
             self.meter.report_room(dispatcher.fleet_room(now))
+            self.meter.report_customers(dispatcher.run_tracker.customers)
 
     def _place(self, jobs_limit: int) -> None:
         """Place waiting tasks of at most ``jobs_limit`` jobs."""
--- a/src/turmerichook/_internal/dispatch/load.py
+++ b/src/turmerichook/_internal/dispatch/load.py
@@ -8,6 +8,7 @@
 import datetime
 
 from turmerichook._internal import clock as clocks
+from turmerichook._internal.dispatch import customers
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet_room
 from turmerichook._internal.logs import setup as logs
@@ -188,6 +189,24 @@
         fields = vars(room) | {"largest_free": free.text()}
         logs.emit(events.DispatchEvent.FLEET_ROOM, **fields)
 
+    def report_customers(self, accounts: customers.Customers) -> None:
+        """Set the metrics and write a log line for each delayed customer."""
+        self.metrics.clear("customer_delayed_tasks")
+        for delay in accounts.delays():
+            self.metrics.set(
+                "customer_delayed_tasks",
+                delay.tasks,
+                customer=delay.customer,
+                reason=delay.reason.value,
+            )
+            logs.emit(
+                events.DispatchEvent.CUSTOMER_DELAYED,
+                customer=delay.customer,
+                reason=delay.reason.value,
+                tasks=delay.tasks,
+                used=accounts.usage.usage(delay.customer).text(),
+            )
+
     def _reset(self) -> None:
         self.since = self.clock.monotonic()
         self.processor_since = self.clock.processor_time()
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -9,6 +9,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import candidates
 from turmerichook._internal.dispatch import crashes
+from turmerichook._internal.dispatch import customers
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import headroom as headrooms
@@ -253,12 +254,19 @@
                 return None
         return min(isolated or fitting, key=crashes.crash_cost, default=None)
 
-    def explain(self, waiting: waiting_step.WaitingStep) -> None:
+    def explain(
+        self, waiting: waiting_step.WaitingStep, *, quota_reached: bool
+    ) -> None:
         """Log what keeps the workers from running the tasks of a step.
 
         Nothing is logged if some worker can run one of the tasks, unless
         the step is a gang.
+
+        :param quota_reached: whether the customer's quota allows no start.
         """
+        if quota_reached:
+            self._log_wait(waiting, customers.DelayReason.QUOTA.value)
+            return
         if waiting.crashes_unconfirmed:
             self._log_wait(waiting, CRASHES_UNCONFIRMED)
             return
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -9,6 +9,7 @@
 from turmerichook._internal.dispatch import advice as advices
 from turmerichook._internal.dispatch import crash_counts
 from turmerichook._internal.dispatch import crashes
+from turmerichook._internal.dispatch import customers
 from turmerichook._internal.dispatch import decisions
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet
@@ -16,6 +17,7 @@
 from turmerichook._internal.dispatch import orders
 from turmerichook._internal.dispatch import waiting
 from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
@@ -62,7 +64,8 @@
         self.final: dict[ids.JobId, datetime.timedelta] = {}
         self.set_aside: set[ids.JobId] = set()
         self.workers: dict[ids.WorkerId, fleet.Worker] = {}
-        self.waiting = waiting.WaitingTasks()
+        self.customers = customers.Customers()
+        self.waiting = waiting.WaitingTasks(customers=self.customers)
         self.advice = advices.AdviceCache()
         self.unsaved_jobs: dict[ids.JobId, datetime.timedelta] = {}
         self.unsaved_proofs: dict[ids.JobId, datetime.timedelta] = {}
@@ -265,6 +268,18 @@
             worker.lapsed_at or fleet.ZERO,
         )
 
+    def add_worker(
+        self, worker_id: ids.WorkerId, entry: deployment.WorkerEntry | None
+    ) -> fleet.Worker:
+        """Add a worker without runs and return it."""
+        worker = fleet.Worker(
+            worker=worker_id,
+            entry=entry,
+            customer_usage=self.customers.usage,
+        )
+        self.workers[worker_id] = worker
+        return worker
+
     def recover_run(
         self,
         task: model.TaskKey,
@@ -275,6 +290,8 @@
         *,
         incarnation: int = 0,
         proven: bool = False,
+        customer: ids.CustomerId = ids.CustomerId(""),
+        charge: resources.Resources | None = None,
     ) -> fleet.Run:
         """Add a run that a former leader may have started.
 
@@ -282,12 +299,13 @@
         :param incarnation: incarnation of the worker that the task was
             assigned to; 0 if unknown.
         :param proven: see ``progress.TaskRecord``.
+        :param customer: see ``fleet.Run``.
+        :param charge: see ``fleet.Run``.
         """
         worker = self.workers.get(worker_id)
         if worker is None:
-            worker = fleet.Worker(worker=worker_id, entry=None)
+            worker = self.add_worker(worker_id, None)
             worker.reachable = False
-            self.workers[worker_id] = worker
         worker.may_hold_inherited_leases = True
         run = fleet.Run(
             task=task,
@@ -297,6 +315,8 @@
             demand_known=step is not STRAY_STEP,
             fenced=True,
             incarnation=incarnation,
+            customer=customer,
+            charge=charge,
             progress_changed_at=now,
             # A former leader may have slowed the run down.
             pace_known=not step.filler,
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -18,6 +18,7 @@
 from turmerichook._internal.dispatch import pacing
 from turmerichook._internal.dispatch import run_tracker as run_trackers
 from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.models import ids
 from turmerichook._internal.workflow import model
 
 # Phases in which a worker may list a run that is not being stopped.
@@ -169,6 +170,8 @@
             step=step,
             phase=fleet.RunPhase.STOPPING,
             demand_known=known,
+            customer=job.spec.customer if known else ids.CustomerId(""),
+            charge=job.spec.steps[row.task.step].demand if known else None,
         )
         worker.add(stray)
         if row.task.job in self.run_tracker.set_aside:
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -9,6 +9,7 @@
 import datetime
 import itertools
 
+from turmerichook._internal.dispatch import customers as customers_
 from turmerichook._internal.dispatch import fleet
 from turmerichook._internal.dispatch import headroom
 from turmerichook._internal.dispatch import interference as interferences
@@ -61,7 +62,8 @@
 class WaitingTasks:
     """All tasks that wait for a worker."""
 
-    def __init__(self):
+    def __init__(self, *, customers: customers_.Customers | None = None):
+        self.customers = customers or customers_.Customers()
         # By step, and by whether the tasks restart after an earlier run. A
         # task that may crash workers is kept by itself.
         self.steps: dict[StepsKey, waiting_step.WaitingStep] = {}
@@ -141,15 +143,33 @@
             self.long_running_over_share = any(
                 step.restarts or step.starving(now) for step in steps
             ) and _long_running_over_share(workers)
+            self._update_shares(workers)
         return self.urgency.read(
             all_items=steps,
             key=lambda step: step.order(
-                now, wall, long_running_over_share=self.long_running_over_share
+                now,
+                wall,
+                long_running_over_share=self.long_running_over_share,
+                over_share=step.customer in self.customers.over_share,
             ),
             is_live=lambda step: step.tasks,
             now=now,
         )
 
+    def _update_shares(
+        self, workers: collections.abc.Iterable[fleet.Worker]
+    ) -> None:
+        waiting = {step.customer for step in self.steps.values()}
+        waiting.discard(ids.CustomerId(""))
+        self.customers.update_shares(
+            waiting,
+            (
+                worker.entry.capacity
+                for worker in workers
+                if worker.entry is not None and worker.listed
+            ),
+        )
+
     def place(
         self,
         *,
@@ -208,22 +228,54 @@
                 advanced += 1
             elif position >= ALWAYS_CHECKED:
                 continue
-            chosen = round_.choose(waiting, limit - placed)
+            most = min(limit - placed, len(waiting.tasks))
+            startable = self.customers.startable(
+                waiting.customer, waiting.step, most
+            )
+            chosen = round_.choose(waiting, startable) if startable else []
             for task, worker, run in chosen:
                 self.remove(task)
                 assign(waiting.job, task, worker, run, now)
                 self.room.refresh(worker)
             placed += len(chosen)
-            self._explain(round_, waiting)
+            if waiting.tasks and waiting.customer:
+                self._note_delay(waiting, limited=startable < most)
+            self._explain(round_, waiting, quota_reached=not startable)
         self.sweep += 1
+        self.customers.end_pass()
         return placed
 
+    def _note_delay(
+        self,
+        waiting: waiting_step.WaitingStep,
+        *,
+        limited: bool,
+    ) -> None:
+        """Note why a customer's tasks wait, if its terms are the reason.
+
+        :param limited: whether the customer's quota lets fewer tasks start.
+        """
+        reason = None
+        if limited:
+            reason = customers_.DelayReason.QUOTA
+        elif waiting.customer in self.customers.over_share:
+            reason = customers_.DelayReason.SHARE
+        if reason is not None:
+            self.customers.note_delay(
+                waiting.customer, reason, len(waiting.tasks)
+            )
+
     def _explain(
         self,
         round_: placement_round.Round,
         waiting: waiting_step.WaitingStep,
+        *,
+        quota_reached: bool,
     ) -> None:
-        """Log why a step waits, if the log intervals allow it."""
+        """Log why a step waits, if the log intervals allow it.
+
+        :param quota_reached: whether the customer's quota allows no start.
+        """
         now = round_.now
         if self.explain_at <= now >= waiting.explain_at and waiting.tasks:
             self.explain_at = now + EXPLAIN_INTERVAL
@@ -232,7 +284,7 @@
                 if waiting.restarts
                 else EXPLAIN_STEP_INTERVAL
             )
-            round_.explain(waiting)
+            round_.explain(waiting, quota_reached=quota_reached)
 
 
 def _in_gang(job: jobs.Job, task: model.TaskKey) -> bool:
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -36,6 +36,7 @@
 
     postponable: bool
     useless: bool
+    over_share: bool
     priority: int
     not_promoted: bool
     long_running: bool
@@ -105,6 +106,11 @@
         """Specification of the step."""
         return self.job.spec.steps[self.key.step]
 
+    @property
+    def customer(self) -> ids.CustomerId:
+        """Customer whose quota and share the tasks count for, or empty."""
+        return self.job.spec.customer
+
     @property
     def crashes_unconfirmed(self) -> bool:
         """Whether the tasks wait until it is known which workers crashed.
@@ -130,6 +136,7 @@
         wall: datetime.timedelta,
         *,
         long_running_over_share: bool,
+        over_share: bool = False,
     ) -> Order:
         """Return the sort key.
 
@@ -146,11 +153,16 @@
         task goes before all others, whatever its priority and the share:
         tasks of more urgent queues may otherwise fill each commit.
 
+        Where customers share the workers, the tasks of one that uses more
+        than its share go after those of the others.
+
         A job that can no longer meet its latency objective gains little from
         ending earlier, and goes after jobs of the same priority that can.
 
         :param long_running_over_share: whether long-running tasks use more
             than their maximum share of the processors.
+        :param over_share: whether the customer uses more than its share while
+            others have waiting tasks.
         """
         long_running = self.step.long_running
         starving = self.starving(now)
@@ -162,6 +174,7 @@
         return Order(
             postponable=not (self.restarts and starving),
             useless=end > self.useful_until and not long_running,
+            over_share=over_share,
             priority=self.job.queue.priority,
             not_promoted=not promoted,
             long_running=long_running,
--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -11,6 +11,7 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
+from turmerichook._internal.intake import access as accesses
 from turmerichook._internal.intake import events
 from turmerichook._internal.intake import job_store
 from turmerichook._internal.logs import setup as logs
@@ -44,6 +45,9 @@
     def host_name(self, head: heads.RequestHead) -> str:
         """Return the host name that the request is addressed to."""
 
+    def key(self, head: heads.RequestHead) -> bytes:
+        """Return the customer's key; empty without exactly one."""
+
     def job_id(self, path: str, queue: deployment.Queue) -> ids.JobId:
         """Return the id of the job that a path names.
 
@@ -58,6 +62,7 @@
         *,
         job: ids.JobId,
         queue: deployment.Queue,
+        customer: ids.CustomerId = ids.CustomerId(""),
         accepted: datetime.timedelta,
     ) -> model.JobSpec:
         """Return the job that the body of a submission describes.
@@ -97,6 +102,7 @@
         call_format: CallFormat,
         jobs: job_store.JobStore,
         configuration: typing.Callable[[], deployment.Configuration | None],
+        access: accesses.Access,
         store_reachable: typing.Callable[[], bool],
         metrics: registry.Registry,
         clock: clocks.Clock,
@@ -104,6 +110,7 @@
         self.call_format = call_format
         self.jobs = jobs
         self.configuration = configuration
+        self.access = access
         self.store_reachable = store_reachable
         self.metrics = metrics
         self.clock = clock
@@ -130,6 +137,13 @@
             await exchange.read_all()
             await self._refuse(exchange, 404, "no-such-queue")
             return
+        customer = self.access.check(
+            self.call_format.key(head), queue, configuration
+        )
+        if isinstance(customer, accesses.Denial):
+            # Answered before the body is read.
+            await self._deny(exchange, queue, customer)
+            return
         time_limit = min(
             self.call_format.timeout(head) - RESPONSE_MARGIN, STORE_TIME_LIMIT
         )
@@ -182,12 +196,31 @@
         body: bytes,
         deadline: datetime.timedelta,
     ) -> None:
+        # The key may have been removed while the body was being read.
+        configuration = self.configuration()
+        customer = self.access.check(
+            self.call_format.key(exchange.head), queue, configuration
+        )
+        if isinstance(customer, accesses.Denial):
+            await self._deny(exchange, queue, customer)
+            return
         spec = self.call_format.submission(
             body,
             job=job,
             queue=queue,
+            customer=customer,
             accepted=datetime.timedelta(seconds=self.clock.now().timestamp()),
         )
+        if accesses.exceeds_quota(spec, configuration):
+            self._log_submission(
+                events.IntakeEvent.JOB_REFUSED,
+                queue,
+                job,
+                reason="exceeds-quota",
+                customer=customer,
+            )
+            await self._refuse(exchange, 429, "exceeds-quota")
+            return
         if not self.store_reachable():
             # No write is sent while the store is known to be unreachable, so
             # the job is certainly not stored.
@@ -297,6 +330,25 @@
         logs.emit(events.IntakeEvent.CANCEL_REFUSED, job=job, reason=reason)
         await self._refuse(exchange, status, reason, retry_after)
 
+    async def _deny(
+        self,
+        exchange: server.Exchange,
+        queue: deployment.Queue,
+        denial: accesses.Denial,
+    ) -> None:
+        logs.emit(
+            events.IntakeEvent.ACCESS_DENIED,
+            method=exchange.head.method,
+            queue=queue.queue,
+            reason=denial.value,
+        )
+        self.metrics.count("access_denied_total", reason=denial.value)
+        match denial:
+            case accesses.Denial.UNKNOWN_KEY:
+                await self._refuse(exchange, 401, denial.value)
+            case accesses.Denial.CONFIGURATION_OUTDATED:
+                await self._refuse(exchange, 503, denial.value, RETRY_AFTER_S)
+
     async def _pending(
         self,
         exchange: server.Exchange,
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -21,7 +21,9 @@
 from turmerichook._internal.http import addresses
 from turmerichook._internal.http import heads
 from turmerichook._internal.http import server
+from turmerichook._internal.intake import access as accesses
 from turmerichook._internal.intake import callers
+from turmerichook._internal.intake import currency as currencies
 from turmerichook._internal.intake import events
 from turmerichook._internal.intake import job_store
 from turmerichook._internal.intake import operators
@@ -112,10 +114,15 @@
         self.term: leadership.Term | None = None
         self.stopping = asyncio.Event()
         limits = heads.Limits(idle_timeout=IDLE_TIMEOUT)
+        self.currency = currencies.Currency(
+            revocation_timeout=self.settings.revocation_timeout, clock=clock
+        )
+        self.access = accesses.Access(currency=self.currency)
         self.call_handler = callers.CallHandler(
             call_format=adapter.call_format,
             jobs=job_store.JobStore(storage=self.storage, clock=clock),
             configuration=lambda: self.operators.configuration,
+            access=self.access,
             store_reachable=lambda: self.storage.reachable,
             metrics=self.metrics,
             clock=clock,
@@ -214,6 +221,7 @@
             clock=self.clock,
             replace=self.operators.replace,
             apply=self.operators.apply,
+            confirm=self.currency.confirm,
         ).run()
 
     async def _run_leadership(self) -> None:
@@ -281,6 +289,7 @@
             and not self.stopping.is_set()
             and self.operators.configuration is not None
             and self.storage.reachable
+            and self.access.available(self.operators.configuration)
         )
         await exchange.respond(status=200 if ready else 503)
 
@@ -292,6 +301,7 @@
             return
         self.metrics.set("leading", int(self.leader is not None))
         self.metrics.set("connections", len(self.call_server.connections))
+        self.metrics.set("configuration_outdated", int(self.currency.outdated))
         await exchange.respond(
             status=200,
             body=self.metrics.render().encode(),
--- a/src/turmerichook/_internal/intake/events.py
+++ b/src/turmerichook/_internal/intake/events.py
@@ -71,6 +71,12 @@
         summary="a caller's request is malformed",
         limit=100,
     )
+    ACCESS_DENIED = events.Event(
+        number=7212,
+        level=events.Level.INFO,
+        summary="a request was refused for its key; nothing was run",
+        limit=100,
+    )
     QUEUE_LENGTH_ANSWERED = events.Event(
         number=7209,
         level=events.Level.INFO,
@@ -96,6 +102,22 @@
             "configuration and closed zones stay in force"
         ),
     )
+    CONFIGURATION_OUTDATED = events.Event(
+        number=7226,
+        level=events.Level.WARNING,
+        summary=(
+            "the configuration was read too long ago to rely on its keys; "
+            "requests that need a key are refused"
+        ),
+    )
+    CONFIGURATION_CURRENT = events.Event(
+        number=7227,
+        level=events.Level.INFO,
+        summary=(
+            "the configuration is recent enough again; requests with keys "
+            "are accepted"
+        ),
+    )
     ZONES_CLOSED = events.Event(
         number=7222,
         level=events.Level.WARNING,
--- a/src/turmerichook/_internal/models/deployment.py
+++ b/src/turmerichook/_internal/models/deployment.py
@@ -52,6 +52,9 @@
     :param lease_ttl_min: shortest time to live that the store allows for a
         lease.
     :param processors: number of processors that the process may use.
+    :param revocation_timeout: time after which a key that operators have
+        removed must not be accepted any more, even by a process that the
+        store does not answer; None if that is not required.
     """
 
     node: ids.NodeId
@@ -66,6 +69,7 @@
     lease_ttl_min: datetime.timedelta
     timing: Timing
     processors: float = 1.0
+    revocation_timeout: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -101,6 +105,7 @@
     :param latency_objective: constant part, added to the variable part.
     :param advisor: terms of the advisor that decides which workers may run
         the queue's tasks; None if all workers may.
+    :param public: whether requests need no key of a customer.
     """
 
     queue: ids.QueueId
@@ -113,6 +118,7 @@
     latency_objective: datetime.timedelta
     timeout: datetime.timedelta
     advisor: AdvisorTerms | None = None
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -128,17 +134,41 @@
     standby: bool
 
 
+# Amount of a resource that a quota does not limit.
+UNLIMITED = 2**53
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Customer:
+    """A customer whose jobs share the workers with those of others.
+
+    :param keys: keys that the customer's requests may carry.
+    :param weight: the customer's share when the workers are full, relative
+        to other customers.
+    :param quota: what the customer's tasks may use on all workers together;
+        ``UNLIMITED`` of a resource that is not limited.
+    """
+
+    customer: ids.CustomerId
+    keys: tuple[str, ...] = dataclasses.field(repr=False)
+    weight: float
+    quota: resources.Resources
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Configuration:
     """Configuration that operators set on the platform.
 
     :param body_bytes: size limit of a request body.
+    :param customers: None if the deployment does not tell customers apart, so
+        that requests need no key.
     """
 
     version: int
     queues: tuple[Queue, ...]
     services: tuple[Service, ...]
     body_bytes: int
+    customers: tuple[Customer, ...] | None = None
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest matching path prefix."""
@@ -155,6 +185,11 @@
         """Return a queue by its name."""
         return next((q for q in self.queues if q.queue == name), None)
 
+    def customer(self, name: ids.CustomerId) -> Customer | None:
+        """Return a customer by its name."""
+        customers = self.customers or ()
+        return next((c for c in customers if c.customer == name), None)
+
 
 class WorkerState(enum.Enum):
     """State that a worker reports in its registry entry."""
--- a/src/turmerichook/_internal/models/resources.py
+++ b/src/turmerichook/_internal/models/resources.py
@@ -69,6 +69,19 @@
             and self.accelerators <= capacity.accelerators
         )
 
+    def multiples_of(self, amount: "Resources") -> int:
+        """Return how often an amount that is not nothing fits in this one.
+
+        The result is negative if this amount has a negative part that the
+        other one needs.
+        """
+        pairs = (
+            (self.millicores, amount.millicores),
+            (self.memory_mib, amount.memory_mib),
+            (self.accelerators, amount.accelerators),
+        )
+        return min(have // need for have, need in pairs if need)
+
     def text(self) -> str:
         """Return a short human-readable form."""
         parts = [f"{self.millicores}m", f"{self.memory_mib}MiB"]
--- a/src/turmerichook/_internal/platform/caller_calls.py
+++ b/src/turmerichook/_internal/platform/caller_calls.py
@@ -26,6 +26,7 @@
 TIMEOUT_DIGITS_MAX = 9
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 TIMEOUT_HEADER = b"turmerichook-request-timeout-ms"
+KEY_HEADER = b"turmerichook-key"
 # Applies to requests without a valid time-out header.
 DEFAULT_TIMEOUT = datetime.timedelta(seconds=3)
 
@@ -39,6 +40,12 @@
     return datetime.timedelta(milliseconds=int(text))
 
 
+def key(head: heads.RequestHead) -> bytes:
+    """Return the customer's key; empty without exactly one header for it."""
+    values = [value for name, value in head.headers if name == KEY_HEADER]
+    return values[0] if len(values) == 1 else b""
+
+
 def host_name(head: heads.RequestHead) -> str:
     """Return the ``Host`` header without a port."""
     return head.header(b"host").partition(":")[0]
@@ -63,10 +70,12 @@
     *,
     job: ids.JobId,
     queue: deployment.Queue,
+    customer: ids.CustomerId = ids.CustomerId(""),
     accepted: datetime.timedelta,
 ) -> model.JobSpec:
     """Return the specification of a submitted job.
 
+    :param customer: customer of the request's key; empty if it needs none.
     :raises MessageError: if a field is missing or invalid; names the field.
     """
     document = fields.parse(body)
@@ -98,6 +107,7 @@
         job=job,
         queue=queue.queue,
         service=queue.service,
+        customer=customer,
         payload=payload,
         steps=steps,
         accepted=accepted,
--- a/src/turmerichook/_internal/platform/documents.py
+++ b/src/turmerichook/_internal/platform/documents.py
@@ -43,6 +43,7 @@
             for row in fields.objects(document, "services")
         ),
         body_bytes=fields.integer(limits, "max-body-bytes"),
+        customers=_decode_customers(document),
     )
 
 
@@ -117,13 +118,16 @@
     return address
 
 
-def amounts(document: dict[str, typing.Any]) -> resources.Resources:
+def amounts(
+    document: dict[str, typing.Any], millicores_max: int = MILLICORES_MAX
+) -> resources.Resources:
     """Return the amounts of resources; missing ones are zero.
 
+    :param millicores_max: largest number of millicores that is accepted.
     :raises MessageError: if an amount is not a whole number of at least 0.
     """
     return resources.Resources(
-        millicores=fields.integer(document, "cpu", 0, MILLICORES_MAX),
+        millicores=fields.integer(document, "cpu", 0, millicores_max),
         memory_mib=fields.integer(document, "mem-mb", 0, AMOUNT_MAX),
         accelerators=fields.integer(document, "gpu", 0, AMOUNT_MAX),
     )
@@ -146,6 +150,7 @@
             )
         ),
         advisor=_decode_advisor_terms(row),
+        public=fields.boolean(row, "public"),
     )
 
 
@@ -165,6 +170,70 @@
     )
 
 
+def _decode_customers(
+    document: dict[str, typing.Any],
+) -> tuple[deployment.Customer, ...] | None:
+    # The platform calls customers "tenants".
+    if "tenants" not in document:
+        return None
+    rows = document["tenants"]
+    # The errors here and below name no values, as these may be keys.
+    if not isinstance(rows, list) or not all(
+        isinstance(row, dict) for row in rows
+    ):
+        raise exceptions.MessageError(
+            message="field 'tenants' must be a list of objects",
+            context="tenants",
+        )
+    customers = tuple(_decode_customer(row) for row in rows)
+    _check_unique("name", [customer.customer for customer in customers])
+    _check_unique("api-keys", [k for c in customers for k in c.keys])
+    return customers
+
+
+def _decode_customer(row: dict[str, typing.Any]) -> deployment.Customer:
+    keys = row.get("api-keys", [])
+    if not isinstance(keys, list) or not all(_is_key(key) for key in keys):
+        raise exceptions.MessageError(
+            message="field 'api-keys' must be a list of ASCII strings"
+            " that are not empty",
+            context="api-keys",
+        )
+    weight = fields.number(row, "weight", 1)
+    if not weight:
+        raise exceptions.MessageError(
+            message="field 'weight' must be more than 0", context="weight"
+        )
+    quota = resources.NOTHING
+    if "max-count" in row:
+        quota = amounts(fields.json_object(row, "max-count"), AMOUNT_MAX)
+    return deployment.Customer(
+        customer=ids.CustomerId(fields.string(row, "name")),
+        keys=tuple(keys),
+        weight=weight,
+        # An amount of 0 means that the resource is not limited.
+        quota=resources.Resources(
+            millicores=quota.millicores or deployment.UNLIMITED,
+            memory_mib=quota.memory_mib or deployment.UNLIMITED,
+            accelerators=quota.accelerators or deployment.UNLIMITED,
+        ),
+    )
+
+
+def _is_key(value: typing.Any) -> bool:
+    """Return whether a value is text that a header can hold."""
+    return isinstance(value, str) and value != "" and value.isascii()
+
+
+def _check_unique(field: str, values: list[str]) -> None:
+    """Raise an error that names the field, but not a value given twice."""
+    if len(set(values)) < len(values):
+        raise exceptions.MessageError(
+            message=f"field {field!r} of 'tenants' has a value given twice",
+            context=field,
+        )
+
+
 def _decode_service(row: dict[str, typing.Any]) -> deployment.Service:
     return deployment.Service(
         service=ids.ServiceId(fields.string(row, "name")),
--- a/src/turmerichook/_internal/platform/settings_file.py
+++ b/src/turmerichook/_internal/platform/settings_file.py
@@ -56,6 +56,7 @@
         admin_listen=_optional_address(document, "bind-addresses.admin"),
         processors=_processors(document),
         lease_ttl_min=_milliseconds(document, "platform.ttl-min-ms"),
+        revocation_timeout=_revocation_timeout(document),
         timing=deployment.Timing(
             # The platform calls the lease of a worker's running tasks a
             # "hold".
@@ -132,6 +133,20 @@
     return math.prod(_number(document, key) for key in keys)
 
 
+def _revocation_timeout(
+    document: dict[str, typing.Any],
+) -> datetime.timedelta | None:
+    key = "policy-params.strict-revoke"
+    strict = _look_up(document, key)
+    if strict is None or strict is False:
+        return None
+    if strict is not True:
+        raise exceptions.SettingsError(
+            message=f"key {key!r} must be true or false, not {strict!r}",
+        )
+    return _milliseconds(document, "policy-params.revoke-timeout-ms")
+
+
 def _milliseconds(
     document: dict[str, typing.Any], key: str
 ) -> datetime.timedelta:
--- a/src/turmerichook/_internal/workflow/model.py
+++ b/src/turmerichook/_internal/workflow/model.py
@@ -165,6 +165,8 @@
 
     :param service: service whose workers ran the queue's jobs when the job
         was accepted.
+    :param customer: customer whose quota and share the tasks count for, or
+        empty.
     :param payload: text of the caller that each start of a task passes to
         the worker unchanged.
     :param accepted: Unix time of the acceptance.
@@ -179,6 +181,7 @@
     steps: tuple[Step, ...]
     accepted: datetime.timedelta
     repetition: Repetition | None = None
+    customer: ids.CustomerId = ids.CustomerId("")
 
     @property
     def occurrences(self) -> int:
--- a/src/turmerichook/_internal/workflow/stored.py
+++ b/src/turmerichook/_internal/workflow/stored.py
@@ -3,6 +3,8 @@
 Both are msgpack lists whose first element is the version of the format.
 """
 
+import collections.abc
+import dataclasses
 import datetime
 import typing
 
@@ -60,6 +62,8 @@
             _milliseconds(spec.accepted),
             repetition,
             [_encode_step(step) for step in spec.steps],
+            # Earlier versions cannot read jobs of customers.
+            *([spec.customer] if spec.customer else ()),
         ]
     )
 
@@ -72,7 +76,8 @@
     """
     document = _unpack(job, value)
     try:
-        _, queue, service, payload, accepted, repetition, steps = document
+        _, queue, service, payload, accepted, *later = document
+        repetition, steps, *customer = later
         return model.JobSpec(
             job=job,
             queue=queue,
@@ -81,6 +86,7 @@
             steps=tuple(_decode_step(step) for step in steps),
             accepted=accepted * clocks.MILLISECOND,
             repetition=_decode_repetition(repetition),
+            customer=customer[0] if customer else ids.CustomerId(""),
         )
     except MALFORMED_ERRORS as error:
         raise _decoding_error(job, str(error)) from error
@@ -96,16 +102,32 @@
         for task, record in progress.tasks.items()
         if not final or record.phase is progresses.Phase.ASSIGNED
     ]
-    return msgpack.packb(
+    document = [
+        FORMAT_VERSION,
+        progress.state.value,
+        progress.opened_occurrences,
+        progress.canceled,
+        FAILURE_BY_CODE.index(progress.failed),
+        tasks,
+    ]
+    if final and tasks and progress.spec.customer:
+        document.append(_encode_charges(progress.spec, {t[1] for t in tasks}))
+    return msgpack.packb(document)
+
+
+def _encode_charges(
+    spec: model.JobSpec, steps: collections.abc.Iterable[int]
+) -> list[typing.Any]:
+    """Encode the customer of a final job and what tasks of its steps use."""
+    rows = [
         [
-            FORMAT_VERSION,
-            progress.state.value,
-            progress.opened_occurrences,
-            progress.canceled,
-            FAILURE_BY_CODE.index(progress.failed),
-            tasks,
+            number,
+            *dataclasses.astuple(spec.steps[number].committed),
+            spec.steps[number].demand.millicores,
         ]
-    )
+        for number in sorted(steps)
+    ]
+    return [spec.customer, rows]
 
 
 def _encode_record(record: progresses.TaskRecord) -> list[typing.Any]:
@@ -162,7 +184,7 @@
     """
     document = _unpack(spec.job, value)
     try:
-        _, _, opened_occurrences, canceled, failed, rows = document
+        _, _, opened_occurrences, canceled, failed, rows, *_ = document
         tasks = {}
         for occurrence, step, index, phase, *fields in rows:
             # Earlier versions stored none of the later fields.
@@ -197,9 +219,25 @@
         raise _decoding_error(spec.job, str(error)) from error
 
 
+class UnfinishedRun(typing.NamedTuple):
+    """A run of a final job that its worker may still be running.
+
+    :param customer: customer that the run counts for, or empty.
+    :param committed: what the run occupies of its worker's capacity; None if
+        it is not known.
+    :param charge: what the run counts against the customer's quota.
+    """
+
+    run: ids.Attempt
+    worker: ids.WorkerId
+    customer: ids.CustomerId = ids.CustomerId("")
+    committed: resources.Resources | None = None
+    charge: resources.Resources = resources.NOTHING
+
+
 def decode_unfinished_runs(
     job: ids.JobId, value: bytes
-) -> dict[model.TaskKey, tuple[ids.Attempt, ids.WorkerId]]:
+) -> dict[model.TaskKey, UnfinishedRun]:
     """Decode the runs of a final job that workers may still be running.
 
     :param value: encoded progress of the job.
@@ -207,15 +245,46 @@
         version.
     """
     try:
-        return {
-            model.TaskKey(job, row[0], row[1], row[2]): (row[4], row[5])
-            for row in _unpack(job, value)[5]
+        _, _, _, _, _, rows, *charges = _unpack(job, value)
+        runs = {
+            model.TaskKey(job, row[0], row[1], row[2]): UnfinishedRun(
+                row[4], row[5]
+            )
+            for row in rows
             if PHASE_BY_CODE[row[3]] is progresses.Phase.ASSIGNED
         }
+        # Only jobs of customers have these.
+        for customer, steps in charges:
+            _decode_charges(runs, customer, steps)
+        return runs
     except MALFORMED_ERRORS as error:
         raise _decoding_error(job, str(error)) from error
 
 
+def _decode_charges(
+    runs: dict[model.TaskKey, UnfinishedRun],
+    customer: ids.CustomerId,
+    steps: list[list[int]],
+) -> None:
+    """Add to unfinished runs for which customer they count, and how much."""
+    committed = {
+        number: resources.Resources(
+            millicores=millicores,
+            memory_mib=memory_mib,
+            accelerators=accelerators,
+        )
+        for number, millicores, memory_mib, accelerators, _ in steps
+    }
+    demanded = {row[0]: row[4] for row in steps}
+    for task, run in runs.items():
+        amount = committed[task.step]
+        runs[task] = run._replace(
+            customer=customer,
+            committed=amount,
+            charge=dataclasses.replace(amount, millicores=demanded[task.step]),
+        )
+
+
 def _encode_step(step: model.Step) -> list[typing.Any]:
     flags = (
         step.checkpointing
--- a/tests/intake/test_callers.py
+++ b/tests/intake/test_callers.py
@@ -8,7 +8,9 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.dispatch import keys
 from turmerichook._internal.http import server
+from turmerichook._internal.intake import access
 from turmerichook._internal.intake import callers
+from turmerichook._internal.intake import currency
 from turmerichook._internal.intake import job_store
 from turmerichook._internal.metrics import registry
 from turmerichook._internal.models import ids
@@ -26,12 +28,14 @@
     def __init__(self, **limits):
         clock = clocks.SystemClock()
         self.storage = memory.MemoryStorage(clock=clock)
-        configuration = dataclasses.replace(fakes.CONFIGURATION, **limits)
+        self.configuration = dataclasses.replace(fakes.CONFIGURATION, **limits)
+        self.currency = currency.Currency(revocation_timeout=None, clock=clock)
         self.jobs = job_store.JobStore(storage=self.storage, clock=clock)
         self.handler = callers.CallHandler(
             call_format=caller_calls,
             jobs=self.jobs,
-            configuration=lambda: configuration,
+            configuration=lambda: self.configuration,
+            access=access.Access(currency=self.currency),
             store_reachable=lambda: True,
             metrics=registry.Registry(),
             clock=clock,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,6 +8,7 @@
 from turmerichook._internal.http import heads
 from turmerichook._internal.models import deployment
 from turmerichook._internal.models import ids
+from turmerichook._internal.models import resources
 from turmerichook._internal.platform import caller_calls
 from turmerichook._internal.platform import documents
 from turmerichook._internal.platform import settings_file
@@ -66,6 +67,27 @@
 }
 
 
+TENANT = {
+    "name": "parish",
+    "api-keys": ["k1", "k2"],
+    "priority": 1,
+    "weight": 11,
+    "max-count": {"cpu": 8000, "mem-mb": 9000, "gpu": 0},
+}
+
+
+def decode_tenants(*tenants):
+    """Return the configuration that lists these tenants."""
+    document = {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": [],
+        "limits": {"max-body-bytes": 262144},
+        "tenants": list(tenants),
+    }
+    return documents.decode_configuration(encode(document))
+
+
 def encode(document):
     """Return a document as a stored value."""
     return json.dumps(document).encode()
@@ -82,6 +104,30 @@
         assert settings.timing.grace == 6000 * MS
         assert settings.admin_listen == ""
 
+    def test_strict_revocation(self):
+        """Guards against a limit that is not asked for, or is ignored."""
+        assert settings_file.parse(SETTINGS).revocation_timeout is None
+        for strict, expected in ((True, 5000 * MS), (False, None)):
+            figures = {
+                **SETTINGS["policy-params"],
+                "strict-revoke": strict,
+                "revoke-timeout-ms": 5000,
+            }
+            settings = settings_file.parse(
+                {**SETTINGS, "policy-params": figures}
+            )
+            assert settings.revocation_timeout == expected
+
+    @pytest.mark.parametrize(
+        "figures",
+        [{"strict-revoke": 1}, {"strict-revoke": True}],
+    )
+    def test_wrong_revocation(self, figures):
+        """Guards against strict revocation without its limit."""
+        figures = {**SETTINGS["policy-params"], **figures}
+        with pytest.raises(exceptions.SettingsError):
+            settings_file.parse({**SETTINGS, "policy-params": figures})
+
     @pytest.mark.parametrize(
         "key, value",
         [
@@ -157,6 +203,66 @@
             decision=30 * MS, each_worker=2 * MS, validity=3000 * MS
         )
 
+    def test_customers(self):
+        """Guards against a quota of nothing where there is no limit."""
+        tenant = {**TENANT, "max-count": {"cpu": 4_012_261, "gpu": 0}}
+        decoded = decode_tenants(tenant)
+        assert decoded.customers == (
+            deployment.Customer(
+                customer=ids.CustomerId("parish"),
+                keys=("k1", "k2"),
+                weight=11,
+                quota=resources.Resources(
+                    millicores=4_012_261,
+                    memory_mib=deployment.UNLIMITED,
+                    accelerators=deployment.UNLIMITED,
+                ),
+            ),
+        )
+        assert decoded.queues[0].public is False
+        assert decoded.customer("parish") is decoded.customers[0]
+        assert decoded.customer("nobody") is None
+
+    @pytest.mark.parametrize(
+        "field, change",
+        [
+            ("api-keys", {"api-keys": "secret"}),
+            ("api-keys", {"api-keys": ["secret", ""]}),
+            ("api-keys", {"api-keys": ["secret", 7]}),
+            ("api-keys", {"api-keys": ["secret", "secret"]}),
+            ("api-keys", {"api-keys": ["secr\u00e9t"]}),
+            ("weight", {"weight": 0}),
+            ("weight", {"weight": -1}),
+            ("weight", {"weight": "11"}),
+            ("max-count", {"max-count": 7}),
+            ("cpu", {"max-count": {"cpu": "many"}}),
+            ("mem-mb", {"max-count": {"mem-mb": -1}}),
+            ("name", {"name": None}),
+        ],
+    )
+    def test_malformed_customers(self, field, change):
+        """Guards against errors without the field, or with a key."""
+        with pytest.raises(exceptions.MessageError) as caught:
+            decode_tenants({**TENANT, **change})
+        assert caught.value.context == field
+        assert "secr" not in str(caught.value)
+
+    def test_key_of_two_customers(self):
+        """Guards against a request that counts for another customer."""
+        other = {**TENANT, "name": "abbey", "api-keys": ["k3", "k2"]}
+        with pytest.raises(exceptions.MessageError) as caught:
+            decode_tenants(TENANT, other)
+        assert caught.value.context == "api-keys"
+
+    @pytest.mark.parametrize("tenants", [None, {}, "secret", ["secret"], [7]])
+    def test_malformed_list_of_customers(self, tenants):
+        """Guards against a deployment that is taken for one without keys."""
+        document = {"version": 7, "routes": [], "services": []}
+        document |= {"limits": {"max-body-bytes": 1}, "tenants": tenants}
+        with pytest.raises(exceptions.MessageError) as caught:
+            documents.decode_configuration(encode(document))
+        assert "secret" not in str(caught.value)
+
     @pytest.mark.parametrize("value", [b"", b"[]", b'{"version": "7"}'])
     def test_malformed_configuration(self, value):
         """Guards against a crash on a malformed configuration."""
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -32,6 +32,7 @@
     ],
     "services": [{"name": "desk", "enforce-limits": True}],
     "limits": {"max-body-bytes": 65536},
+    "tenants": [test_decoding.TENANT],
 }
 REPORT = {
     "clock-ms": 482113,
--- a/tests/workflow/test_stored.py
+++ b/tests/workflow/test_stored.py
@@ -52,6 +52,7 @@
     payload=strategies.text(max_size=20),
     steps=strategies.lists(STEPS, min_size=1, max_size=3).map(tuple),
     accepted=DURATIONS,
+    customer=strategies.sampled_from(["", "parish"]).map(ids.CustomerId),
     repetition=strategies.none()
     | strategies.builds(
         model.Repetition,
@@ -102,6 +103,38 @@
         assert sorted(decoded.waiting()) == sorted(progress.waiting())
 
 
+class TestUnfinishedRuns:
+    """Runs of a final job that its workers may still be running."""
+
+    def test_what_they_count(self):
+        """Guards against a quota that runs of a cancelled job do not use."""
+        demand = resources.Resources(millicores=500, memory_mib=70)
+        spec = model.JobSpec(
+            job=JOB,
+            queue=ids.QueueId("q"),
+            service=ids.ServiceId("s"),
+            customer=ids.CustomerId("parish"),
+            payload="",
+            steps=(model.Step(count=1, demand=demand, filler=True),),
+            accepted=datetime.timedelta(),
+        )
+        progress = progresses.Progress(spec=spec)
+        (task,) = progress.open_occurrence()
+        progress.assign(task, ids.WorkerId("w"), ids.Attempt(2))
+        progress.canceled = True
+        value = stored.encode_progress(progress)
+        assert stored.decode_unfinished_runs(JOB, value) == {
+            task: stored.UnfinishedRun(
+                ids.Attempt(2),
+                ids.WorkerId("w"),
+                customer=spec.customer,
+                committed=resources.Resources(memory_mib=70),
+                charge=demand,
+            )
+        }
+        assert stored.decode_progress(spec, value).canceled
+
+
 class TestOtherVersions:
     """Values that are malformed or have another format version."""
 
