--- a/standins/batch_platform.py
+++ b/standins/batch_platform.py
@@ -55,6 +55,10 @@
 # lifetime of the lease under which a worker writes its entry.
 ENTRY_TTL_S = 1.0
 
+# Time after which no process may accept a key that was removed.
+REVOCATION_MS = 3000
+KEY_HEADER = b"turmerichook-key"
+
 SETTINGS = """\
 node-name = "{node}"
 role = "entry"
@@ -74,6 +78,8 @@
 stop-timeout-ms = 400
 gang-timeout-ms = 3000
 status_s = 120
+strict-revoke = true
+revoke-timeout-ms = {revocation_ms}
 [platform]
 address = "127.0.0.1:{store}"
 ttl-min-ms = 1000
@@ -452,6 +458,7 @@
                 admin=self.admin,
                 store=store_port,
                 lease_ms=self.lease_ms,
+                revocation_ms=REVOCATION_MS,
             )
         )
         with self.log.open("ab") as log:
@@ -500,6 +507,10 @@
     :param lease_ms: length of the leases on workers in milliseconds.
     :param linked: whether calls of workers, and those of each entry host to
         the store, pass proxies that can be cut.
+    :param customers: customers of the configuration in the platform's format;
+        None if requests need no key.
+    :ivar key: key that callers send, if it is not empty.
+    :ivar most_running: the most runs at the same time on all workers.
     :ivar overlaps: tasks that had two runs at the same time.
     :ivar store_links: the proxies between entry hosts and the store, by node.
     """
@@ -513,8 +524,12 @@
         lease_ms: int = LEASE_MS,
         enforce_limits: bool = True,
         linked: bool = False,
+        customers: list[dict] | None = None,
     ):
         self.enforce_limits = enforce_limits
+        self.customers = customers
+        self.key = b""
+        self.most_running = 0
         self.linked = linked
         self.overlaps: set[model.TaskKey] = set()
         self.store_links: dict[str, proxy.Proxy] = {}
@@ -608,6 +623,8 @@
             ],
             "limits": {"max-body-bytes": 262144},
         }
+        if self.customers is not None:
+            document["tenants"] = self.customers
         self.store.storage.put("op/config", json.dumps(document).encode())
 
     def resize(self, worker: WorkerHost, millicores: int) -> None:
@@ -636,6 +653,7 @@
             task for worker in self.workers for task in worker.state.running
         )
         self.overlaps.update(task for task in runs if runs[task] > 1)
+        self.most_running = max(self.most_running, runs.total())
 
     async def _tick(self) -> None:
         loop = asyncio.get_running_loop()
@@ -680,6 +698,7 @@
                 method=method,
                 target=PREFIX + job,
                 body=body,
+                headers=[(KEY_HEADER, self.key)] if self.key else None,
                 timeout=4.0,
             )
         finally:
