--- a/bench/measure_backlog.py
+++ b/bench/measure_backlog.py
@@ -135,6 +135,7 @@
     def full_round(self) -> None:
         """Place what fits, by a full ranking."""
         terms = self.terms()
+        del terms["answer_count"]
         assign = terms.pop("assign")
         full_ranking.FullRanking(**terms).place(
             self.waiting, assign=assign, wall=self.now, limit=LIMIT
--- a/src/turmerichook/_internal/dispatch/customers.py
+++ b/src/turmerichook/_internal/dispatch/customers.py
@@ -61,8 +61,6 @@
 
         :param count: number of tasks that may start otherwise.
         """
-        if not customer:
-            return count
         if not step.gang:
             return self.usage.startable(customer, step.demand, count)
         allowed = self.usage.gang_startable(customer, step.demand, step.count)
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -144,13 +144,14 @@
                 step.restarts or step.starving(now) for step in steps
             ) and _long_running_over_share(workers)
             self._update_shares(workers)
+        over_share = self.customers.over_share
         return self.urgency.read(
             all_items=steps,
             key=lambda step: step.order(
                 now,
                 wall,
                 long_running_over_share=self.long_running_over_share,
-                over_share=step.customer in self.customers.over_share,
+                over_share=step.customer in over_share,
             ),
             is_live=lambda step: step.tasks,
             now=now,
@@ -228,10 +229,11 @@
                 advanced += 1
             elif position >= ALWAYS_CHECKED:
                 continue
-            most = min(limit - placed, len(waiting.tasks))
-            startable = self.customers.startable(
-                waiting.customer, waiting.step, most
-            )
+            most = startable = min(limit - placed, len(waiting.tasks))
+            if waiting.customer:
+                startable = self.customers.startable(
+                    waiting.customer, waiting.step, most
+                )
             chosen = round_.choose(waiting, startable) if startable else []
             for task, worker, run in chosen:
                 self.remove(task)
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -60,6 +60,8 @@
 class WaitingStep:
     """Waiting tasks of a step, each with the worker of its last run.
 
+    :param customer: customer whose quota and share the tasks count for, or
+        empty.
     :param restarts: whether the tasks are long-running ones that have run
         before.
     :param suspected: whether this is a single task that may crash the worker
@@ -82,6 +84,7 @@
 
     job: jobs.Job
     key: model.StepKey
+    customer: ids.CustomerId
     restarts: bool
     suspected: bool
     deadline: datetime.timedelta
@@ -106,11 +109,6 @@
         """Specification of the step."""
         return self.job.spec.steps[self.key.step]
 
-    @property
-    def customer(self) -> ids.CustomerId:
-        """Customer whose quota and share the tasks count for, or empty."""
-        return self.job.spec.customer
-
     @property
     def crashes_unconfirmed(self) -> bool:
         """Whether the tasks wait until it is known which workers crashed.
@@ -219,6 +217,7 @@
     return WaitingStep(
         job=job,
         key=task.step_key,
+        customer=job.spec.customer,
         restarts=restarts,
         suspected=suspected,
         deadline=deadline,
--- a/src/turmerichook/_internal/intake/access.py
+++ b/src/turmerichook/_internal/intake/access.py
@@ -5,7 +5,6 @@
 from turmerichook._internal.intake import currency as currencies
 from turmerichook._internal.intake import customer_keys
 from turmerichook._internal.models import deployment
-from turmerichook._internal.models import ids
 from turmerichook._internal.quotas import usage
 from turmerichook._internal.workflow import model
 
@@ -43,25 +42,22 @@
         key: bytes,
         queue: deployment.Queue,
         configuration: deployment.Configuration,
-    ) -> ids.CustomerId | Denial:
-        """Return the customer of a request; empty if it needs none.
+    ) -> deployment.Customer | Denial | None:
+        """Return the customer of a request; None if it needs none.
 
         :param key: key of the request; empty if it has none.
         """
         if configuration.customers is None or queue.public:
-            return ids.CustomerId("")
+            return None
         if not self.currency.recent():
             return Denial.CONFIGURATION_OUTDATED
         customer = self.keys.find(key, configuration.customers)
         return Denial.UNKNOWN_KEY if customer is None else customer
 
 
-def exceeds_quota(
-    spec: model.JobSpec, configuration: deployment.Configuration
-) -> bool:
+def exceeds_quota(spec: model.JobSpec, customer: deployment.Customer) -> bool:
     """Return whether a job has a gang that its customer can never run."""
-    customer = configuration.customer(spec.customer)
-    return customer is not None and any(
+    return any(
         step.gang
         and usage.gang_exceeds(customer.quota, step.demand, step.count)
         for step in spec.steps
--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -34,6 +34,8 @@
 # last a few seconds, but the caller should not wait that long: other entry
 # processes may still reach the store.
 RETRY_AFTER_S = 1
+# Customer of jobs that came without a key.
+NOBODY = ids.CustomerId("")
 
 
 class CallFormat(typing.Protocol):
@@ -137,9 +139,7 @@
             await exchange.read_all()
             await self._refuse(exchange, 404, "no-such-queue")
             return
-        customer = self.access.check(
-            self.call_format.key(head), queue, configuration
-        )
+        customer = self._customer(exchange, queue, configuration)
         if isinstance(customer, accesses.Denial):
             # Answered before the body is read.
             await self._deny(exchange, queue, customer)
@@ -150,7 +150,9 @@
         deadline = started + time_limit
         try:
             job = self.call_format.job_id(head.path, queue)
-            await self._route(exchange, configuration, queue, job, deadline)
+            await self._route(
+                exchange, configuration, queue, customer, job, deadline
+            )
         except exceptions.BodyTooLargeError as error:
             await self._refuse(exchange, 413, error.message)
         except exceptions.MessageError as error:
@@ -166,18 +168,40 @@
             "request_seconds", elapsed.total_seconds(), method=head.method
         )
 
+    def _customer(
+        self,
+        exchange: server.Exchange,
+        queue: deployment.Queue,
+        configuration: deployment.Configuration,
+    ) -> deployment.Customer | accesses.Denial | None:
+        """Return the customer of a request; None if it needs none."""
+        key = self.call_format.key(exchange.head)
+        return self.access.check(key, queue, configuration)
+
     async def _route(
         self,
         exchange: server.Exchange,
         configuration: deployment.Configuration,
         queue: deployment.Queue,
+        customer: deployment.Customer | None,
         job: ids.JobId,
         deadline: datetime.timedelta,
     ) -> None:
         match exchange.head.method:
             case "POST" if job:
                 body = await exchange.read_all(configuration.body_bytes)
-                await self._submit(exchange, queue, job, body, deadline)
+                current = self.configuration()
+                if current is not configuration or not self.access.available(
+                    current
+                ):
+                    # The key may have been removed meanwhile.
+                    customer = self._customer(exchange, queue, current)
+                    if isinstance(customer, accesses.Denial):
+                        await self._deny(exchange, queue, customer)
+                        return
+                await self._submit(
+                    exchange, queue, customer, job, body, deadline
+                )
             case "GET" if job:
                 await self._state(exchange, job, deadline)
             case "GET":
@@ -192,32 +216,25 @@
         self,
         exchange: server.Exchange,
         queue: deployment.Queue,
+        customer: deployment.Customer | None,
         job: ids.JobId,
         body: bytes,
         deadline: datetime.timedelta,
     ) -> None:
-        # The key may have been removed while the body was being read.
-        configuration = self.configuration()
-        customer = self.access.check(
-            self.call_format.key(exchange.head), queue, configuration
-        )
-        if isinstance(customer, accesses.Denial):
-            await self._deny(exchange, queue, customer)
-            return
         spec = self.call_format.submission(
             body,
             job=job,
             queue=queue,
-            customer=customer,
+            customer=customer.customer if customer else NOBODY,
             accepted=datetime.timedelta(seconds=self.clock.now().timestamp()),
         )
-        if accesses.exceeds_quota(spec, configuration):
+        if customer and accesses.exceeds_quota(spec, customer):
             self._log_submission(
                 events.IntakeEvent.JOB_REFUSED,
                 queue,
                 job,
                 reason="exceeds-quota",
-                customer=customer,
+                customer=customer.customer,
             )
             await self._refuse(exchange, 429, "exceeds-quota")
             return
--- a/src/turmerichook/_internal/intake/customer_keys.py
+++ b/src/turmerichook/_internal/intake/customer_keys.py
@@ -4,7 +4,6 @@
 import secrets
 
 from turmerichook._internal.models import deployment
-from turmerichook._internal.models import ids
 
 DIGEST_BYTES = 16
 
@@ -21,18 +20,18 @@
     def __init__(self, *, secret: bytes | None = None):
         self.secret = secret or secrets.token_bytes(DIGEST_BYTES)
         self.customers: tuple[deployment.Customer, ...] | None = None
-        self.customer_by_digest: dict[bytes, ids.CustomerId] = {}
+        self.customer_by_digest: dict[bytes, deployment.Customer] = {}
 
     def find(
         self, key: bytes, customers: tuple[deployment.Customer, ...]
-    ) -> ids.CustomerId | None:
+    ) -> deployment.Customer | None:
         """Return the customer of a key; None if no customer has it.
 
         :param customers: customers of the configuration in force.
         """
         if self.customers is not customers:
             self.customer_by_digest = {
-                self._digest(known.encode()): customer.customer
+                self._digest(known.encode()): customer
                 for customer in customers
                 for known in customer.keys
             }
