--- a/src/turmerichook/_internal/dispatch/customers.py
+++ b/src/turmerichook/_internal/dispatch/customers.py
@@ -35,11 +35,13 @@
     """Usage, quotas and shares of all customers.
 
     :ivar usage: what the runs of each customer use, whatever their phase.
+    :ivar configured: whether the deployment tells customers apart.
     :ivar over_share: customers whose tasks go after those of others.
     """
 
     def __init__(self):
         self.usage: usages.Usage[ids.CustomerId] = usages.Usage()
+        self.configured = False
         self.over_share: frozenset[ids.CustomerId] = frozenset()
         # Delayed tasks in the present pass over all steps, and in the last
         # complete one.
@@ -49,6 +51,7 @@
     def configure(self, configuration: deployment.Configuration) -> None:
         """Apply the weights and quotas of a configuration."""
         customers = configuration.customers or ()
+        self.configured = configuration.customers is not None
         self.usage.weights = {c.customer: c.weight for c in customers}
         self.usage.limits = {c.customer: c.quota for c in customers}
 
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -254,17 +254,13 @@
                 return None
         return min(isolated or fitting, key=crashes.crash_cost, default=None)
 
-    def explain(
-        self, waiting: waiting_step.WaitingStep, *, quota_reached: bool
-    ) -> None:
+    def explain(self, waiting: waiting_step.WaitingStep) -> None:
         """Log what keeps the workers from running the tasks of a step.
 
         Nothing is logged if some worker can run one of the tasks, unless
         the step is a gang.
-
-        :param quota_reached: whether the customer's quota allows no start.
         """
-        if quota_reached:
+        if waiting.quota_reached:
             self._log_wait(waiting, customers.DelayReason.QUOTA.value)
             return
         if waiting.crashes_unconfirmed:
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -164,20 +164,26 @@
             self.long_running_over_share = any(
                 step.restarts or step.starving(now) for step in steps
             ) and _long_running_over_share(workers)
-            self._update_shares(workers)
+            if self.customers.configured:
+                self._update_shares(workers)
             if self.policy.overload_order is LEAST_COST:
                 self._update_postponed(now, wall)
         over_share = self.customers.over_share
         postponed = frozenset().union(*self.postponed.values())
-        return self.urgency.read(
-            all_items=steps,
-            key=lambda step: step.order(
+
+        def order(step: waiting_step.WaitingStep) -> waiting_step.Order:
+            return step.order(
                 now,
                 wall,
                 long_running_over_share=self.long_running_over_share,
                 over_share=step.customer in over_share,
-                postponed=step.key.whole in postponed,
-            ),
+                # Without the feature the set is empty, and no key is made.
+                postponed=bool(postponed) and step.key.whole in postponed,
+            )
+
+        return self.urgency.read(
+            all_items=steps,
+            key=order,
             is_live=lambda step: step.tasks,
             now=now,
         )
@@ -284,55 +290,52 @@
                 advanced += 1
             elif position >= ALWAYS_CHECKED:
                 continue
-            most = startable = min(limit - placed, len(waiting.tasks))
             if waiting.customer:
-                startable = self.customers.startable(
-                    waiting.customer, waiting.step, most
-                )
-            chosen = round_.choose(waiting, startable) if startable else []
+                chosen = self._choose(round_, waiting, limit - placed)
+            else:
+                chosen = round_.choose(waiting, limit - placed)
             for task, worker, run in chosen:
                 self.remove(task)
                 assign(waiting.job, task, worker, run, now)
                 self.room.refresh(worker)
             placed += len(chosen)
-            if waiting.tasks and waiting.customer:
-                self._note_delay(waiting, limited=startable < most)
-            self._explain(round_, waiting, quota_reached=not startable)
+            self._explain(round_, waiting)
         self.sweep += 1
         self.customers.end_pass()
         return placed
 
-    def _note_delay(
+    def _choose(
         self,
+        round_: placement_round.Round,
         waiting: waiting_step.WaitingStep,
-        *,
-        limited: bool,
-    ) -> None:
-        """Note why a customer's tasks wait, if its terms are the reason.
+        limit: int,
+    ) -> list[placement_round.Choice]:
+        """Choose workers for a customer's tasks within its quota.
 
-        :param limited: whether the customer's quota lets fewer tasks start.
+        Notes why tasks wait, if the customer's quota or share is the reason.
         """
-        reason = None
-        if limited:
-            reason = customers_.DelayReason.QUOTA
-        elif waiting.customer in self.customers.over_share:
-            reason = customers_.DelayReason.SHARE
-        if reason is not None:
+        customer = waiting.customer
+        most = min(limit, len(waiting.tasks))
+        startable = self.customers.startable(customer, waiting.step, most)
+        waiting.quota_reached = startable < most
+        chosen = round_.choose(waiting, startable) if startable else []
+        left = len(waiting.tasks) - len(chosen)
+        if left and waiting.quota_reached:
+            self.customers.note_delay(
+                customer, customers_.DelayReason.QUOTA, left
+            )
+        elif left and customer in self.customers.over_share:
             self.customers.note_delay(
-                waiting.customer, reason, len(waiting.tasks)
+                customer, customers_.DelayReason.SHARE, left
             )
+        return chosen
 
     def _explain(
         self,
         round_: placement_round.Round,
         waiting: waiting_step.WaitingStep,
-        *,
-        quota_reached: bool,
     ) -> None:
-        """Log why a step waits, if the log intervals allow it.
-
-        :param quota_reached: whether the customer's quota allows no start.
-        """
+        """Log why a step waits, if the log intervals allow it."""
         now = round_.now
         if self.explain_at <= now >= waiting.explain_at and waiting.tasks:
             self.explain_at = now + EXPLAIN_INTERVAL
@@ -341,7 +344,7 @@
                 if waiting.restarts
                 else EXPLAIN_STEP_INTERVAL
             )
-            round_.explain(waiting, quota_reached=quota_reached)
+            round_.explain(waiting)
 
 
 def _room_kind(*, filler: bool) -> work_rate.RoomKind:
--- a/src/turmerichook/_internal/dispatch/waiting_step.py
+++ b/src/turmerichook/_internal/dispatch/waiting_step.py
@@ -81,6 +81,8 @@
         step; see ``WaitingTasks.place``.
     :param lacked_room: whether a check has found too little room for the
         tasks, so that they do not merely wait for a commit.
+    :param quota_reached: whether the customer's quota let fewer tasks start
+        when the step was last checked.
     """
 
     job: jobs.Job
@@ -99,6 +101,7 @@
     checked_for: CheckedFor | None = None
     sweep: int = -1
     lacked_room: bool = False
+    quota_reached: bool = False
     blocked_until: datetime.timedelta = fleet.ZERO
     explain_at: datetime.timedelta = fleet.ZERO
     tasks: dict[model.TaskKey, ids.WorkerId] = dataclasses.field(
