Prove the age of the configuration more often

Entry processes refused requests with keys while the store was sound: a watch of operators' orders waits 1.5 s and proves something only once it has ended, so that the proof was up to 3 s old. With the users' 5 s a single lost answer was enough for refusals.

Where a revocation time-out applies, these watches now wait for at most a sixth of it.

--- a/faults/soak.py
+++ b/faults/soak.py
@@ -3,8 +3,9 @@
 ``python -m faults.soak [--seed N] [--count N] [--seconds S] [--folder PATH]``
 plays that many seeds one after another and exits with status 1 if one failed.
 Workers and whole zones are cut off, entry processes are paused, stopped and
-killed; no worker crashes and no run fails. The checks use only what callers
-and workers see. The folder keeps the logs of the seeds that failed.
+killed; no worker crashes and no run fails. All jobs are of one customer with
+a quota. The checks use only what callers and workers see. The folder keeps the
+logs of the seeds that failed.
 
 A cut of a zone also cuts its workers off from the entry processes of the same
 zone. The seed fixes the disturbances, but not the order in which the processes
@@ -57,6 +58,17 @@
     "kill-leader": 2,
     "kill-entry": 1,
 }
+# The customer of all jobs, and how many of its tasks, each of one core, may
+# run at the same time. The users allow a tenth and one task more.
+KEY = "key-of-the-soak"
+QUOTA = 24
+RUNNING_MAX = int(QUOTA * 1.1) + 1
+CUSTOMER = {
+    "name": "parish",
+    "api-keys": [KEY],
+    "weight": 1,
+    "max-count": {"cpu": 1000 * QUOTA},
+}
 # Log events that are counted for the summary line; no check uses them.
 EVENTS = (
     "leadership-gained",
@@ -127,6 +139,11 @@
                 raise task.exception()
         for key in self.platform.overlaps:
             self._report(f"task {task_name(key)} ran twice at once")
+        if self.platform.most_running > RUNNING_MAX:
+            self._report(
+                f"{self.platform.most_running} tasks of a customer ran at"
+                f" once, its quota is {QUOTA}"
+            )
 
     def summary(self) -> str:
         """Return what was played and what the processes logged."""
@@ -429,7 +446,9 @@
         entries=ENTRIES,
         lease_ms=LEASE_MS,
         linked=True,
+        customers=[CUSTOMER],
     )
+    platform.key = KEY.encode()
     soak = Soak(platform=platform, seed=seed, seconds=seconds)
     try:
         await platform.start()
--- a/src/turmerichook/_internal/intake/currency.py
+++ b/src/turmerichook/_internal/intake/currency.py
@@ -5,10 +5,14 @@
 from turmerichook._internal import clock as clocks
 from turmerichook._internal.intake import events
 from turmerichook._internal.logs import setup as logs
+from turmerichook._internal.storage import follower
 
 # Share of the revocation time-out after which keys are no longer accepted. The
 # rest covers the deviation of this host's clock from the store's.
 AGE_SHARE_MAX = 0.9
+# Number of watches that begin within the revocation time-out. A watch proves
+# something only once it has ended, and one of them may fail.
+WATCHES = 6
 
 
 class Currency:
@@ -32,6 +36,13 @@
         self.confirmed_at: datetime.timedelta | None = None
         self.outdated = False
 
+    @property
+    def watch_timeout(self) -> datetime.timedelta:
+        """Longest time for which a watch of operators' orders may wait."""
+        if self.revocation_timeout is None:
+            return follower.WATCH_TIMEOUT
+        return min(follower.WATCH_TIMEOUT, self.revocation_timeout / WATCHES)
+
     def confirm(self, sent_at: datetime.timedelta) -> None:
         """Record that all changes made before our time are known.
 
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -224,6 +224,7 @@
             clock=self.clock,
             replace=self.operators.replace,
             apply=self.operators.apply,
+            watch_timeout=self.currency.watch_timeout,
             confirm=self.currency.confirm,
         ).run()
 
--- a/tests/intake/test_access.py
+++ b/tests/intake/test_access.py
@@ -277,6 +277,51 @@
         return self.access.check(KEY, fakes.QUEUE, self.view.configuration)
 
 
+class TestSoundStore:
+    """The store answers all the time, and nothing changes."""
+
+    def test_no_refusal_between_two_watches(self):
+        """Guards against refusals just before a watch ends.
+
+        Seen in the soak: a watch of 1.5 s began 1.5 s after the one before,
+        and proved nothing until it ended.
+        """
+        for timeout in (3 * SECOND, TIMEOUT):
+            assert _refusals(failing=(), timeout=timeout) == 0
+
+    def test_one_failing_watch(self):
+        """Guards against refusals after a single lost answer."""
+        assert _refusals(failing=(3,)) == 0
+
+    def test_store_that_stays_away(self):
+        """Guards against a test that sees no refusal at all."""
+        assert _refusals(failing=range(3, 12)) > 0
+
+
+def _refusals(failing, timeout=TIMEOUT):
+    """Return how many of 1000 requests in 10 s a process refuses.
+
+    A watch takes its whole time and 50 ms. One that fails takes 0.8 s more,
+    and is repeated after a pause.
+    """
+    clock = clocks.ManualClock()
+    currency = currencies.Currency(revocation_timeout=timeout, clock=clock)
+    currency.confirm(clock.uptime())
+    ends, number = clock.uptime(), 0
+    sent_at, refused = None, 0
+    for _ in range(1000):
+        if clock.uptime() >= ends:
+            if sent_at is not None and number not in failing:
+                currency.confirm(sent_at)
+            sent_at, number = clock.uptime(), number + 1
+            ends += currency.watch_timeout + SECOND / 20
+            if number in failing:
+                ends += 0.8 * SECOND + follower.RETRY_DELAY
+        refused += not currency.recent()
+        clock.advance(SECOND / 100)
+    return refused
+
+
 class TestRemovalUnnoticed:
     """A key is removed while the store turns a process away."""
 
