Tell where a job would go now

Operators' wish. turmerichook plan job asks the leader; dispatch/planning.py makes the choices of a placement round on copies of what a round changes.

--- a/features/platform_customers.feature
+++ b/features/platform_customers.feature
@@ -21,3 +21,14 @@
     Then all jobs complete
     And each task was done exactly once
     And at most 2 tasks ran at the same time
+
+  # Guards against a question that starts, stores or delays something.
+  Scenario: An operator asks where a job would go
+    Given a platform with 3 workers, 2 entry processes and customers "parish" and "abbey"
+    When "parish" submits 2 jobs of 3 tasks
+    Then all jobs complete
+    When an operator plans a job of 3 tasks for "parish"
+    Then the plan names 2 workers and the quota
+    And nothing was stored or started for it
+    When an operator plans a job for a queue that is not there
+    Then the command ends with status 2 and "no-such-queue"
--- a/features/steps/platform_customers.py
+++ b/features/steps/platform_customers.py
@@ -1,6 +1,8 @@
 """Steps with customers of the users' batch platform."""
 
 import asyncio
+import json
+import sys
 import time
 
 import behave
@@ -165,3 +167,69 @@
 @behave.then("at most {count:d} tasks ran at the same time")
 def step_most_running(context, count):
     assert 0 < context.platform.most_running <= count
+
+
+def kept(platform) -> tuple:
+    """Return the keys in the store and the number of starts."""
+    # The claim of the leadership and the registry are written all the time,
+    # but their keys stay.
+    return sorted(platform.store.storage.items), len(platform.starts())
+
+
+async def plan(context, name: str, path: str, tasks: int) -> None:
+    """Run the command; keep its exit status and output."""
+    job, key = context.folder / "job.json", context.folder / "key"
+    task = {"cpu": 1000, "mem-mb": 500, "estimate-ms": 300}
+    job.write_text(json.dumps({"steps": [{"count": tasks, **task}]}))
+    key.write_bytes(key_of(name))
+    arguments = ["plan", "job", str(job), "--host", batch_platform.HOST]
+    arguments += ["--path", path, "--key-file", str(key)]
+    for entry in context.platform.entries:
+        arguments += ["--entry", entry.admin]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "turmerichook",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    context.status, context.output = process.returncode, output.decode()
+
+
+@behave.when('an operator plans a job of {tasks:d} tasks for "{name}"')
+def step_plan(context, tasks, name):
+    async def compare():
+        platform = context.platform
+        # Workers' ends are acknowledged and final jobs are cleared by now.
+        await asyncio.sleep(1.0)
+        context.kept = kept(platform)
+        await plan(context, name, batch_platform.PREFIX, tasks)
+        await asyncio.sleep(1.0)
+
+    context.runner.run(compare())
+
+
+@behave.then("the plan names {workers:d} workers and the quota")
+def step_plan_names(context, workers):
+    assert context.status == 0, context.output
+    row = context.output.splitlines()[-1].split()
+    assert len(row[-2].split(",")) == workers, context.output
+    assert row[-1] == "customer-quota", context.output
+
+
+@behave.then("nothing was stored or started for it")
+def step_nothing_changed(context):
+    assert kept(context.platform) == context.kept
+
+
+@behave.when("an operator plans a job for a queue that is not there")
+def step_plan_wrongly(context):
+    context.runner.run(plan(context, "parish", "/none/", 1))
+
+
+@behave.then('the command ends with status {status:d} and "{text}"')
+def step_command_ends(context, status, text):
+    assert context.status == status, context.output
+    assert text in context.output
--- a/src/turmerichook/_internal/cli/operator.py
+++ b/src/turmerichook/_internal/cli/operator.py
@@ -7,6 +7,7 @@
 from turmerichook._internal.cli import config
 from turmerichook._internal.cli import jobs
 from turmerichook._internal.cli import output
+from turmerichook._internal.cli import plan
 from turmerichook._internal.cli import services
 from turmerichook._internal.cli import site
 from turmerichook import exceptions
@@ -19,6 +20,7 @@
 app.command(config.app)
 app.command(jobs.app)
 app.command(services.app)
+app.command(plan.app)
 app.command(site.zone_app)
 app.command(site.status, name="status")
 app.command(site.explain, name="explain")
--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -22,6 +22,7 @@
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.dispatch import placement_round
 from turmerichook._internal.dispatch import run_tracker as run_trackers
 from turmerichook._internal.dispatch import saves
 from turmerichook._internal.dispatch import settlement
@@ -96,7 +97,7 @@
             return
         job = jobs.Job(
             progress=progress,
-            queue=self._queue(progress.spec),
+            queue=self.queue_of(progress.spec),
             begun=progress.proven_begun,
         )
         self.jobs[job_id] = job
@@ -139,7 +140,8 @@
             )
             self.open_due(job, wall, now)
 
-    def _queue(self, spec: model.JobSpec) -> deployment.Queue:
+    def queue_of(self, spec: model.JobSpec) -> deployment.Queue:
+        """Return the queue of a job, with defaults if it was removed."""
         queue = self.configuration.queue(spec.queue)
         if queue is not None:
             return queue
@@ -370,6 +372,17 @@
             exhausted=exhausted,
         )
 
+    def trial_round(self, now: datetime.timedelta) -> placement_round.Round:
+        """Return a round whose choices change nothing."""
+        return self.waiting.trial_round(
+            workers=self.workers.values(),
+            closed=self.closed_zones,
+            approved=lambda step: self._approved(step, now),
+            answer_count=self.run_tracker.advice.answer_count,
+            interference=self.interference,
+            now=now,
+        )
+
     def fleet_room(self, now: datetime.timedelta) -> fleet_room.FleetRoom:
         """Return how the workers are used and what waiting tasks lack."""
         return fleet_room.measure(
--- a/src/turmerichook/_internal/dispatch/headroom.py
+++ b/src/turmerichook/_internal/dispatch/headroom.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import copy
 import dataclasses
 import datetime
 import itertools
@@ -67,6 +68,12 @@
         self.left: Demands = {}
         self.targets: Demands = {}
 
+    def copy(self) -> "Headroom":
+        """Return a copy in which tasks can be placed on trial."""
+        copied = copy.copy(self)
+        copied.left = dict(self.left)
+        return copied
+
     def scarce(self, service: ids.ServiceId) -> bool:
         """Return whether long-running tasks leave little room to others."""
         target = self.targets.get(service)
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -22,6 +22,7 @@
 from turmerichook._internal.dispatch import leadership
 from turmerichook._internal.dispatch import load
 from turmerichook._internal.dispatch import orders
+from turmerichook._internal.dispatch import planning
 from turmerichook._internal.dispatch import queue_lengths
 from turmerichook._internal.dispatch import session as sessions
 from turmerichook._internal.logs import setup as logs
@@ -31,6 +32,7 @@
 from turmerichook._internal.models import policy as policies
 from turmerichook._internal import pauses
 from turmerichook._internal.storage import interface
+from turmerichook._internal.workflow import model
 from turmerichook import exceptions
 
 # Shortest time between two rounds, so that changes that arrive close together
@@ -255,6 +257,20 @@
             self.session_tasks[worker_id].cancel()
         self.session_tasks[worker_id] = self._spawn(session.run())
 
+    def plan(self, spec: model.JobSpec) -> planning.JobPlan | None:
+        """Return what would become of a job now, without accepting it.
+
+        None if the leader must not rely on its state now.
+        """
+        if not self.term.has_authority():
+            return None
+        return planning.plan_job(
+            self.dispatcher,
+            spec,
+            now=self.clock.uptime(),
+            wall=self.feeds.wall(),
+        )
+
     # Rounds
 
     async def _rounds(self) -> None:
--- a/src/turmerichook/_internal/dispatch/placement_round.py
+++ b/src/turmerichook/_internal/dispatch/placement_round.py
@@ -260,12 +260,20 @@
         Nothing is logged if some worker can run one of the tasks, unless
         the step is a gang.
         """
+        detail = self.obstacles_of(waiting)
+        if detail:
+            self._log_wait(waiting, detail)
+
+    def obstacles_of(self, waiting: waiting_step.WaitingStep) -> str:
+        """Return what keeps the workers from running the tasks of a step.
+
+        For most obstacles the text counts the workers. It is empty if some
+        worker can run one of the tasks, unless the step is a gang.
+        """
         if waiting.quota_reached:
-            self._log_wait(waiting, customers.DelayReason.QUOTA.value)
-            return
+            return customers.DelayReason.QUOTA.value
         if waiting.crashes_unconfirmed:
-            self._log_wait(waiting, CRASHES_UNCONFIRMED)
-            return
+            return CRASHES_UNCONFIRMED
         ranking = placement.Ranking(
             conditions=self._conditions(waiting, waiting.tasks_by_worker()),
             workers=self.workers,
@@ -276,9 +284,8 @@
         )
         outcome = ranking.take(ids.WorkerId(""))
         if isinstance(outcome, outcomes.Absent):
-            self._log_wait(waiting, outcome.detail)
-        elif waiting.step.gang:
-            self._log_wait(waiting, ranking.detail())
+            return outcome.detail
+        return ranking.detail() if waiting.step.gang else ""
 
     def _log_wait(
         self, waiting: waiting_step.WaitingStep, detail: str
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -8,6 +8,7 @@
 import collections.abc
 import datetime
 import itertools
+import typing
 
 from turmerichook._internal.dispatch import customers as customers_
 from turmerichook._internal.dispatch import fleet
@@ -168,6 +169,19 @@
                 self._update_shares(workers)
             if self.policy.overload_order is LEAST_COST:
                 self._update_postponed(now, wall)
+        return self.urgency.read(
+            all_items=steps,
+            key=self._order(now, wall),
+            is_live=lambda step: step.tasks,
+            now=now,
+        )
+
+    def _order(
+        self, now: datetime.timedelta, wall: datetime.timedelta
+    ) -> collections.abc.Callable[
+        [waiting_step.WaitingStep], waiting_step.Order
+    ]:
+        """Return a function that returns the sort key of a step."""
         over_share = self.customers.over_share
         postponed = frozenset().union(*self.postponed.values())
 
@@ -181,12 +195,7 @@
                 postponed=bool(postponed) and step.key.whole in postponed,
             )
 
-        return self.urgency.read(
-            all_items=steps,
-            key=order,
-            is_live=lambda step: step.tasks,
-            now=now,
-        )
+        return order
 
     def note_done(self, step: model.Step, now: datetime.timedelta) -> None:
         """Count the work of a task that is done."""
@@ -304,6 +313,52 @@
         self.customers.end_pass()
         return placed
 
+    def startable(self, waiting: waiting_step.WaitingStep, count: int) -> int:
+        """Return how many tasks of a step its customer's quota allows."""
+        if not waiting.customer:
+            return count
+        return self.customers.startable(waiting.customer, waiting.step, count)
+
+    def position(
+        self,
+        waiting: waiting_step.WaitingStep,
+        now: datetime.timedelta,
+        wall: datetime.timedelta,
+    ) -> int:
+        """Return the place that a step would have among those that wait.
+
+        The first place is 1.
+        """
+        order = self._order(now, wall)
+        own = order(waiting)
+        return 1 + sum(order(step) <= own for step in self.steps.values())
+
+    def trial_round(
+        self,
+        *,
+        workers: collections.abc.Collection[fleet.Worker],
+        closed: collections.abc.Container[ids.ZoneId],
+        now: datetime.timedelta,
+        **terms: typing.Any,
+    ) -> placement_round.Round:
+        """Return a round in which choices have no effect on later rounds.
+
+        :param terms: further terms of ``placement_round.Round``.
+        """
+        room = rooms.Room()
+        room.update(workers, closed, now)
+        room.reserved = set(self.room.reserved)
+        return placement_round.Round(
+            workers=workers,
+            closed=closed,
+            now=now,
+            room=room,
+            refusals=refusals.Refusals(),
+            reserved=room.reserved,
+            headroom=self.headroom.copy(),
+            **terms,
+        )
+
     def _choose(
         self,
         round_: placement_round.Round,
@@ -316,7 +371,7 @@
         """
         customer = waiting.customer
         most = min(limit, len(waiting.tasks))
-        startable = self.customers.startable(customer, waiting.step, most)
+        startable = self.startable(waiting, most)
         waiting.quota_reached = startable < most
         chosen = round_.choose(waiting, startable) if startable else []
         left = len(waiting.tasks) - len(chosen)
--- a/src/turmerichook/_internal/intake/daemon.py
+++ b/src/turmerichook/_internal/intake/daemon.py
@@ -27,6 +27,7 @@
 from turmerichook._internal.intake import events
 from turmerichook._internal.intake import job_store
 from turmerichook._internal.intake import operators
+from turmerichook._internal.intake import plan_requests
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.metrics import registry
 from turmerichook._internal.models import deployment
@@ -130,6 +131,13 @@
             metrics=self.metrics,
             clock=clock,
         )
+        self.plan_handler = plan_requests.PlanHandler(
+            call_format=adapter.call_format,
+            configuration=lambda: self.operators.configuration,
+            access=self.access,
+            leader=lambda: self.leader,
+            clock=clock,
+        )
         self.call_server = server.Server(
             handler=self.call_handler.handle, limits=limits
         )
@@ -299,6 +307,9 @@
         await exchange.respond(status=200 if ready else 503)
 
     async def _respond_admin(self, exchange: server.Exchange) -> None:
+        if exchange.head.path == plan_requests.PATH:
+            await self.plan_handler.handle(exchange)
+            return
         if exchange.head.path != self.adapter.metrics_path:
             await exchange.respond_json(
                 document={"error": "not-found"}, status=404
--- a/src/turmerichook/exceptions.py
+++ b/src/turmerichook/exceptions.py
@@ -358,6 +358,26 @@
     exit_status = EXIT_UNREACHABLE
 
 
+class PlanRefusedError(TurmerichookError):
+    """An entry process cannot plan a job as it was described."""
+
+    reference = "plan-refused"
+    exit_status = EXIT_BAD_INPUT
+
+
+class EntryUnreachableError(TurmerichookError):
+    """No entry process answered a call of the command line."""
+
+    reference = "entry-unreachable"
+    exit_status = EXIT_UNREACHABLE
+
+
+class LeaderUnknownError(TurmerichookError):
+    """No entry process that answers leads with a current view."""
+
+    reference = "leader-unknown"
+
+
 class TaskUnknownError(TurmerichookError):
     """No process has a record of the task or request to explain."""
 
