--- a/src/turmerichook/_internal/dispatch/dispatcher.py
+++ b/src/turmerichook/_internal/dispatch/dispatcher.py
@@ -8,7 +8,6 @@
 """
 
 import collections.abc
-import dataclasses
 import datetime
 import sys
 
@@ -22,7 +21,6 @@
 from turmerichook._internal.dispatch import interference
 from turmerichook._internal.dispatch import jobs
 from turmerichook._internal.dispatch import orders
-from turmerichook._internal.dispatch import placement_round
 from turmerichook._internal.dispatch import run_tracker as run_trackers
 from turmerichook._internal.dispatch import saves
 from turmerichook._internal.dispatch import settlement
@@ -361,7 +359,7 @@
         return self.waiting.place(
             workers=self.workers.values(),
             closed=self.closed_zones,
-            approved=lambda step: self._approved(step, now),
+            approved=lambda step: self.approved(step, now),
             answer_count=self.run_tracker.advice.answer_count,
             assign=self.assign,
             full=lambda: len(unreleased) >= jobs_limit,
@@ -372,17 +370,6 @@
             exhausted=exhausted,
         )
 
-    def trial_round(self, now: datetime.timedelta) -> placement_round.Round:
-        """Return a round whose choices change nothing."""
-        return self.waiting.trial_round(
-            workers=self.workers.values(),
-            closed=self.closed_zones,
-            approved=lambda step: self._approved(step, now),
-            answer_count=self.run_tracker.advice.answer_count,
-            interference=self.interference,
-            now=now,
-        )
-
     def fleet_room(self, now: datetime.timedelta) -> fleet_room.FleetRoom:
         """Return how the workers are used and what waiting tasks lack."""
         return fleet_room.measure(
@@ -392,9 +379,10 @@
             now,
         )
 
-    def _approved(
+    def approved(
         self, step: waiting_step.WaitingStep, now: datetime.timedelta
     ) -> frozenset[ids.WorkerId] | None:
+        """Return the workers that a step's advisor allows; None for all."""
         if step.job.queue.advisor is None:
             return None
         return self.run_tracker.advice.approved(step.key, now)
@@ -486,19 +474,7 @@
         """
         self.final[job_id] = now
         for task, unfinished in remainder.items():
-            step = run_trackers.STRAY_STEP
-            if unfinished.committed is not None:
-                step = dataclasses.replace(step, demand=unfinished.committed)
-            run = self.run_tracker.recover_run(
-                task,
-                unfinished.worker,
-                unfinished.run,
-                step,
-                now,
-                customer=unfinished.customer,
-                charge=unfinished.charge,
-            )
-            run.should_run = False
+            self.run_tracker.recover_unfinished(task, unfinished, now)
 
 
 def _same_state(
--- a/src/turmerichook/_internal/dispatch/leader.py
+++ b/src/turmerichook/_internal/dispatch/leader.py
@@ -307,7 +307,8 @@
         if reported:
             self.meter.report_room(dispatcher.fleet_room(now))
             self.meter.report_customers(dispatcher.run_tracker.customers)
-            self.meter.report_postponed(dispatcher.waiting, now)
+            postponement = dispatcher.waiting.postponement
+            self.meter.report_postponed(postponement, now)
 
     def _place(self, jobs_limit: int) -> None:
         """Place waiting tasks of at most ``jobs_limit`` jobs."""
--- a/src/turmerichook/_internal/dispatch/load.py
+++ b/src/turmerichook/_internal/dispatch/load.py
@@ -11,7 +11,7 @@
 from turmerichook._internal.dispatch import customers
 from turmerichook._internal.dispatch import events
 from turmerichook._internal.dispatch import fleet_room
-from turmerichook._internal.dispatch import waiting
+from turmerichook._internal.dispatch import postponement
 from turmerichook._internal.logs import setup as logs
 from turmerichook._internal.metrics import registry
 
@@ -209,11 +209,11 @@
             )
 
     def report_postponed(
-        self, tasks: waiting.WaitingTasks, now: datetime.timedelta
+        self, chosen: postponement.Postponement, now: datetime.timedelta
     ) -> None:
         """Set the metrics and write a log line on postponed jobs."""
-        for kind, jobs in tasks.postponed.items():
-            cores = tasks.work_rates[kind].cores(now)
+        for kind, jobs in chosen.by_kind.items():
+            cores = chosen.rates[kind].cores(now)
             self.metrics.set("postponed_jobs", len(jobs), kind=kind.value)
             self.metrics.set("work_rate_cores", cores or 0, kind=kind.value)
             if jobs:
--- a/src/turmerichook/_internal/dispatch/planning.py
+++ b/src/turmerichook/_internal/dispatch/planning.py
@@ -102,7 +102,14 @@
         job, tasks[0], restarts=False, suspected=False, now=now
     )
     waiting.tasks.update(dict.fromkeys(tasks, ids.WorkerId("")))
-    round_ = dispatcher.trial_round(now)
+    round_ = dispatcher.waiting.trial_round(
+        workers=dispatcher.workers.values(),
+        closed=dispatcher.closed_zones,
+        approved=lambda step: dispatcher.approved(step, now),
+        answer_count=dispatcher.run_tracker.advice.answer_count,
+        interference=dispatcher.interference,
+        now=now,
+    )
     most = min(step.count, TASKS_TRIED)
     startable = dispatcher.waiting.startable(waiting, most)
     chosen = round_.choose(waiting, startable) if startable else []
--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import datetime
 import typing
 
@@ -23,6 +24,7 @@
 from turmerichook._internal.models import resources
 from turmerichook._internal.workflow import model
 from turmerichook._internal.workflow import progress as progresses
+from turmerichook._internal.workflow import stored
 
 # Time for which the proof that a run did not crash its worker waits to be
 # written, so that the tasks of a job share one write. A commit that holds the
@@ -329,6 +331,31 @@
         worker.add(run)
         return run
 
+    def recover_unfinished(
+        self,
+        task: model.TaskKey,
+        unfinished: stored.UnfinishedRun,
+        now: datetime.timedelta,
+    ) -> None:
+        """Add a run of a final job that is to be stopped."""
+        run = self.recover_run(
+            task,
+            unfinished.worker,
+            unfinished.run,
+            _unknown_step(unfinished.committed),
+            now,
+            customer=unfinished.customer,
+            charge=unfinished.charge,
+        )
+        run.should_run = False
+
+
+def _unknown_step(committed: resources.Resources | None) -> model.Step:
+    """Return a step for a run of a job that the leader does not hold."""
+    if committed is None:
+        return STRAY_STEP
+    return dataclasses.replace(STRAY_STEP, demand=committed)
+
 
 def is_current(
     job: jobs.Job, worker: fleet.Worker, run: fleet.Run | orders.EndRow
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -292,7 +292,7 @@
         self.run_tracker.note_change(job.spec.job, now)
         step = job.spec.steps[end.task.step]
         if finished:
-            self.run_tracker.waiting.note_done(step, now)
+            self.run_tracker.waiting.postponement.note_done(step, now)
             if step.gang:
                 self._finish_gang(job, end.task, now)
             else:
--- a/src/turmerichook/_internal/dispatch/waiting.py
+++ b/src/turmerichook/_internal/dispatch/waiting.py
@@ -15,19 +15,16 @@
 from turmerichook._internal.dispatch import headroom
 from turmerichook._internal.dispatch import interference as interferences
 from turmerichook._internal.dispatch import jobs
-from turmerichook._internal.dispatch import least_cost
 from turmerichook._internal.dispatch import placement_round
+from turmerichook._internal.dispatch import postponement as postponements
 from turmerichook._internal.dispatch import refusals
 from turmerichook._internal.dispatch import room as rooms
 from turmerichook._internal.dispatch import urgency
 from turmerichook._internal.dispatch import waiting_step
-from turmerichook._internal.dispatch import work_rate
 from turmerichook._internal.models import ids
 from turmerichook._internal.models import policy as policies
 from turmerichook._internal.workflow import model
 
-LEAST_COST = policies.OverloadOrder.LEAST_COST
-
 # Interval at which the reason why some step waits is determined and logged,
 # and the minimum interval between such log lines for the same step. Checking
 # all workers for each step in each round would use a whole processor.
@@ -75,15 +72,7 @@
         policy: policies.Policy = policies.DEFAULT,
     ):
         self.customers = customers or customers_.Customers()
-        self.policy = policy
-        # Rates of the work that ends, and the jobs that are postponed.
-        self.work_rates = {
-            kind: work_rate.WorkRate() for kind in work_rate.RoomKind
-        }
-        self.postponed: dict[
-            work_rate.RoomKind, frozenset[model.Occurrence]
-        ] = {}
-        self.mean_work = least_cost.MeanWork()
+        self.postponement = postponements.Postponement(policy=policy)
         # By step, and by whether the tasks restart after an earlier run. A
         # task that may crash workers is kept by itself.
         self.steps: dict[StepsKey, waiting_step.WaitingStep] = {}
@@ -129,8 +118,7 @@
             )
             self.steps[key] = step
             self.urgency.add(step)
-            if self.policy.overload_order is LEAST_COST and not task.step:
-                self.mean_work.note(job.queue.queue, job.work)
+            self.postponement.note_step(step)
         if restarts and ended_at is not None:
             step.since = min(step.since, ended_at)
         step.tasks[task] = last
@@ -167,8 +155,7 @@
             ) and _long_running_over_share(workers)
             if self.customers.configured:
                 self._update_shares(workers)
-            if self.policy.overload_order is LEAST_COST:
-                self._update_postponed(now, wall)
+            self.postponement.update(steps, now, wall)
         return self.urgency.read(
             all_items=steps,
             key=self._order(now, wall),
@@ -183,7 +170,7 @@
     ]:
         """Return a function that returns the sort key of a step."""
         over_share = self.customers.over_share
-        postponed = frozenset().union(*self.postponed.values())
+        postponed = self.postponement.all_postponed
 
         def order(step: waiting_step.WaitingStep) -> waiting_step.Order:
             return step.order(
@@ -197,36 +184,6 @@
 
         return order
 
-    def note_done(self, step: model.Step, now: datetime.timedelta) -> None:
-        """Count the work of a task that is done."""
-        if not step.long_running:
-            kind = _room_kind(filler=step.filler)
-            self.work_rates[kind].note_end(step.processor_time, now)
-
-    def _update_postponed(
-        self, now: datetime.timedelta, wall: datetime.timedelta
-    ) -> None:
-        """Choose the jobs that go after the others."""
-        steps_by_kind: dict[
-            work_rate.RoomKind,
-            dict[model.Occurrence, list[waiting_step.WaitingStep]],
-        ] = {kind: {} for kind in work_rate.RoomKind}
-        for step in self.steps.values():
-            if not step.needs.long_running:
-                kind = _room_kind(filler=step.needs.filler)
-                steps_by_kind[kind].setdefault(step.key.whole, []).append(step)
-        self.postponed = {
-            kind: least_cost.postponed(
-                [
-                    _waiting_work(together, wall, self.mean_work)
-                    for together in steps.values()
-                ],
-                self.work_rates[kind].cores(now),
-                wall,
-            )
-            for kind, steps in steps_by_kind.items()
-        }
-
     def _update_shares(
         self, workers: collections.abc.Iterable[fleet.Worker]
     ) -> None:
@@ -402,32 +359,6 @@
             round_.explain(waiting)
 
 
-def _room_kind(*, filler: bool) -> work_rate.RoomKind:
-    return work_rate.RoomKind.FILLER if filler else work_rate.RoomKind.OTHER
-
-
-def _waiting_work(
-    steps: list[waiting_step.WaitingStep],
-    wall: datetime.timedelta,
-    mean_work: least_cost.MeanWork,
-) -> least_cost.WaitingWork:
-    """Return what ``least_cost`` needs to know of an occurrence's steps."""
-    job = steps[0].job
-    work = sum(
-        (len(step.tasks) * step.step.processor_time for step in steps),
-        datetime.timedelta(),
-    )
-    later = max(job.progress.downstream_work(step.key.step) for step in steps)
-    return least_cost.WaitingWork(
-        key=steps[0].key.whole,
-        priority=job.queue.priority,
-        deadline=min(step.deadline for step in steps),
-        earliest=wall + max(step.chain for step in steps),
-        work=work + later,
-        large=mean_work.is_large(job.queue.queue, job.work),
-    )
-
-
 def _in_gang(job: jobs.Job, task: model.TaskKey) -> bool:
     return job.spec.steps[task.step].gang
 
--- a/tests/dispatch/test_least_cost.py
+++ b/tests/dispatch/test_least_cost.py
@@ -182,7 +182,7 @@
         ]
         for _, _, job, task in ended:
             step = job.spec.steps[task.step]
-            self.waiting.note_done(step, self.now)
+            self.waiting.postponement.note_done(step, self.now)
         super().run_round()
 
     def share_of(self, queue, *, largest=1.0, factor=1.0):
@@ -263,7 +263,7 @@
         """Guards against a service that waits for its latency objective."""
         tasks = waiting.WaitingTasks(policy=LEAST_COST)
         for second in range(4):
-            tasks.note_done(fakes.step(), second * SECOND)
+            tasks.postponement.note_done(fakes.step(), second * SECOND)
         pool = Pool(1, LEAST_COST)
         pool.waiting = tasks
         pool.now = 4 * SECOND
