--- a/tests/dispatch/test_full_ranking.py
+++ b/tests/dispatch/test_full_ranking.py
@@ -64,7 +64,7 @@
         arguments = {
             "workers": self.run_tracker.workers.values(),
             "closed": self.dispatcher.closed_zones,
-            "approved": lambda s: self.dispatcher._approved(s, now),
+            "approved": lambda s: self.dispatcher.approved(s, now),
             "interference": self.dispatcher.interference,
             "now": now,
         }
