Do not refuse an accepted job for a quota that was lowered later

A submission that is repeated after its answer was lost got 429 (never runs) if its gang exceeded the quota by then, although the job was stored and may run. The store is asked only for gangs beyond the quota.

--- a/src/turmerichook/_internal/intake/callers.py
+++ b/src/turmerichook/_internal/intake/callers.py
@@ -229,15 +229,12 @@
             accepted=datetime.timedelta(seconds=self.clock.now().timestamp()),
         )
         if customer and accesses.exceeds_quota(spec, customer):
-            self._log_submission(
-                events.IntakeEvent.JOB_REFUSED,
-                queue,
-                job,
-                reason="exceeds-quota",
-                customer=customer.customer,
-            )
-            await self._refuse(exchange, 429, "exceeds-quota")
-            return
+            known = await self.jobs.state(job, deadline)
+            if not isinstance(known, model.JobState):
+                await self._refuse_beyond_quota(exchange, queue, job, known)
+                return
+            # The job was accepted under a higher quota, and is answered as
+            # any other repeated submission.
         if not self.store_reachable():
             # No write is sent while the store is known to be unreachable, so
             # the job is certainly not stored.
@@ -269,6 +266,26 @@
                 )
                 await self._refuse(exchange, 504, "outcome-unknown")
 
+    async def _refuse_beyond_quota(
+        self,
+        exchange: server.Exchange,
+        queue: deployment.Queue,
+        job: ids.JobId,
+        known: job_store.NoSuchJob | job_store.NoResultReason,
+    ) -> None:
+        """Refuse a job that its customer's quota can never hold.
+
+        :param known: what the store says of a job with this id.
+        """
+        self._log_submission(
+            events.IntakeEvent.JOB_REFUSED, queue, job, reason="exceeds-quota"
+        )
+        if isinstance(known, job_store.NoSuchJob):
+            await self._refuse(exchange, 429, "exceeds-quota")
+        else:
+            # The job may have been accepted before.
+            await self._refuse(exchange, 504, "outcome-unknown")
+
     async def _state(
         self,
         exchange: server.Exchange,
--- a/tests/intake/test_access.py
+++ b/tests/intake/test_access.py
@@ -150,6 +150,24 @@
         assert asyncio.run(scenario(gang)) == 429
         assert asyncio.run(scenario(gang.replace(b"6", b"5"))) == 200
 
+    def test_accepted_gang_beyond_a_lowered_quota(self):
+        """Guards against a refusal of a job that was accepted and may run."""
+        gang = b'{"steps":[{"count":5,"cpu":1000,"gang":true}]}'
+
+        async def scenario():
+            intake = KeyedIntake()
+            first = await intake.post(header(KEY), gang)
+            lowered = test_customers.customer("a", 2)
+            intake.configuration = dataclasses.replace(
+                intake.configuration, version=2, customers=(lowered,)
+            )
+            again = await intake.post(header(KEY), gang)
+            intake.storage.down = True
+            in_the_dark = await intake.post(header(KEY), gang)
+            return first, again, in_the_dark
+
+        assert asyncio.run(scenario()) == (200, 200, 504)
+
 
 class TestCurrency:
     """The store does not answer, and a key may have been removed."""
