Forget shares when customers are no longer configured

A customer that used more than its share went last for as long as the leader led, if a later configuration listed no customers. Found by reading the change; a test shows it.

--- a/src/turmerichook/_internal/dispatch/customers.py
+++ b/src/turmerichook/_internal/dispatch/customers.py
@@ -52,6 +52,9 @@
         """Apply the weights and quotas of a configuration."""
         customers = configuration.customers or ()
         self.configured = configuration.customers is not None
+        if not self.configured:
+            # Shares are no longer determined.
+            self.over_share = frozenset()
         self.usage.weights = {c.customer: c.weight for c in customers}
         self.usage.limits = {c.customer: c.quota for c in customers}
 
--- a/tests/dispatch/test_customers.py
+++ b/tests/dispatch/test_customers.py
@@ -287,6 +287,20 @@
         harness.start_all()
         assert harness.running("b") == 1000
 
+    def test_customers_that_are_no_longer_configured(self):
+        """Guards against a customer that goes last for good."""
+        terms = configuration(customer("a"), customer("b"))
+        harness = Harness("w1", terms=terms)
+        harness.submit(job("a" * 16, "a", fakes.step(40)))
+        harness.start_all()
+        harness.submit(job("b" * 16, "b", fakes.step(1)))
+        harness.advance(SECOND)
+        harness.place()
+        accounts = harness.dispatcher.run_tracker.customers
+        assert accounts.over_share == {"a"}
+        harness.configure(dataclasses.replace(terms, customers=None))
+        assert accounts.over_share == frozenset()
+
     def test_unused_room(self):
         """Guards against room that nobody may use."""
         harness = Harness(
