Use one step for runs that are only to be stopped

A run of a final job and a stray run made the same step in two ways; the settlement now calls run_trackers.stray_step. The tests of shares make their flooded worker and its next start in one place each. No change of behaviour, no assertion loosened: the number of starts is asserted as the millicores that run.

--- a/src/turmerichook/_internal/dispatch/run_tracker.py
+++ b/src/turmerichook/_internal/dispatch/run_tracker.py
@@ -342,7 +342,7 @@
             task,
             unfinished.worker,
             unfinished.run,
-            _unknown_step(unfinished.committed),
+            stray_step(unfinished.committed),
             now,
             customer=unfinished.customer,
             charge=unfinished.charge,
@@ -350,8 +350,12 @@
         run.should_run = False
 
 
-def _unknown_step(committed: resources.Resources | None) -> model.Step:
-    """Return a step for a run of a job that the leader does not hold."""
+def stray_step(committed: resources.Resources | None) -> model.Step:
+    """Return a step for a run that is only to be stopped.
+
+    :param committed: what the run occupies of its worker's capacity; None if
+        it is not known.
+    """
     if committed is None:
         return STRAY_STEP
     return dataclasses.replace(STRAY_STEP, demand=committed)
--- a/src/turmerichook/_internal/dispatch/settlement.py
+++ b/src/turmerichook/_internal/dispatch/settlement.py
@@ -4,7 +4,6 @@
 of either.
 """
 
-import dataclasses
 import datetime
 
 from turmerichook._internal import clock as clocks
@@ -158,20 +157,20 @@
         A run of a job that was set aside goes on.
         The run takes its demand of the worker's capacity until it has ended.
         """
-        step = run_trackers.STRAY_STEP
+        customer, committed, charge = ids.CustomerId(""), None, None
         job = self.run_tracker.jobs.get(row.task.job)
-        known = job is not None and row.task.step < len(job.spec.steps)
-        if known:
-            committed = job.spec.steps[row.task.step].committed
-            step = dataclasses.replace(step, demand=committed)
+        if job is not None and row.task.step < len(job.spec.steps):
+            step = job.spec.steps[row.task.step]
+            customer = job.spec.customer
+            committed, charge = step.committed, step.demand
         stray = fleet.Run(
             task=row.task,
             run=row.run,
-            step=step,
+            step=run_trackers.stray_step(committed),
             phase=fleet.RunPhase.STOPPING,
-            demand_known=known,
-            customer=job.spec.customer if known else ids.CustomerId(""),
-            charge=job.spec.steps[row.task.step].demand if known else None,
+            demand_known=committed is not None,
+            customer=customer,
+            charge=charge,
         )
         worker.add(stray)
         if row.task.job in self.run_tracker.set_aside:
--- a/tests/dispatch/test_customers.py
+++ b/tests/dispatch/test_customers.py
@@ -73,6 +73,13 @@
             self.send(start, lose=lose)
         return len(starts)
 
+    def replace_one(self, name):
+        """End a worker's oldest run, and start what is possible then."""
+        worker = self.workers[name]
+        worker.end(next(iter(worker.running)), DONE)
+        self.renew_leases(name)
+        self.start_all()
+
     def running(self, owner):
         """Return the millicores that workers run for a customer."""
         return sum(
@@ -247,6 +254,14 @@
     return configuration(*listed, version=version)
 
 
+def flooded():
+    """Return a full worker; the customer "a" has more tasks waiting."""
+    harness = Harness("w1", terms=configuration(customer("a"), customer("b")))
+    harness.submit(job("a" * 16, "a", fakes.step(40)))
+    harness.start_all()
+    return harness
+
+
 class TestShares:
     """One customer floods the queues; the workers are full."""
 
@@ -255,50 +270,34 @@
 
         The flood came first and is as urgent.
         """
-        harness = Harness(
-            "w1", terms=configuration(customer("a"), customer("b"))
-        )
-        harness.submit(job("a" * 16, "a", fakes.step(40)))
-        assert harness.start_all() == 16
+        harness = flooded()
+        assert harness.running("a") == 16_000
         harness.submit(job("b" * 16, "b", fakes.step(12)))
-        worker = harness.workers["w1"]
         for _ in range(20):
             harness.advance(SECOND)
-            worker.end(next(iter(worker.running)), DONE)
-            harness.renew_leases("w1")
-            harness.start_all()
+            harness.replace_one("w1")
         assert harness.running("b") == 8000
         assert harness.running("a") == 8000
 
     def test_urgent_flood(self):
         """Guards against a priority that reaches beyond the share."""
-        harness = Harness(
-            "w1", terms=configuration(customer("a"), customer("b"))
-        )
-        harness.submit(job("a" * 16, "a", fakes.step(40)))
-        harness.start_all()
+        harness = flooded()
         harness.submit(job("b" * 16, "b", fakes.step(1)))
         queue = dataclasses.replace(fakes.QUEUE, priority=2)
         harness.dispatcher.jobs[ids.JobId("b" * 16)].queue = queue
-        worker = harness.workers["w1"]
         harness.advance(SECOND)
-        worker.end(next(iter(worker.running)), DONE)
-        harness.renew_leases("w1")
-        harness.start_all()
+        harness.replace_one("w1")
         assert harness.running("b") == 1000
 
     def test_customers_that_are_no_longer_configured(self):
         """Guards against a customer that goes last for good."""
-        terms = configuration(customer("a"), customer("b"))
-        harness = Harness("w1", terms=terms)
-        harness.submit(job("a" * 16, "a", fakes.step(40)))
-        harness.start_all()
+        harness = flooded()
         harness.submit(job("b" * 16, "b", fakes.step(1)))
         harness.advance(SECOND)
         harness.place()
         accounts = harness.dispatcher.run_tracker.customers
         assert accounts.over_share == {"a"}
-        harness.configure(dataclasses.replace(terms, customers=None))
+        harness.configure(dataclasses.replace(harness.terms, customers=None))
         assert accounts.over_share == frozenset()
 
     def test_unused_room(self):
@@ -312,17 +311,10 @@
 
     def test_shares_after_a_change_of_the_leader(self):
         """Guards against shares that are lost with the leader."""
-        harness = Harness(
-            "w1", terms=configuration(customer("a"), customer("b"))
-        )
-        harness.submit(job("a" * 16, "a", fakes.step(40)))
-        harness.start_all()
+        harness = flooded()
         harness.submit(job("b" * 16, "b", fakes.step(1)))
         harness.commit(harness.begin(100, 100))
         harness.take_over()
         harness.renew_leases("w1")
-        worker = harness.workers["w1"]
-        worker.end(next(iter(worker.running)), DONE)
-        harness.renew_leases("w1")
-        harness.start_all()
+        harness.replace_one("w1")
         assert harness.running("b") == 1000
