--- a/review/standin3/small_site.py
+++ b/review/standin3/small_site.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -31,6 +32,8 @@
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
 HEARTBEAT_S = 1.1
+# A script runs for 120 s at most.
+TIME_LIMIT_S = 110.0
 
 SETTINGS = """\
 node-name = "{node}"
@@ -60,11 +63,11 @@
 memory-mb = 300
 max-fds = 4100
 [policy-params]
-contact-ms = 3000
-ack-timeout-ms = 4000
+contact-ms = {contact}
+ack-timeout-ms = {ack}
 drain-timeout-ms = 2000
 grace-s = 6
-config-apply-ms = 2000
+config-apply-ms = {apply}
 evacuate-ms = 5000
 hold-max-ms = 10000
 stop-timeout-ms = 400
@@ -741,6 +744,9 @@
                 ready=self.ready,
                 admin=self.admin,
                 store=self.link.address,
+                contact=4000 if self.site.grown else 3000,
+                apply=3000 if self.site.grown else 2000,
+                ack=6000 if self.site.grown else 4000,
                 advisor=f'advisor = "{advisor.address}"' if advisor else "",
             )
         )
@@ -795,7 +801,11 @@
 
     host = "nony.example"
 
-    def __init__(self, record, *, runners=3, entries=2, advised=False):
+    def __init__(
+        self, record, *, runners=3, entries=2, advised=False, grown=False
+    ):
+        # Whether the bounds are those of the grown sites.
+        self.grown = grown
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record = record
         self.store = Store(record)
@@ -922,14 +932,22 @@
 
 def main(play):
     """Run ``play(record, trouble)``; exit with 0, 1 or 2."""
-    folder = pathlib.Path(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
-    record.note("script", f"trouble: {trouble}")
+
+    async def limited():
+        async with asyncio.timeout(TIME_LIMIT_S):
+            return await play(record, trouble)
+
     try:
-        broken = asyncio.run(play(record, trouble))
-    except Exception as error:
-        record.note("script", f"the case could not run: {error!r}")
+        record = Record(pathlib.Path(sys.argv[1]) / "record.txt")
+        record.note("script", f"trouble: {trouble}")
+        try:
+            broken = asyncio.run(limited())
+        except BaseException as error:
+            record.note("script", f"the case could not run: {error!r}")
+            raise
+    except BaseException:
+        traceback.print_exc()
         sys.exit(2)
     record.note("script", "the rule was broken" if broken else "held")
     sys.exit(1 if broken else 0)
